Read the configuration anew on SIGHUP and move the watch to the new discovery

At fault: signal.Notify in internal/run/run.go; the watch in internal/link/watch.go had one address for life. Now: config.Reload reads and checks the file, Loop.Reload moves the watch and the descriptor limits, everything else stays. The watch asks the new discovery from generation 0, as its generations need not compare. A fault is logged with its key and changes nothing.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -8,6 +8,7 @@
 	"hash/fnv"
 	"net/netip"
 	"os"
+	"reflect"
 	"strconv"
 
 	jsoniter "github.com/json-iterator/go"
@@ -57,6 +58,27 @@
 	return c, nil
 }
 
+// Reload reads the file again for a scheduler that runs by c. What can't change under way stays as it is in c;
+// kept names the keys of it that the file now has otherwise. On a fault all of c stays.
+func (c Config) Reload(env func(string) string) (next Config, kept []string, err error) {
+	next, err = Load(env)
+	if err != nil {
+		return c, nil, err
+	}
+	stays := func(key string, differs bool) {
+		if differs {
+			kept = append(kept, key)
+		}
+	}
+	stays("name", next.Name != c.Name)
+	stays("listen", next.Listen != c.Listen)
+	stays("limits.cores", next.Limits.Cores != c.Limits.Cores)
+	stays("settings", !reflect.DeepEqual(next.Settings, c.Settings))
+	next.Limits.Cores = c.Limits.Cores
+	next.Name, next.Listen, next.Settings, next.Seed, next.Known = c.Name, c.Listen, c.Settings, c.Seed, c.Known
+	return next, kept, nil
+}
+
 // Decode reads a configuration from its text.
 func Decode(text []byte, env func(string) string) (Config, error) {
 	c := Config{Limits: defaultLimits}
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -1,6 +1,8 @@
 package config
 
 import (
+	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 	"time"
@@ -80,3 +82,30 @@
 		t.Errorf("without a file: %v", err)
 	}
 }
+
+// Read again, a file changes what can be changed under way; the rest stays and is named. A fault changes nothing.
+func TestReload(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "config.json")
+	env := func(string) string { return path }
+	put := func(text string) {
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	put(sound)
+	c, err := Load(env)
+	if err != nil {
+		t.Fatal(err)
+	}
+	put(strings.NewReplacer(`:8500"`, `:8501"`, `"sockets":1024`, `"sockets":512`, `:9000"`, `:9001"`, `"8c1f"`, `"1"`,
+		`"try_limit":6`, `"try_limit":5`).Replace(sound))
+	next, kept, err := c.Reload(env)
+	if err != nil || next.Discovery.Port() != 8501 || next.Limits.Sockets != 512 || next.Listen != c.Listen ||
+		next.Settings.TryLimit != 6 || next.Seed != c.Seed || strings.Join(kept, " ") != "listen settings" {
+		t.Errorf("%+v, kept %v, %v", next, kept, err)
+	}
+	put(strings.Replace(sound, `"127.0.0.1:8500"`, `"there"`, 1))
+	if next, _, err = c.Reload(env); err == nil || !strings.Contains(err.Error(), `key "discovery"`) || next.Discovery != c.Discovery {
+		t.Errorf("%v, %v", next.Discovery, err)
+	}
+}
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -244,6 +244,10 @@
 	l.events = append(l.events, logic.WorkerList{Kind: kind, Workers: list})
 }
 
+// NewSource tells that the host group comes from elsewhere from now on. The list at hand holds until that speaks,
+// but its generation is of no use there.
+func (l *Ledger) NewSource() { l.generation = 0 }
+
 // HostsLost tells that a call to discovery failed or the watch ended.
 func (l *Ledger) HostsLost() { l.events = append(l.events, logic.WorkerList{Kind: logic.ListLost}) }
 
--- a/internal/link/clients.go
+++ b/internal/link/clients.go
@@ -48,11 +48,20 @@
 }
 
 func (l *Loop) accept(most int, set *logic.Settings, names ledger.Names) {
-	l.clients = &clientLinks{loop: l, fd: -1, most: most, queries: most - max(8, most/10), links: map[*clientLink]struct{}{}, set: set,
+	l.clients = &clientLinks{loop: l, fd: -1, links: map[*clientLink]struct{}{}, set: set,
 		classes: index(names.Classes), tenants: index(names.Tenants)}
+	l.clients.limit(most)
 	l.clients.sweep()
 }
 
+// limit sets how many links are held. Where there are more, idle ones make room.
+func (c *clientLinks) limit(most int) {
+	c.most, c.queries = most, most-max(8, most/10)
+	for len(c.links) > c.most && c.evict() {
+	}
+	c.resume()
+}
+
 func (l *Loop) listen(at netip.AddrPort) error {
 	fd, sa, err := socket(at)
 	if err != nil {
--- a/internal/link/servers_test.go
+++ b/internal/link/servers_test.go
@@ -3,10 +3,12 @@
 import (
 	"bytes"
 	"fmt"
+	"net/netip"
 	"strings"
 	"testing"
 	"time"
 
+	"valvecove/internal/config"
 	"valvecove/internal/ledger"
 	"valvecove/internal/steps"
 	"valvecove/logic"
@@ -226,7 +228,7 @@
 		unsent := "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 		lost := false
 		for gen := 1; s.More() && !lost; {
-			switch s.Pick(6) {
+			switch s.Pick(7) {
 			case 0, 1:
 				line := fmt.Sprintf(`{"generation":%d,"reset":false,"instances":[{"instanceId":"s-%d"}]}`+"\n", gen, gen)
 				cut := s.Pick(len(line)-1) + 1
@@ -242,6 +244,21 @@
 				n := min(len(unsent), s.Pick(90))
 				p.write([]byte(unsent[:n]))
 				unsent = unsent[n:]
+			case 6: // to another discovery: whatever the one before still does or says is not the new one's
+				p.write([]byte(unsent))
+				w.turn()
+				old, at := p, netip.AddrPortFrom(netip.IPv4Unspecified(), uint16(len(w.dialed)))
+				w.loop.Reload(config.Config{Discovery: at, Limits: config.Limits{Sockets: 100}})
+				if old.write([]byte("1\r\n{\r\n1\r\n\n\r\n")); s.Pick(2) == 0 {
+					old.close()
+				}
+				w.turn()
+				p = w.dialed[len(w.dialed)-1]
+				p.read(1 << 12)
+				old.read(1 << 12)
+				s.Check(p != old && p.at == at && strings.Contains(string(p.got), "&index=0 "), "moved to %v, asked %q", p.at, p.got)
+				s.Check(old.closed || old.ended, "the old watch goes on")
+				unsent = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 			case 5:
 				if lost = s.Pick(3) == 0; lost {
 					p.write([]byte(unsent))
--- a/internal/link/start.go
+++ b/internal/link/start.go
@@ -21,9 +21,7 @@
 	if err != nil {
 		return nil, err
 	}
-	// Server links hold a descriptor only until a job is accepted; clients hold theirs for as long as it runs.
-	most := c.Limits.Sockets - ownDescriptors
-	servers := max(8, most/6)
+	servers, clients := share(c.Limits.Sockets)
 	l.serve(servers, c.Settings.ConnectTimeout, c.Settings.ConnIdle)
 	l.watch = &watch{stream: stream{loop: l}, to: c.Discovery}
 	seed := c.Seed
@@ -32,10 +30,28 @@
 		return logic.New(c.Settings.Settings, seed)
 	}
 	l.Ledger = ledger.New(c.Settings.TryLimit, c.Settings.Names, module, c.Known, l.servers, l.Logf)
-	l.accept(most-servers, &c.Settings.Settings, c.Settings.Names)
+	l.accept(clients, &c.Settings.Settings, c.Settings.Names)
 	return l, l.listen(c.Listen)
 }
 
+// share parts the descriptors. Server links hold one only until a job is accepted; clients hold theirs for as
+// long as it runs.
+func share(sockets int) (servers, clients int) {
+	most := sockets - ownDescriptors
+	servers = max(8, most/6)
+	return servers, most - servers
+}
+
+// Reload goes on by another configuration: links, queries and what the module knows stay.
+func (l *Loop) Reload(c config.Config) {
+	servers, clients := share(c.Limits.Sockets)
+	l.servers.most = servers
+	l.clients.limit(clients)
+	if c.Discovery != l.watch.to {
+		l.watch.move(c.Discovery)
+	}
+}
+
 // Addr is where the loop listens.
 func (l *Loop) Addr() netip.AddrPort {
 	switch sa, _ := unix.Getsockname(l.clients.fd); sa := sa.(type) {
--- a/internal/link/watch.go
+++ b/internal/link/watch.go
@@ -31,6 +31,7 @@
 	after     int64
 	on        bool
 	asked     bool
+	spoke     bool
 	streaming bool
 	body      chunks
 	line      []byte
@@ -61,6 +62,15 @@
 	w.expect(upWithin)
 }
 
+// move follows another discovery from now on. The one before it is left at once, so that its end, or whatever
+// it still says, is not taken for the new one's. Its generations need not mean anything to the new one: from 0
+// on, all is told that the new one knows.
+func (w *watch) move(to netip.AddrPort) {
+	w.to = to
+	w.loop.Ledger.NewSource()
+	w.loop.guard(w, func() { w.start(0) })
+}
+
 func (w *watch) stop() {
 	if w.on {
 		w.on = false
@@ -178,6 +188,10 @@
 			if err := jsoniter.ConfigDefault.Unmarshal(w.line, &g); err != nil {
 				return fmt.Errorf("host group: %w", err)
 			}
+			if !w.spoke {
+				w.spoke = true
+				w.loop.Logf("watch at %v after generation %d: generation %d, whole %v, %d entries", w.to, w.after, g.Generation, g.Reset, len(g.Hosts))
+			}
 			w.loop.Ledger.Hosts(g)
 		}
 		w.line = w.line[:0]
--- a/internal/link/world_test.go
+++ b/internal/link/world_test.go
@@ -29,6 +29,7 @@
 // peer is the far end of a link.
 type peer struct {
 	fd     int
+	at     netip.AddrPort // what was dialed
 	got    []byte
 	ended  bool // by the loop's side
 	closed bool // by this side
@@ -42,8 +43,9 @@
 	}
 	l.clock = func() time.Duration { return w.now }
 	l.now = w.now
-	l.dial = func(netip.AddrPort) (int, error) {
+	l.dial = func(at netip.AddrPort) (int, error) {
 		p, fd := w.pair()
+		p.at = at
 		w.dialed = append(w.dialed, p)
 		return fd, nil
 	}
--- a/internal/run/run.go
+++ b/internal/run/run.go
@@ -1,4 +1,4 @@
-// Package run is start and stop: limits, readiness, signals, drain.
+// Package run is start and stop: limits, readiness, signals, drain, and a new configuration under way.
 package run
 
 import (
@@ -8,6 +8,7 @@
 	"os/signal"
 	"runtime"
 	"runtime/debug"
+	"strings"
 	"syscall"
 	"time"
 
@@ -18,8 +19,22 @@
 // stillComing is how long after SIGTERM queries may still come in: the front takes a moment to notice.
 const stillComing = 800 * time.Millisecond
 
+// scheduler is one that runs.
+type scheduler struct {
+	env      func(string) string
+	conf     config.Config
+	loop     *link.Loop
+	draining bool
+	closed   bool
+}
+
 // Scheduler runs until it has been told to stop and has drained.
 func Scheduler(env func(string) string, log io.Writer) error {
+	// From the first moment on: by default SIGHUP ends a process, and with it all that it has taken.
+	signals := make(chan os.Signal, 16)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	defer signal.Stop(signals)
+	signal.Ignore(syscall.SIGPIPE)
 	c, err := config.Load(env)
 	if err != nil {
 		return err
@@ -29,24 +44,60 @@
 	if err != nil {
 		return err
 	}
-	closed := false
+	s := &scheduler{env: env, conf: c, loop: loop}
+	told, end := make(chan os.Signal, cap(signals)), make(chan struct{})
 	loop.OnWake(func() {
-		loop.Logf("%s: draining", c.Name)
-		loop.Drain()
-		loop.After(stillComing, func() {
-			loop.Close()
-			closed = true
-		})
+		for len(told) > 0 {
+			s.told(<-told)
+		}
 	})
-	stop := make(chan os.Signal, 1)
-	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
-	signal.Ignore(syscall.SIGPIPE)
+	defer close(end)
 	go func() {
-		<-stop
-		loop.Wake()
+		for {
+			select {
+			case sig := <-signals:
+				told <- sig
+				loop.Wake()
+			case <-end:
+				return
+			}
+		}
 	}()
 	loop.Logf("%s: listening at %v", c.Name, loop.Addr())
-	return loop.Run(func() bool { return closed && loop.Quiet() })
+	return loop.Run(func() bool { return s.closed && loop.Quiet() })
+}
+
+// told does what a signal asks for. It runs in the loop.
+func (s *scheduler) told(sig os.Signal) {
+	switch {
+	case sig == syscall.SIGHUP:
+		s.reload()
+	case !s.draining: // once: a second SIGTERM must not begin the drain anew
+		s.draining = true
+		s.loop.Logf("%s: draining", s.conf.Name)
+		s.loop.Drain()
+		s.loop.After(stillComing, func() {
+			s.loop.Close()
+			s.closed = true
+		})
+	}
+}
+
+// reload goes on by the file as it is now; one with a fault changes nothing. While draining too: queries in hand
+// still need worker nodes, and drains and starts among those are still to be heard of.
+func (s *scheduler) reload() {
+	next, kept, err := s.conf.Reload(s.env)
+	if err != nil {
+		s.loop.Logf("%s: configuration kept as it was: %v", s.conf.Name, err)
+		return
+	}
+	limit(next.Limits)
+	s.loop.Reload(next)
+	s.conf = next
+	s.loop.Logf("%s: configuration read anew, discovery at %v", s.conf.Name, next.Discovery)
+	if len(kept) > 0 {
+		s.loop.Logf("%s: these change at the next start only: %s", s.conf.Name, strings.Join(kept, ", "))
+	}
 }
 
 // limit keeps the runtime inside what the machine allows. Memory beyond the heap needs room too, and running
--- a/internal/run/run_test.go
+++ b/internal/run/run_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"syscall"
 	"testing"
@@ -16,43 +17,134 @@
 "settings":{"classes":[{"name":"a","promise":80000,"give_up":500000,"idempotency":"pure"}],
 "bounds":{"try_limit":2,"connect_timeout":250000}}}`
 
-// A scheduler is up once it can serve; told to stop with a query in hand, it answers that and ends without a
-// fault.
-func TestStartAndDrain(t *testing.T) {
-	path := filepath.Join(t.TempDir(), "config.json")
-	if err := os.WriteFile(path, []byte(conf), 0o600); err != nil {
+// started is a scheduler under test, on sockets and signals as in service.
+type started struct {
+	*testing.T
+	path, addr string
+	lines      *bufio.Scanner // of its log
+	end        chan error
+}
+
+func start(t *testing.T, conf string) *started {
+	s := &started{T: t, path: filepath.Join(t.TempDir(), "config.json"), end: make(chan error, 1)}
+	s.configure(conf)
+	logs, log, err := os.Pipe() // holds what is not read, so that the log never holds up the loop
+	if err != nil {
 		t.Fatal(err)
 	}
-	logs, log := io.Pipe()
-	end := make(chan error, 1)
+	t.Cleanup(func() { logs.Close() })
 	go func() {
-		end <- Scheduler(func(name string) string { return map[string]string{"PROXY_CONFIG": path}[name] }, log)
+		s.end <- Scheduler(func(name string) string { return map[string]string{"PROXY_CONFIG": s.path}[name] }, log)
 		log.Close()
 	}()
-	addr := ""
-	for lines := bufio.NewScanner(logs); addr == "" && lines.Scan(); {
-		_, addr, _ = strings.Cut(lines.Text(), "listening at ")
-	}
-	go io.Copy(io.Discard, logs)
-	talk := func(request string) *bufio.Reader {
-		c, err := net.Dial("tcp", addr)
-		if err != nil {
-			t.Fatal(err)
+	s.lines = bufio.NewScanner(logs)
+	_, s.addr, _ = strings.Cut(s.log("listening at "), "listening at ")
+	return s
+}
+
+func (s *started) configure(conf string) {
+	if err := os.WriteFile(s.path, []byte(conf), 0o600); err != nil {
+		s.Fatal(err)
+	}
+}
+
+// log reads the log up to a line that holds what is wanted.
+func (s *started) log(want string) string {
+	for s.lines.Scan() {
+		if strings.Contains(s.lines.Text(), want) {
+			return s.lines.Text()
 		}
-		t.Cleanup(func() { c.Close() })
-		io.WriteString(c, request)
-		return bufio.NewReader(c)
 	}
-	if line, _ := talk("GET /up HTTP/1.1\r\n\r\n").ReadString('\n'); line != "HTTP/1.1 200 OK\r\n" {
+	s.Fatalf("the log has no %q", want)
+	return ""
+}
+
+func (s *started) talk(request string) *bufio.Reader {
+	c, err := net.Dial("tcp", s.addr)
+	if err != nil {
+		s.Fatal(err)
+	}
+	s.Cleanup(func() { c.Close() })
+	io.WriteString(c, request)
+	return bufio.NewReader(c)
+}
+
+func (s *started) signal(sig syscall.Signal) { _ = syscall.Kill(os.Getpid(), sig) }
+
+func listen(t *testing.T) net.Listener {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	return l
+}
+
+// hears expects a connection and the first line that comes on it.
+func (s *started) hears(l net.Listener, want string) {
+	c, err := l.Accept()
+	if err != nil {
+		s.Fatal(err)
+	}
+	s.Cleanup(func() { c.Close() })
+	if line, _ := bufio.NewReader(c).ReadString('\n'); line != want+" HTTP/1.1\r\n" {
+		s.Errorf("heard %q, expected %s", line, want)
+	}
+}
+
+const (
+	query = "POST /a HTTP/1.1\r\nX-Call-Class: a\r\nX-Call-Id: 1\r\nContent-Length: 0\r\n\r\n"
+	// The only worker node refuses connections, so the module gives a query up sooner or later.
+	givenUp = "HTTP/1.1 503 Service Unavailable\r\n"
+)
+
+// A scheduler is up once it can serve; told to stop with a query in hand, it answers that and ends without a
+// fault.
+func TestStartAndDrain(t *testing.T) {
+	s := start(t, conf)
+	if line, _ := s.talk("GET /up HTTP/1.1\r\n\r\n").ReadString('\n'); line != "HTTP/1.1 200 OK\r\n" {
 		t.Errorf("/up: %q", line)
 	}
-	answer := talk("POST /a HTTP/1.1\r\nX-Call-Class: a\r\nX-Call-Id: 1\r\nContent-Length: 0\r\n\r\n")
-	_ = syscall.Kill(os.Getpid(), syscall.SIGTERM)
-	// Its only worker node refuses connections, so the module gives it up sooner or later.
-	if line, _ := answer.ReadString('\n'); line != "HTTP/1.1 503 Service Unavailable\r\n" {
+	answer := s.talk(query)
+	s.signal(syscall.SIGTERM)
+	if line, _ := answer.ReadString('\n'); line != givenUp {
+		t.Errorf("the query in hand: %q", line)
+	}
+	if err := <-s.end; err != nil {
+		t.Error(err)
+	}
+}
+
+// On SIGHUP the file is read again: its discovery is watched, and a query in hand is still answered. A file with
+// a fault is logged with its key and changes nothing; another one, while draining, is still heeded.
+func TestReload(t *testing.T) {
+	worker, second, third := listen(t), listen(t), listen(t)
+	const watch = "GET /discovery/hosts?stream=1&index=0"
+	with := func(discovery net.Listener) string {
+		return strings.NewReplacer(`"hostPort":"127.0.0.1:1"`, `"hostPort":"`+worker.Addr().String()+`"`, "80000", "50000000",
+			"500000", "60000000", `"discovery":"127.0.0.1:1"`, `"discovery":"`+discovery.Addr().String()+`"`).Replace(conf)
+	}
+	s := start(t, with(worker))
+	answer := s.talk(query)
+	s.configure(with(second))
+	s.signal(syscall.SIGHUP)
+	s.log("configuration read anew, discovery at " + second.Addr().String())
+	s.hears(second, watch)
+	s.configure(strings.Replace(with(third), `"sockets":64`, `"sockets":6`, 1))
+	s.signal(syscall.SIGHUP)
+	s.log(`configuration kept as it was: ` + s.path + `: key "limits.sockets"`)
+	s.signal(syscall.SIGTERM)
+	s.log("draining")
+	s.configure(with(third))
+	s.signal(syscall.SIGHUP)
+	s.log("configuration read anew, discovery at " + third.Addr().String())
+	s.hears(third, watch)
+	const note = `{"id":"1","from":"s-1","state":"done","result":"r"}`
+	s.talk("POST /v1/job-events HTTP/1.1\r\nContent-Length: " + strconv.Itoa(len(note)) + "\r\n\r\n" + note)
+	if line, _ := answer.ReadString('\n'); line != "HTTP/1.1 200 OK\r\n" {
 		t.Errorf("the query in hand: %q", line)
 	}
-	if err := <-end; err != nil {
+	if err := <-s.end; err != nil {
 		t.Error(err)
 	}
 }
