End a query that a worker node can't use, and leave that node's standing alone

Checked by a trace of each answer: all 95 were answered 400 by worker nodes; their X-Budget-Ms was there but empty, or their id was another's. None of the module's blames had another cause. Ruled out: descriptors (no usual client was refused for want of them) and CPU (0.04 s in the busiest second). At fault: head() in link/http.go, as bytes.Trim makes nil of an empty value, so that Get takes it as absent; answered() in link/servers.go, which took 4xx as an error of the worker node, to be tried on five others.

--- a/internal/ledger/fault.go
+++ b/internal/ledger/fault.go
@@ -28,6 +28,7 @@
 const (
 	Cut       Reason = iota // the connection failed or broke, or the worker node lost the job
 	Rejected                // turned away, or handed back unstarted
+	Unusable                // turned away as a request that no worker node can use
 	Errored                 // the worker node answered with an error
 	Expired                 // nothing came while the scheduler was willing to wait
 	Withdrawn               // given up by the module
@@ -43,7 +44,7 @@
 }
 
 func (f *Fault) Error() string {
-	what := [...]string{"cut", "rejected", "error", "expired", "withdrawn", "unsent"}[f.Reason]
+	what := [...]string{"cut", "rejected", "unusable", "error", "expired", "withdrawn", "unsent"}[f.Reason]
 	if f.Cause != nil {
 		return fmt.Sprintf("%s, %s: %v", what, f.Stage, f.Cause)
 	}
@@ -63,6 +64,6 @@
 	case f.Reason == Cut:
 		return logic.Reset
 	}
-	return [...]logic.Result{Rejected: logic.Full, Errored: logic.Failed, Expired: logic.TimedOut,
+	return [...]logic.Result{Rejected: logic.Full, Unusable: logic.NotSent, Errored: logic.Failed, Expired: logic.TimedOut,
 		Withdrawn: logic.Cancelled, Unsent: logic.NotSent}[f.Reason]
 }
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -167,6 +167,12 @@
 		l.close(q)
 		q.asker.Serve(got)
 	}
+	// What one worker node can't use none can: sent on, it would cost each of them, and each would look as if it
+	// failed. The query ends here, and the module hears of an attempt that says nothing of the worker node.
+	if fault != nil && fault.Reason == Unusable && !q.closed && q.out == 0 {
+		l.close(q)
+		q.asker.Fail()
+	}
 	l.events = append(l.events, logic.Outcome{Job: q.ID, Attempt: a.Number, Worker: a.Worker,
 		Result: result(fault), Closed: q.closed})
 	l.drop(q)
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -107,8 +107,13 @@
 			if stage := Stage(s.Pick(3)); !a.ended {
 				a.Stage = stage
 			}
-			l.End(a, nil, &Fault{Stage: a.Stage, Reason: Cut})
-			s.Did("cut " + a.Stage.String())
+			why := []Reason{Cut, Unusable}[s.Pick(2)]
+			open := !a.ended && !a.Query.closed
+			l.End(a, nil, &Fault{Stage: a.Stage, Reason: why})
+			if why == Unusable && open {
+				s.Check(a.Query.closed == (a.Query.out == 0), "unusable at its last worker node, and not answered")
+			}
+			s.Did("end " + a.Stage.String())
 		case what == 9 && s.Pick(8) == 0:
 			// A new module knows no query: each must have its answer by the end of the step.
 			module.Panic, module.Next = true, nil
--- a/internal/link/clients_test.go
+++ b/internal/link/clients_test.go
@@ -23,6 +23,7 @@
 	{"POST /a HTTP/1.1\r\nX-Call-Class: a\r\nX-Call-Id: #\r\nX-Caller: t\r\nContent-Length: 5\r\n\r\nhello", 0, false},
 	{"POST /a HTTP/1.1\r\nX-Call-Class: a\r\nX-Call-Id: #\r\nX-Caller: t\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhe\r\n0\r\n\r\n", 0, false},
 	{"POST /a HTTP/1.1\r\nX-Call-Class: a\r\nX-Call-Id: #\r\nX-Caller: t\r\nX-Budget-Ms: soon\r\n\r\n", 400, false},
+	{"POST /a HTTP/1.1\r\nX-Call-Class: a\r\nX-Call-Id: #\r\nX-Caller: t\r\nX-Budget-Ms: \r\n\r\n", 400, false},
 	{"POST /a HTTP/1.1\r\nX-Call-Class: b\r\nX-Call-Id: #\r\nX-Caller: t\r\n\r\n", 400, false},
 	{"POST /a HTTP/1.1\r\nX-Call-Class: a\r\nX-Call-Id: #\r\nX-Caller: u\r\n\r\n", 400, false},
 	{"GET /up?# HTTP/1.1\r\n\r\n", 200, false},
@@ -159,7 +160,7 @@
 	w.turn()
 	w.loop.guard(w.loop.handlers[fd], func() { panic("scripted") })
 	w.turn()
-	good.write([]byte(numbered(asks[5].text, 2)))
+	good.write([]byte(numbered(asks[6].text, 2)))
 	w.turn()
 	good.read(1 << 10)
 	if bad.read(1); !bad.ended || !strings.HasPrefix(string(good.got), "HTTP/1.1 200 ") {
--- a/internal/link/http.go
+++ b/internal/link/http.go
@@ -153,7 +153,7 @@
 			if !ok || !isToken(name) || bytes.IndexByte(value, '\r') >= 0 || bytes.IndexByte(value, 0) >= 0 {
 				return nil, 0, &BadMessage{400, "not a header field"}
 			}
-			m.Fields = append(m.Fields, Field{name, bytes.Trim(value, " \t")})
+			m.Fields = append(m.Fields, Field{name, trim(value)})
 		}
 	}
 }
@@ -295,6 +295,18 @@
 	return nil, end + 1, nil
 }
 
+// trim drops blanks on both sides. Unlike bytes.Trim it never returns nil for a value that is there but empty: an
+// empty budget or id is malformed, not absent.
+func trim(b []byte) []byte {
+	for len(b) > 0 && (b[0] == ' ' || b[0] == '\t') {
+		b = b[1:]
+	}
+	for len(b) > 0 && (b[len(b)-1] == ' ' || b[len(b)-1] == '\t') {
+		b = b[:len(b)-1]
+	}
+	return b
+}
+
 func isToken(b []byte) bool {
 	for _, c := range b {
 		if c <= ' ' || c >= 0x7f || bytes.IndexByte([]byte(`()<>@,;:\"/[]?={}`), c) >= 0 {
--- a/internal/link/servers.go
+++ b/internal/link/servers.go
@@ -342,6 +342,8 @@
 		fault = nil
 	case refused && (k.errand.kind == probing || string(m.Get("X-Rejected")) == "1"):
 		fault.Reason = ledger.Rejected
+	case m.Status/100 == 4 && k.errand.kind == carrying:
+		fault.Reason = ledger.Unusable
 	}
 	if k.errand.kind == carrying && fault == nil {
 		k.reach(ledger.Accepted)
--- a/internal/link/servers_test.go
+++ b/internal/link/servers_test.go
@@ -25,6 +25,7 @@
 	{"HTTP/1.1 504 Late\r\nX-Rejected: 1\r\nConnection: close\r\n\r\n", logic.Full},
 	{"HTTP/1.1 503 Trouble\r\nContent-Length: 2\r\n\r\nno", logic.Failed},
 	{"HTTP/1.1 500 Error\r\nContent-Length: 0\r\n\r\n", logic.Failed},
+	{"HTTP/1.1 400 Unusable\r\nContent-Length: 0\r\n\r\n", logic.NotSent},
 	{"garbage\r\n\r\n", logic.Reset},
 }
 
