Bound what bad clients hold: 2 s for a request, who makes room first, drained ends, buffers

Seen: all buffers of client links together could outgrow a machine of 32 MB (300 links of 144 KB; blank lines before a request had no bound at all; so had answers that nobody reads); a half request kept its descriptor for 20 s; a link that never spoke was ended by nothing but want of room; a refused peer that sends for more than 1 s was reset. So links that have just begun or just ended have a moment's grace, and connections wait in the backlog meanwhile. The bounds are shown by tests.

--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -89,6 +89,7 @@
 	timer   time.Duration // the module's; 0: none
 
 	lastID     uint64
+	bytes      int // of the bodies of queries
 	queries    map[uint64]*Query
 	calls      map[string]*Query // the open ones
 	live       map[attemptKey]*Attempt
@@ -123,6 +124,7 @@
 	q := &Query{ID: l.lastID, Call: in.Call, Parcel: in.Parcel, Deadline: now + in.Job.Left, asker: in.Asker}
 	in.Job.ID = q.ID
 	l.queries[q.ID], l.calls[q.Call] = q, q
+	l.bytes += len(q.Parcel.Body)
 	l.events = append(l.events, in.Job)
 	return q, nil
 }
@@ -145,8 +147,9 @@
 }
 
 func (l *Ledger) drop(q *Query) {
-	if q.closed && q.out == 0 {
+	if q.closed && q.out == 0 && l.queries[q.ID] == q {
 		delete(l.queries, q.ID)
+		l.bytes -= len(q.Parcel.Body)
 	}
 }
 
@@ -275,6 +278,9 @@
 	return false
 }
 
+// Bytes counts what the bodies of queries take up, of those too that are answered and have attempts out.
+func (l *Ledger) Bytes() int { return l.bytes }
+
 // Open counts the queries that are owed an answer.
 func (l *Ledger) Open() int { return len(l.calls) }
 
--- a/internal/link/clients.go
+++ b/internal/link/clients.go
@@ -24,39 +24,50 @@
 )
 
 const (
-	lingerFor   = time.Second      // for a peer to read the last answer before its link is cut
-	stalledFor  = 20 * time.Second // in the midst of a request, or of an answer that nobody reads
-	sweepEvery  = time.Second
-	acceptAgain = 100 * time.Millisecond // after the machine had no descriptor left
-	maxID       = 128
+	wholeWithin  = 2 * time.Second // a request must be whole: counted from its first byte, the first one's from connecting
+	readWithin   = 5 * time.Second // a peer must take in some of an answer
+	lingerQuiet  = time.Second     // after the last answer of a link: for the peer to close, or to send on
+	lingerMost   = 5 * time.Second
+	sweepEvery   = 250 * time.Millisecond
+	acceptAgain  = 50 * time.Millisecond  // after no descriptor was left
+	graceAtFirst = 250 * time.Millisecond // a link is not closed to make room sooner than this after its start
+	acceptAtOnce = 128                    // in a flood of connections, the links that are there have their turns too
+	socketBuffer = 64 << 10               // the kernel's, by link: it would hold megabytes
+	maxID        = 128
+	maxKey       = 256
 )
 
 // clientLinks accepts connections. Clients come in here, and so do worker nodes with their notes.
 type clientLinks struct {
-	loop     *Loop
-	fd       int
-	most     int // links held at once
-	queries  int // and queries, which is fewer: what ends them, worker nodes' notes, needs links too
-	links    map[*clientLink]struct{}
-	idle     list.List // of those between queries, longest first
-	paused   bool
-	draining bool
-	closing  bool // takes no query any more
-	set      *logic.Settings
-	classes  map[string]int
-	tenants  map[string]int
-}
-
-func (l *Loop) accept(most int, set *logic.Settings, names ledger.Names) {
+	loop    *Loop
+	fd      int
+	most    int // links held at once
+	queries int // and queries, which is fewer: what ends them, worker nodes' notes, needs links too
+	links   map[*clientLink]struct{}
+	// Links without a request in hand, longest first, in the order in which they make room: those that have only
+	// had errors for an answer, those that have had their last, those that have not asked yet, and the useful ones.
+	useless, leaving, mute, idle list.List
+	held                         int // bytes in the links' buffers
+	budget                       int // and how many there may be; as much again may wait in queries
+	paused                       bool
+	again                        *timer
+	draining                     bool
+	closing                      bool // takes no query any more
+	set                          *logic.Settings
+	classes                      map[string]int
+	tenants                      map[string]int
+}
+
+func (l *Loop) accept(most, budget int, set *logic.Settings, names ledger.Names) {
 	l.clients = &clientLinks{loop: l, fd: -1, links: map[*clientLink]struct{}{}, set: set,
 		classes: index(names.Classes), tenants: index(names.Tenants)}
-	l.clients.limit(most)
+	l.clients.limit(most, budget)
 	l.clients.sweep()
 }
 
-// limit sets how many links are held. Where there are more, idle ones make room.
-func (c *clientLinks) limit(most int) {
-	c.most, c.queries = most, most-max(8, most/10)
+// limit sets how many links are held, and how many bytes. Where there are more links, idle ones make room.
+func (c *clientLinks) limit(most, budget int) {
+	c.most, c.queries, c.budget = most, most-max(8, most/10), budget
 	for len(c.links) > c.most && c.evict() {
 	}
 	c.resume()
@@ -68,6 +79,8 @@
 		return err
 	}
 	_ = unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_REUSEADDR, 1)
+	_ = unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_RCVBUF, socketBuffer) // accepted ones inherit these
+	_ = unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_SNDBUF, socketBuffer)
 	if err := unix.Bind(fd, sa); err != nil {
 		return fmt.Errorf("listening at %v: %w", at, err)
 	}
@@ -89,7 +102,7 @@
 // ready accepts what waits. Where descriptors run out, the link that has been idle longest makes room; where
 // none is idle, new connections wait in the backlog: turned away there, their queries would be lost.
 func (c *clientLinks) ready(uint32) {
-	for {
+	for range acceptAtOnce {
 		if len(c.links) >= c.most && !c.evict() {
 			c.pause()
 			return
@@ -104,7 +117,6 @@
 			c.loop.Logf("accepting: %v", err)
 			c.evict()
 			c.pause()
-			c.loop.after(acceptAgain, c, c.resume)
 			return
 		}
 		c.adopt(fd)
@@ -113,7 +125,7 @@
 
 // adopt makes a link of a connection.
 func (c *clientLinks) adopt(fd int) {
-	k := &clientLink{home: c}
+	k := &clientLink{home: c, since: c.loop.now}
 	var err error
 	if k.stream, err = c.loop.stream(fd, streamEvents, k); err != nil {
 		c.loop.Logf("accepting: %v", err)
@@ -124,15 +136,25 @@
 	k.rest()
 }
 
-// sweep ends links that have been in the midst of a message for too long: each holds a descriptor.
+// sweep ends links on which nothing goes on that should: each holds a descriptor, and some hold a buffer. One that
+// awaits an answer of ours, or has had one and is idle, is let be.
 func (c *clientLinks) sweep() {
 	c.loop.after(sweepEvery, c, c.sweep)
 	for k := range c.links {
+		age := c.loop.now - k.since
 		switch {
-		case len(k.turns) > 0 && len(k.out) == 0 || k.idle != nil || c.loop.now-k.since < stalledFor:
-		case len(k.out) == 0 && !k.last:
-			k.add(false).settle(408, []byte("request not whole\n"), 0)
-		default:
+		case k.lingering:
+			if age >= lingerQuiet || c.loop.now-k.lingers >= lingerMost {
+				k.end()
+			}
+		case len(k.out) > 0:
+			if age >= readWithin {
+				k.end()
+			}
+		case len(k.turns) > 0 || k.useful && len(k.in) == 0 || age < wholeWithin:
+		case len(k.in) > 0 && !k.last:
+			k.refuse(408, "request not whole\n")
+		case !k.spoke || k.last: // has connected and says nothing
 			k.end()
 		}
 	}
@@ -140,38 +162,50 @@
 
 func (c *clientLinks) broken() {}
 
-// evict closes the link that has been idle longest, and tells whether there was one. What had just come in on
-// an idle link is taken first: closed over unread bytes, a link is reset and its client has to ask again.
+// evict closes the link that is missed least, and tells whether there was one. What had just come in on it is
+// taken first: closed over unread bytes, a link is reset and its client has to ask again. A link that has just
+// connected, or just had its last answer, is not closed: it may be a usual client's or a worker node's, whose
+// request is on its way.
 func (c *clientLinks) evict() bool {
-	for {
-		e := c.idle.Front()
-		if e == nil {
-			return false
-		}
-		k := e.Value.(*clientLink)
-		if c.loop.guard(k, func() { k.ready(unix.EPOLLIN) }); k.idle != nil {
-			k.end()
-		}
-		if k.closed {
-			return true
+	for _, from := range []*list.List{&c.useless, &c.leaving, &c.mute, &c.idle} {
+		for e := from.Front(); e != nil; e = from.Front() {
+			k := e.Value.(*clientLink)
+			if from != &c.idle && from != &c.useless && c.loop.now-k.since < graceAtFirst {
+				break
+			}
+			if c.loop.guard(k, func() { k.ready(unix.EPOLLIN) }); k.place == e {
+				k.end()
+			}
+			if k.closed {
+				return true
+			}
 		}
 	}
+	return false
 }
 
 func (c *clientLinks) pause() {
 	if !c.paused {
 		c.paused = true
 		c.listen(0)
+		c.loop.stop(c.again)
+		c.again = c.loop.after(acceptAgain, c, c.reopen) // some link may make room by then
 	}
 }
 
-func (c *clientLinks) resume() {
-	if c.paused && len(c.links) < c.most {
+func (c *clientLinks) reopen() {
+	if c.paused {
 		c.paused = false
 		c.listen(unix.EPOLLIN)
 	}
 }
 
+func (c *clientLinks) resume() {
+	if len(c.links) < c.most {
+		c.reopen()
+	}
+}
+
 func (c *clientLinks) listen(events uint32) {
 	_ = unix.EpollCtl(c.loop.epoll, unix.EPOLL_CTL_MOD, c.fd, &unix.EpollEvent{Events: events, Fd: int32(c.fd)})
 }
@@ -179,7 +213,13 @@
 // drain closes links between queries from now on; those that come all the same are served.
 func (c *clientLinks) drain() {
 	c.draining = true
-	for c.evict() {
+	for _, from := range []*list.List{&c.useless, &c.mute, &c.idle} {
+		for e := from.Front(); e != nil; e = from.Front() {
+			k := e.Value.(*clientLink)
+			if c.loop.guard(k, func() { k.ready(unix.EPOLLIN) }); k.place == e {
+				k.end()
+			}
+		}
 	}
 }
 
@@ -201,10 +241,15 @@
 	last      bool    // nothing more is read: the link ends with its last turn
 	ended     bool    // nothing more will come in
 	half      bool    // the client has ended its side while queries are served
-	lingering bool
+	lingering bool    // all is answered, and the peer may still send
 	continued bool
-	since     time.Duration // when the link last turned busy, or gave an answer
-	idle      *list.Element
+	spoke     bool          // a whole request has come
+	useful    bool          // and one that was of use: a query, a note or a question whether we are up
+	since     time.Duration // when something last began or went on, see sweep
+	lingers   time.Duration // when it began to
+	counted   int           // bytes that home.held has for it
+	among     *list.List    // the links without a request in hand, if it is one of those
+	place     *list.Element // and where it is there
 }
 
 // turn is one request's place in the order of answers. It is the Asker of a query.
@@ -218,20 +263,42 @@
 	retry  time.Duration
 }
 
-// rest marks the link as being between queries.
+// wait puts the link among those without a request in hand.
+func (k *clientLink) wait(among *list.List) {
+	if k.closed || k.among == among {
+		return
+	}
+	k.busy()
+	k.among, k.place = among, among.PushBack(k)
+}
+
+// rest marks the link as being between requests.
 func (k *clientLink) rest() {
-	if k.idle == nil && !k.closed {
-		k.idle = k.home.idle.PushBack(k)
+	switch {
+	case k.useful:
+		k.wait(&k.home.idle)
+	case k.spoke:
+		k.wait(&k.home.useless)
+	default:
+		k.wait(&k.home.mute)
 	}
 }
 
+// busy takes the link from among those without a request in hand.
 func (k *clientLink) busy() {
-	if k.idle != nil {
-		k.home.idle.Remove(k.idle)
-		k.idle, k.since = nil, k.loop.now
+	if k.place != nil {
+		k.among.Remove(k.place)
+		k.among, k.place = nil, nil
 	}
 }
 
+// count keeps home.held right.
+func (k *clientLink) count() {
+	now := cap(k.in) + cap(k.out)
+	k.home.held += now - k.counted
+	k.counted = now
+}
+
 // end closes the link; the queries that it carries have lost their client.
 func (k *clientLink) end() {
 	if k.closed {
@@ -239,6 +306,7 @@
 	}
 	k.busy()
 	k.close()
+	k.count()
 	delete(k.home.links, k)
 	for _, t := range k.turns {
 		if q := t.query; q != nil {
@@ -252,9 +320,15 @@
 func (k *clientLink) broken() { k.end() }
 
 func (k *clientLink) ready(events uint32) {
-	if events&unix.EPOLLOUT != 0 && k.flush() != nil {
-		k.end()
-		return
+	if events&unix.EPOLLOUT != 0 {
+		before := len(k.out)
+		if k.flush() != nil {
+			k.end()
+			return
+		}
+		if len(k.out) < before {
+			k.since = k.loop.now
+		}
 	}
 	if events&^unix.EPOLLOUT != 0 {
 		if events&(unix.EPOLLHUP|unix.EPOLLERR) != 0 && len(k.turns) > 0 {
@@ -265,7 +339,13 @@
 			k.halfClosed() // with more than is read at a time
 			return
 		}
-		ended, err := k.fill()
+		take := k.fill
+		if k.last {
+			take = k.discard
+		} else if k.useful && len(k.in) == 0 {
+			k.since = k.loop.now
+		}
+		ended, err := take()
 		if err != nil {
 			k.end()
 			return
@@ -275,6 +355,15 @@
 	k.proceed()
 }
 
+// discard takes in what nobody will read, so that closing the link does not reset it and take the answer along.
+func (k *clientLink) discard() (ended bool, err error) {
+	n, ended, err := k.stream.discard()
+	if n > 0 {
+		k.since = k.loop.now
+	}
+	return ended, err
+}
+
 // halfClosed asks a client that has ended its side whether it still listens. One that has closed its
 // connection has gone away, one that has only finished writing still waits, and both look alike until something
 // is written: a closed connection answers an interim response with a reset, and any client must skip one.
@@ -300,53 +389,71 @@
 
 // proceed takes in what can be taken.
 func (k *clientLink) proceed() {
-	for !k.last && !k.closed && len(k.turns) < mostTurns && len(k.in) > 0 {
-		k.busy()
+	for !k.last && !k.closed && len(k.turns) < mostTurns && len(k.out) <= maxUnread && len(k.in) > 0 {
 		m := &k.loop.message
 		n, err := m.ParseRequest(k.in)
 		var bad *BadMessage
 		if errors.As(err, &bad) {
-			k.add(false).settle(bad.Status, []byte(bad.What+"\n"), 0)
+			k.refuse(bad.Status, bad.What+"\n")
 			break
 		}
 		if err != nil {
-			if m.Expect && !k.continued && len(k.turns) == 0 {
+			if k.useful {
+				k.busy()
+			}
+			if k.home.held > k.home.budget && len(k.in) > kept {
+				k.refuse(503, "no memory for a large request now\n")
+			} else if m.Expect && !k.continued && len(k.turns) == 0 {
 				k.continued = true
 				_ = k.send([]byte(interim))
 			}
 			break
 		}
-		k.continued = false
+		k.busy()
+		k.continued, k.spoke, k.since = false, true, k.loop.now
 		k.request(m, k.add(m.KeepAlive))
 		if !k.closed {
 			k.took(n)
 		}
 	}
+	if k.closed {
+		return
+	}
+	if k.last {
+		k.in = nil
+	}
+	// What a client sends beyond its turns, or without reading its answers, is not hoarded.
+	k.read(len(k.in) <= mostAhead)
 	switch {
-	case k.closed:
 	case len(k.turns) > 0 && k.ended:
 		k.halfClosed()
-	case len(k.turns) > 0:
-		// What a client sends beyond its turns is not hoarded.
-		k.read(len(k.in) <= mostAhead)
-	case k.ended && len(k.out) == 0:
+	case len(k.turns) > 0 || len(k.out) > 0:
+	case k.ended:
 		k.end()
-	case k.last || k.ended:
-		k.in = nil
-		if len(k.out) == 0 && !k.lingering {
-			// Cut at once, a link with bytes unread would be reset, and the peer might lose the answer.
-			k.lingering = true
-			_ = unix.Shutdown(k.fd, unix.SHUT_WR)
-			k.loop.after(lingerFor, k, k.end)
-		}
-	case len(k.in) == 0 && len(k.out) == 0:
-		k.rest()
-		if k.home.draining {
+		return
+	case k.last && !k.lingering:
+		// Cut at once, a link with bytes unread would be reset, and the peer might lose the answer.
+		k.lingering, k.lingers, k.since = true, k.loop.now, k.loop.now
+		_ = unix.Shutdown(k.fd, unix.SHUT_WR)
+		k.wait(&k.home.leaving)
+	case len(k.in) == 0 && !k.last:
+		if k.rest(); k.home.draining {
 			k.end()
+			return
 		}
 	}
+	k.count()
+}
+
+// refuse answers what can't be read any further; the link ends with that.
+func (k *clientLink) refuse(status int, what string) {
+	k.busy()
+	k.add(false).reply(status, what)
 }
 
+// maxUnread is how much of a link's answers may wait to be read before no more is taken in.
+const maxUnread = maxBody
+
 // read turns reading on or off.
 func (k *clientLink) read(on bool) {
 	switch {
@@ -394,8 +501,7 @@
 			return
 		}
 	}
-	if !k.closed && len(k.turns) == 0 {
-		k.read(true)
+	if k.count(); !k.closed && len(k.turns) == 0 {
 		k.loop.after(0, k, k.proceed) // what came in meanwhile has its turn, though not in the midst of a step
 	}
 }
@@ -413,6 +519,7 @@
 		case k.home.draining || !k.loop.Ledger.CanServe():
 			t.reply(503, "not ready\n")
 		default:
+			t.link.useful = true
 			t.reply(200, "ready\n")
 		}
 	case pathNotes:
@@ -436,6 +543,7 @@
 		t.reply(400, "bad note\n")
 		return
 	}
+	k.useful = true
 	t.reply(204, "")
 }
 
@@ -460,8 +568,13 @@
 			t.reply(400, fault+"\n")
 			return
 		}
-		if k.home.closing || k.loop.Ledger.Open() >= k.home.queries {
-			t.Throttle(0) // it was sent nowhere, so another try is harmless
+		// It was sent nowhere, so another try is harmless; after a flood has passed, or elsewhere if this one stops.
+		switch c := k.home; {
+		case c.closing:
+			t.Throttle(0)
+			return
+		case k.loop.Ledger.Open() >= c.queries || k.loop.Ledger.Bytes()+len(m.Body) > c.budget:
+			t.Throttle(min(fullFor, c.set.MaxRetryAfter))
 			return
 		}
 		in.Asker = t
@@ -470,16 +583,32 @@
 			t.reply(409, "X-Call-Id: "+err.Error()+"\n")
 			return
 		}
-		t.query = q
+		t.query, k.useful = q, true
 	}
 }
 
+// fullFor is when to come back to a scheduler that holds all the queries it can.
+const fullFor = time.Second
+
+// once are the fields that count in a request. Where one comes twice, what we check and what a worker node goes
+// by could be two things.
+var once = []string{"X-Call-Id", "X-Call-Class", "X-Caller", "X-Budget-Ms", "Idempotency-Key", "X-Call-Cost",
+	"X-Call-Info", "X-Again", "Host"}
+
 // read makes a query of a request. fault names what is wrong with it.
 func (c *clientLinks) read(m *Message, class int, rest []byte) (in ledger.Arrival, fault string) {
-	id := m.Get("X-Call-Id")
+	for _, name := range once {
+		if m.Count(name) > 1 {
+			return in, name + ": given more than once"
+		}
+	}
+	id, idem := m.Get("X-Call-Id"), m.Get("Idempotency-Key")
 	if !isToken(id) || len(id) > maxID {
 		return in, "X-Call-Id: missing or malformed"
 	}
+	if len(idem) > maxKey || !isVisible(idem) || idem == nil && c.set.Classes[class].Effect == logic.Keyed {
+		return in, "Idempotency-Key: missing or malformed" // without one, repeats would not be dropped
+	}
 	tenant, known := c.tenants[string(m.Get("X-Caller"))]
 	if !known && len(c.tenants) > 0 {
 		return in, "X-Caller: not a tenant"
@@ -494,7 +623,7 @@
 	}
 	in = ledger.Arrival{Call: string(id), Job: logic.Job{Class: class, Tenant: tenant, Left: left, Slots: 1,
 		Hint: time.Duration(figure(m.Get("X-Call-Cost")) * float64(time.Microsecond)), Retry: string(m.Get("X-Again")) == "1"},
-		Parcel: ledger.Parcel{Verb: string(m.Method), Path: string(m.Target), Key: string(m.Get("Idempotency-Key")),
+		Parcel: ledger.Parcel{Verb: string(m.Method), Path: string(m.Target), Key: string(idem),
 			Body: bytes.Clone(m.Body)}}
 	if at := bytes.LastIndexByte(rest, '/'); len(rest) > 0 {
 		h := fnv.New64a()
--- a/internal/link/clients_test.go
+++ b/internal/link/clients_test.go
@@ -31,6 +31,9 @@
 	{"GET /a HTTP/1.1\r\nX-Call-Id: #\r\n\r\n", 405, false},
 	{"POST /v1/job-events HTTP/1.1\r\nContent-Length: 39\r\n\r\n{\"id\":\"x\",\"from\":\"dead\",\"state\":\"lost\"}", 204, false},
 	{"POST /v1/job-events HTTP/1.1\r\nContent-Length: 2\r\n\r\n{]", 400, false},
+	{"POST /a HTTP/1.1\r\nX-Call-Class: a\r\nX-Call-Id: #\r\nx-call-id: z\r\nX-Caller: t\r\n\r\n", 400, false},
+	{"POST /a HTTP/1.1\r\nX-Call-Class: a\r\nX-Call-Id: #\r\nX-Caller: t\r\nIdempotency-Key: a b\r\n\r\n", 400, false},
+	{"POST /a# HTTP/1.1\r\nContent-Length: 9\r\nTransfer-Encoding: chunked\r\n\r\n", 400, true},
 	{"#POST nonsense\r\n\r\n", 400, true},
 	{"POST /a# HTTP/1.1\r\nContent-Length: 70000\r\n\r\n", 413, true},
 }
@@ -108,7 +111,7 @@
 		}
 	}
 	s.Check(!p.closed && gone == 0 || p.closed && gone == open, "told gone %d times, %d queries open, closed %v", gone, open, p.closed)
-	if w.now += lingerFor; last && len(due) == 0 && !p.closed {
+	if w.now += lingerQuiet + sweepEvery; last && len(due) == 0 && !p.closed {
 		w.turn()
 		p.read(1)
 		s.Check(p.ended && len(w.loop.clients.links) == 0, "not closed after the last answer")
@@ -139,18 +142,106 @@
 	return due
 }
 
-// What is half sent or not read holds a descriptor: it does not for ever. A panic ends its link and no other.
-func TestStalledAndBrokenLinksEnd(t *testing.T) {
+// What is half sent, or never begun, or not read holds a descriptor: it does not for long. Who awaits an answer, or
+// has had one and rests, is let be for as long as it takes.
+func TestStalledLinksEnd(t *testing.T) {
 	w := newWorld(&steps.Steps{T: t})
-	stalled, fd := w.pair()
-	w.loop.clients.adopt(fd)
-	stalled.write([]byte("POST /a HTTP/1.1\r\n"))
+	texts := map[string]string{"mute": "", "half": "POST /a HTTP/1.1\r\n", "bad": "\x00\r\n\r\n",
+		"waiting": numbered(asks[0].text, 1), "resting": numbered(asks[6].text, 1), "again": numbered(asks[6].text, 1) + "GET /up"}
+	peers := map[string]*peer{}
+	for name, text := range texts {
+		p, fd := w.pair()
+		w.loop.clients.adopt(fd)
+		p.write([]byte(text))
+		peers[name] = p
+	}
 	w.turn()
-	w.now += stalledFor + sweepEvery
+	w.now += wholeWithin + sweepEvery
 	w.turn()
-	if stalled.read(1 << 10); !strings.HasPrefix(string(stalled.got), "HTTP/1.1 408 ") {
-		t.Errorf("a stalled request got %q", stalled.got)
+	for name, want := range map[string]string{"mute": "", "half": "HTTP/1.1 408 ", "bad": "HTTP/1.1 400 ",
+		"waiting": "", "resting": "HTTP/1.1 200 ", "again": "HTTP/1.1 200 "} {
+		p := peers[name]
+		p.read(1 << 10)
+		lives := name == "waiting" || name == "resting"
+		if !strings.HasPrefix(string(p.got), want) || p.ended == lives || name == "again" && !strings.Contains(string(p.got), " 408 ") {
+			t.Errorf("%s: got %q, ended %v", name, p.got, p.ended)
+		}
+	}
+	w.now += lingerMost
+	w.turn()
+	if left := len(w.loop.clients.links); left != 2 {
+		t.Errorf("%d links left, expected those of who waits and who rests", left)
+	}
+}
+
+// A refused peer that sends on must not have its answer swallowed by a reset: what it sends is taken in, unread, for
+// a while, and costs no memory.
+func TestRefusedPeersAreDrained(t *testing.T) {
+	w := newWorld(&steps.Steps{T: t})
+	p, fd := w.pair()
+	w.loop.clients.adopt(fd)
+	p.write([]byte("POST /a HTTP/1.1\r\nContent-Length: 60000000\r\n\r\n"))
+	chunk := make([]byte, 4<<10)
+	for began := w.now; w.now-began < lingerMost-sweepEvery; w.now += lingerQuiet / 2 {
+		w.turn()
+		for range 20 {
+			if _, err := unix.Write(p.fd, chunk); err != nil {
+				t.Fatalf("cut after %v while sending: %v", w.now-began, err)
+			}
+			w.turn()
+		}
+	}
+	if p.read(1 << 10); !strings.HasPrefix(string(p.got), "HTTP/1.1 413 ") || w.loop.clients.held > 2*kept {
+		t.Errorf("got %q, %d bytes held", p.got, w.loop.clients.held)
+	}
+	w.now += lingerQuiet + sweepEvery
+	if w.turn(); len(w.loop.clients.links) != 0 {
+		t.Error("lingers on")
+	}
+}
+
+// However many half requests come, and however much is answered that nobody reads, buffers stay within their
+// budget, and a usual query is served.
+func TestBuffersStayWithinBudget(t *testing.T) {
+	w := newWorld(&steps.Steps{T: t})
+	c := w.loop.clients
+	c.budget = 300 << 10
+	for range 20 {
+		p, fd := w.pair()
+		c.adopt(fd)
+		p.write([]byte("POST /a HTTP/1.1\r\nContent-Length: 65000\r\n\r\n"))
+		for range 12 {
+			p.write(make([]byte, 5000))
+			w.turn()
+		}
 	}
+	deaf, fd := w.pair()
+	c.adopt(fd)
+	for range 400 {
+		deaf.write([]byte(strings.Repeat(numbered(asks[7].text, 1), 100)))
+		w.turn()
+	}
+	if most := c.budget + 6*maxBody; c.held > most {
+		t.Errorf("%d bytes held, %d allowed", c.held, most)
+	}
+	usual, fd := w.pair()
+	c.adopt(fd)
+	usual.write([]byte(numbered(asks[0].text, 1)))
+	if w.turn(); w.loop.Ledger.Open() != 1 {
+		t.Error("a usual query is not taken")
+	}
+	sum := 0
+	for k := range c.links {
+		sum += cap(k.in) + cap(k.out)
+	}
+	if sum != c.held {
+		t.Errorf("%d bytes held, %d counted", sum, c.held)
+	}
+}
+
+// A panic ends its link and no other.
+func TestBrokenLinksEnd(t *testing.T) {
+	w := newWorld(&steps.Steps{T: t})
 	good, fd := w.pair()
 	w.loop.clients.adopt(fd)
 	bad, fd := w.pair()
@@ -171,6 +262,35 @@
 	}
 }
 
+// Where descriptors run out, those make room first that never brought anything of use.
+func TestStrangersMakeRoomFirst(t *testing.T) {
+	w := newWorld(&steps.Steps{T: t})
+	var peers []*peer
+	for _, text := range []string{numbered(asks[6].text, 1), numbered(asks[9].text, 1), numbered(asks[2].text, 1), "", "POST"} {
+		p, fd := w.pair()
+		w.loop.clients.adopt(fd)
+		p.write([]byte(text))
+		w.turn()
+		peers = append(peers, p)
+	}
+	for n := range peers {
+		if n == 1 { // a link that has just begun may be a usual client's
+			w.now += graceAtFirst
+			w.turn()
+		}
+		if !w.loop.clients.evict() {
+			t.Fatal("nothing made room")
+		}
+		w.turn()
+		for i, p := range peers {
+			p.read(1 << 10)
+			if want := i >= 2 && i-2 <= n || i < 2 && n >= 3+i; p.ended != want {
+				t.Errorf("after %d evictions link %d ended %v", n+1, i, p.ended)
+			}
+		}
+	}
+}
+
 // Where descriptors run out, an idle link makes room, and one on which a request has just come is served first.
 func TestIdleLinksMakeRoom(t *testing.T) {
 	w := newWorld(&steps.Steps{T: t})
@@ -178,6 +298,8 @@
 	w.loop.clients.adopt(fd)
 	resting, fd := w.pair()
 	w.loop.clients.adopt(fd)
+	w.now += graceAtFirst
+	w.turn()
 	asking.write([]byte(numbered(asks[0].text, 1)))
 	if !w.loop.clients.evict() || w.loop.clients.evict() {
 		t.Error("expected one link to make room, and one only")
--- a/internal/link/http.go
+++ b/internal/link/http.go
@@ -11,6 +11,8 @@
 const (
 	maxHead = 16 << 10
 	maxBody = 64 << 10
+
+	mostBlank = 8
 )
 
 // BadMessage is a message that can't be read further: its framing is lost. Status is what to answer it with.
@@ -37,6 +39,7 @@
 	KeepAlive      bool
 	Chunked        bool
 	Expect         bool // the sender waits for 100 before it sends the body
+	old            bool // HTTP/1.0
 	length         int  // -1: none given
 	joined         []byte
 }
@@ -51,11 +54,21 @@
 	return nil
 }
 
+// Count tells how often a field was given.
+func (m *Message) Count(name string) (n int) {
+	for _, f := range m.Fields {
+		if len(f.Name) == len(name) && bytes.EqualFold(f.Name, []byte(name)) {
+			n++
+		}
+	}
+	return n
+}
+
 // ParseRequest reads one whole request from the start of b and tells how many bytes it took.
 func (m *Message) ParseRequest(b []byte) (int, error) {
 	skip := 0
-	for skip < len(b) && (b[skip] == '\r' || b[skip] == '\n') {
-		skip++ // blank lines before a request are harmless
+	for skip < mostBlank && skip < len(b) && (b[skip] == '\r' || b[skip] == '\n') {
+		skip++ // a few blank lines before a request are harmless; without end they would be hoarded
 	}
 	line, head, err := m.head(b[skip:], true)
 	if err != nil {
@@ -63,7 +76,7 @@
 	}
 	method, rest, ok := bytes.Cut(line, []byte(" "))
 	target, version, ok2 := bytes.Cut(rest, []byte(" "))
-	if !ok || !ok2 || !isToken(method) || len(target) == 0 || !isTarget(target) {
+	if !ok || !ok2 || !isToken(method) || len(target) == 0 || !isVisible(target) {
 		return 0, &BadMessage{400, "not a request line"}
 	}
 	if err := m.version(version); err != nil {
@@ -140,9 +153,10 @@
 		if end < 0 {
 			return nil, 0, errShort
 		}
-		text := b[n : n+end]
-		n += end + 1
-		text = bytes.TrimSuffix(text, []byte("\r"))
+		text, whole := bytes.CutSuffix(b[n:n+end], []byte("\r"))
+		if n += end + 1; !whole && request { // some end a line there, and some read on
+			return nil, 0, &BadMessage{400, "line feed without carriage return"}
+		}
 		switch {
 		case first:
 			line = text
@@ -150,7 +164,7 @@
 			return line, n, nil
 		default:
 			name, value, ok := bytes.Cut(text, []byte(":"))
-			if !ok || !isToken(name) || bytes.IndexByte(value, '\r') >= 0 || bytes.IndexByte(value, 0) >= 0 {
+			if !ok || !isToken(name) || !isText(value) {
 				return nil, 0, &BadMessage{400, "not a header field"}
 			}
 			m.Fields = append(m.Fields, Field{name, trim(value)})
@@ -161,9 +175,9 @@
 func (m *Message) version(v []byte) error {
 	switch string(v) {
 	case "HTTP/1.1":
-		m.KeepAlive = true
+		m.KeepAlive, m.old = true, false
 	case "HTTP/1.0":
-		m.KeepAlive = false
+		m.KeepAlive, m.old = false, true
 	default:
 		if bytes.HasPrefix(v, []byte("HTTP/")) {
 			return &BadMessage{505, "version not supported"}
@@ -180,7 +194,7 @@
 		switch {
 		case bytes.EqualFold(f.Name, []byte("Content-Length")):
 			n, ok := decimal(f.Value)
-			if !ok || m.length >= 0 && m.length != n {
+			if !ok || m.length >= 0 { // given twice, even if both agree, it is no usual client's
 				return &BadMessage{400, "bad Content-Length"}
 			}
 			m.length = n
@@ -202,8 +216,8 @@
 			m.Expect = bytes.EqualFold(f.Value, []byte("100-continue"))
 		}
 	}
-	if m.Chunked && m.length >= 0 {
-		return &BadMessage{400, "both Content-Length and Transfer-Encoding"}
+	if m.Chunked && (m.length >= 0 || m.old) { // two readers may find two ends of it
+		return &BadMessage{400, "Transfer-Encoding with Content-Length or HTTP/1.0"}
 	}
 	if m.length > maxBody {
 		return &BadMessage{413, "body too large"}
@@ -316,9 +330,20 @@
 	return len(b) > 0
 }
 
-func isTarget(b []byte) bool {
+// isVisible holds of what may go on to a worker node as it is: visible ASCII.
+func isVisible(b []byte) bool {
+	for _, c := range b {
+		if c <= ' ' || c >= 0x7f {
+			return false
+		}
+	}
+	return true
+}
+
+// isText holds of a field's value.
+func isText(b []byte) bool {
 	for _, c := range b {
-		if c <= ' ' || c == 0x7f {
+		if c < ' ' && c != '\t' || c == 0x7f {
 			return false
 		}
 	}
--- a/internal/link/loop.go
+++ b/internal/link/loop.go
@@ -279,6 +279,25 @@
 	}
 }
 
+// discard takes in what has come without keeping it, so much at most that other links have their turn. For TCP
+// the kernel does not even copy it.
+func (s *stream) discard() (n int, ended bool, err error) {
+	for range 16 {
+		got, _, err := unix.Recvfrom(s.fd, s.loop.scratch, unix.MSG_TRUNC|unix.MSG_DONTWAIT)
+		switch {
+		case errors.Is(err, unix.EINTR):
+		case errors.Is(err, unix.EAGAIN):
+			return n, false, nil
+		case err != nil:
+			return n, true, err
+		case got == 0:
+			return n, true, nil
+		}
+		n += max(got, 0)
+	}
+	return n, false, nil
+}
+
 // took drops the first n bytes of what has come in.
 func (s *stream) took(n int) {
 	if left := copy(s.in, s.in[n:]); left == 0 && cap(s.in) > kept {
--- a/internal/link/start.go
+++ b/internal/link/start.go
@@ -30,7 +30,7 @@
 		return logic.New(c.Settings.Settings, seed)
 	}
 	l.Ledger = ledger.New(c.Settings.TryLimit, c.Settings.Names, module, c.Known, l.servers, l.Logf)
-	l.accept(clients, &c.Settings.Settings, c.Settings.Names)
+	l.accept(clients, bufferBudget(c), &c.Settings.Settings, c.Settings.Names)
 	return l, l.listen(c.Listen)
 }
 
@@ -42,11 +42,15 @@
 	return servers, most - servers
 }
 
+// bufferBudget is how many bytes the buffers of client links may take up, and the bodies of queries as much again.
+// Twice a sixth, and as much garbage at most, leaves room on the smallest machine for the program itself.
+func bufferBudget(c config.Config) int { return c.Limits.MemoryMB << 20 / 6 }
+
 // Reload goes on by another configuration: links, queries and what the module knows stay.
 func (l *Loop) Reload(c config.Config) {
 	servers, clients := share(c.Limits.Sockets)
 	l.servers.most = servers
-	l.clients.limit(clients)
+	l.clients.limit(clients, bufferBudget(c))
 	if c.Discovery != l.watch.to {
 		l.watch.move(c.Discovery)
 	}
--- a/internal/link/world_test.go
+++ b/internal/link/world_test.go
@@ -54,7 +54,7 @@
 	l.watch = &watch{stream: stream{loop: l, closed: true}}
 	l.Ledger = ledger.New(6, names, func() ledger.Module { return w.module }, ledger.HostGroup{Hosts: []ledger.Host{
 		{ID: "s-0", Addr: "127.0.0.1:1", State: "up"}}}, l.servers, l.Logf)
-	l.accept(50, &logic.Settings{Classes: []logic.Class{{GiveUp: 5 * time.Second}}}, names)
+	l.accept(50, 1<<20, &logic.Settings{Classes: []logic.Class{{GiveUp: 5 * time.Second}}}, names)
 	l.onWake = func() {}
 	w.loop = l
 	s.T.Cleanup(func() {
@@ -184,6 +184,17 @@
 		"POST / HTTP/1.1\r\nContent-Length: 65537\r\n\r\n":                                            413,
 		"GET / HTTP/1.1\r\nX: " + strings.Repeat("x", maxHead):                                        431,
 		"GET / HTTP/3.0\r\n\r\n": 505,
+		"POST / HTTP/1.1\r\nContent-Length: 2\r\ntransfer-ENCODING:chunked\r\n\r\n": 400,
+		"POST / HTTP/1.1\r\nTransfer-Encoding: x\r\nContent-Length: 2\r\n\r\n":      501,
+		"POST / HTTP/1.1\r\nTransfer-Encoding:\vchunked\r\n\r\n":                    400,
+		"POST / HTTP/1.1\r\nX: y\r\n Transfer-Encoding: chunked\r\n\r\n":            400,
+		"POST / HTTP/1.1\r\nX: y\nTransfer-Encoding: chunked\r\n\r\n":               400,
+		"POST / HTTP/1.1\nContent-Length: 2\r\n\r\n":                                400,
+		"POST / HTTP/1.1\r\nContent-Length: 2\r\nContent-Length: 2\r\n\r\n":         400,
+		"POST / HTTP/1.1\r\nContent-Length: 1, 1\r\n\r\n":                           400,
+		"POST / HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n":                     400,
+		"POST /\xff HTTP/1.1\r\n\r\n":                                               400,
+		strings.Repeat("\r\n", 8):                                                   400,
 	} {
 		var m Message
 		var bad *BadMessage
