Trust idle links only as long as has gone well; set no worker aside for a lone break

Checked by a trace of each errand with its link's age: of links reused within 0.1 s 1 in 37 was reset, of those idle for longer 1 in 5, new ones 1 in 40. 151 of 181 resets hit a kept link, most of them under a probe. The worker nodes answered everything else. Ruled out: crashed processes (none refused a connection), our own limit for idle links (45 s). At fault: start() in link/servers.go, which reuses any link younger than three quarters of conn_idle; end(), which lets a probe on a stale link count against the worker node; outcome() and probedBack() in logic/logic.go, which set a worker aside for a single broken connection. The module's own guard (idleMost) counts from the end of an attempt, while a link is idle from its 202 on, and never hears of probes.

--- a/internal/link/servers.go
+++ b/internal/link/servers.go
@@ -17,6 +17,8 @@
 	withdrawFor = time.Second
 	graceFor    = time.Second // a link outlasts its attempt by so long, in case the answer still comes
 	retireEvery = time.Second
+	trustLeast  = 20 * time.Millisecond // a link used as lately as that is as good as a new one
+	trustGrows  = 10 * time.Second      // the trust in idle links doubles when they have done well for so long
 )
 
 // serverLinks are the connections to worker nodes: the ledger's Carrier.
@@ -28,6 +30,8 @@
 	most    int
 	dial    time.Duration // a connection comes up within this or not at all
 	idleFor time.Duration // and is not kept for longer when idle; 0: for ever
+	trust   time.Duration // nor for longer than has lately gone well; 0: as long as may be
+	doubted time.Duration // when that was set
 }
 
 // hostLinks are the links to one worker node.
@@ -90,6 +94,11 @@
 // retire closes links that have been idle for too long.
 func (s *serverLinks) retire() {
 	s.loop.after(retireEvery, s, s.retire)
+	if s.trust > 0 && s.loop.now-s.doubted >= trustGrows {
+		if s.trust, s.doubted = 2*s.trust, s.loop.now; s.trust > time.Minute {
+			s.trust = 0
+		}
+	}
 	for _, h := range s.hosts {
 		for len(h.idle) > 0 && s.stale(h.idle[0]) {
 			h.idle[0].end(nil)
@@ -101,7 +110,18 @@
 func (s *serverLinks) broken()      {}
 
 func (s *serverLinks) stale(k *serverLink) bool {
-	return s.idleFor > 0 && s.loop.now-k.idleAt >= s.idleFor
+	age := s.loop.now - k.idleAt
+	return s.idleFor > 0 && age >= s.idleFor || s.trust > 0 && age >= s.trust
+}
+
+// doubt takes in that a link broke which had been idle for so long and then got no answer. Something between us and
+// the worker nodes, or they themselves, drops idle links unseen: what is written to one may have run, as far as
+// anybody can tell, so a query that may not run twice is lost by it. A new link costs far less.
+func (s *serverLinks) doubt(idle time.Duration) {
+	if s.trust == 0 || idle < s.trust {
+		s.trust = max(idle/2, trustLeast)
+	}
+	s.doubted = s.loop.now
 }
 
 // start gives an errand to the link that was used last, or to a new one.
@@ -114,6 +134,7 @@
 			continue
 		}
 		h.idle = h.idle[:len(h.idle)-1]
+		k.rested = max(s.loop.now-k.idleAt, 1)
 		k.take(e)
 		s.loop.guard(k, k.write)
 		return
@@ -171,6 +192,7 @@
 	stage  ledger.Stage
 	timer  *timer
 	idleAt time.Duration
+	rested time.Duration // how long it had been idle before its errand; 0: it is new
 }
 
 // errNoRoom keeps descriptors for the client links.
@@ -387,6 +409,7 @@
 			}
 		}
 	}
+	dropped := k.state == asking && k.rested > 0 && len(k.in) == 0 && cause != nil && !errors.Is(cause, errLate)
 	k.state = gone
 	k.home.loop.stop(k.timer)
 	if k.loop != nil {
@@ -394,6 +417,12 @@
 		k.home.open--
 	}
 	reason := ledger.Cut
+	if dropped {
+		k.home.doubt(k.rested)
+		if k.errand.kind == probing {
+			reason = ledger.Unsent // it says nothing of the worker node
+		}
+	}
 	if k.stage >= ledger.AllWritten && errors.Is(cause, errLate) {
 		reason = ledger.Expired
 	}
--- a/internal/link/servers_test.go
+++ b/internal/link/servers_test.go
@@ -163,6 +163,47 @@
 func (nobody) Throttle(time.Duration) {}
 func (nobody) Fail()                  {}
 
+// A link that breaks after it was idle says nothing of its worker node. From then on links are not used again when
+// they have been idle for nearly as long, until all has gone well for a while.
+func TestTrustInIdleLinks(t *testing.T) {
+	w := newWorld(&steps.Steps{T: t})
+	const ok = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+	probe := func(idle time.Duration, answer string, wantLinks int, want logic.Result) {
+		t.Helper()
+		w.now += idle
+		w.module.Next = append(w.module.Next, logic.Probe{Worker: w.worker()})
+		w.loop.Ledger.HostsLost()
+		w.turn()
+		if len(w.dialed) != wantLinks {
+			t.Errorf("%d links opened, expected %d", len(w.dialed), wantLinks)
+		}
+		p := w.dialed[len(w.dialed)-1]
+		if p.read(1 << 10); answer == "" {
+			p.close()
+		} else {
+			p.write([]byte(answer))
+		}
+		w.turn()
+		if got, _ := w.module.Heard[len(w.module.Heard)-1].(logic.Probed); got.Result != want {
+			t.Errorf("probe ended as %v, expected %v", got.Result, want)
+		}
+	}
+	probe(0, ok, 1, logic.OK)
+	probe(4*trustLeast, ok, 1, logic.OK)
+	probe(4*trustLeast, "", 1, logic.NotSent)
+	probe(0, ok, 2, logic.OK)
+	probe(trustLeast, ok, 2, logic.OK)
+	probe(3*trustLeast, ok, 3, logic.OK)
+	probe(0, ok, 3, logic.OK)
+	for range 3 {
+		w.now += trustGrows
+		w.turn()
+	}
+	probe(0, ok, 4, logic.OK)
+	probe(3*trustLeast, ok, 4, logic.OK)
+	probe(trustGrows*100, "", 5, logic.Reset) // a new one does say something
+}
+
 // A link to a process that has been replaced is not used again, nor one that is about to be closed as idle; an
 // attempt given up after it was accepted is withdrawn by name.
 func TestLinksAreRetired(t *testing.T) {
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -466,7 +466,7 @@
 }
 
 func (d *Dispatcher) alive(w *worker) {
-	w.heard = d.now
+	w.heard, w.breaks = d.now, 0
 	// A worker that was lost and answers again has most likely restarted, though no list has said so yet.
 	if w.lost {
 		w.lost, w.back = false, d.now
@@ -514,7 +514,7 @@
 		if e.Result == OK {
 			d.alive(w)
 			d.report(w, e.Report)
-		} else if e.Result != Full {
+		} else if e.Result != Full && e.Result != NotSent {
 			d.blame(w, true, "does not answer a probe")
 		}
 	}
@@ -775,6 +775,10 @@
 			d.linkNews(a, false) // first of all the link's fault: the next attempt opens a new one
 			break
 		}
+		// One break in a row may be the way's fault: set aside for each, all workers would be where links break.
+		if w.breaks++; w.breaks == 1 && !a.started {
+			break
+		}
 		w.lost = w.lost || e.Result == Reset
 		d.shrink(w, a)
 		d.blame(w, true, "is unreachable")
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -596,6 +596,27 @@
 	}
 }
 
+// Where links break now and then, a worker is not set aside for one of them, nor for a probe that a stale link
+// swallowed; two in a row, or one under a job that had started, are its own.
+func TestLoneBreakSetsNoWorkerAside(t *testing.T) {
+	for _, c := range []struct {
+		news  func(s *scene)
+		aside bool
+	}{
+		{func(s *scene) { s.step(Probed{Worker: 1, Result: NotSent}) }, false},
+		{func(s *scene) { s.step(s.done(1, 0, 1, Reset)) }, false},
+		{func(s *scene) { s.step(Started{Job: 1, Worker: 1}); s.step(s.done(1, 0, 1, Reset)) }, true},
+		{func(s *scene) { s.step(s.done(1, 0, 1, Reset)); s.step(s.done(1, 1, 1, NoConnect)) }, true},
+	} {
+		s := newScene(t, testSettings())
+		s.workers(1)
+		s.step(s.job(1, 0, 10*ms))
+		if c.news(s); s.d.workers[1].pause > 0 != c.aside {
+			t.Errorf("set aside %v, expected %v", !c.aside, c.aside)
+		}
+	}
+}
+
 // Incident: late starts made most workers suspects, so the dead ones lost their mark too and drew all work.
 func TestBrokenStaysSuspectWhenMostLookBad(t *testing.T) {
 	s := newScene(t, testSettings())
--- a/logic/state.go
+++ b/logic/state.go
@@ -87,7 +87,7 @@
 	cut              time.Duration // last halving: older attempts are the same piece of news
 	rest, restUntil  time.Duration // after late starts with a room of one
 	badUntil, pause  time.Duration
-	streak           int
+	streak, breaks   int           // failures in a row; broken connections in a row
 	lost             bool          // its connections broke, and it has not answered since
 	back             time.Duration // when it answered again
 	free, running    float64       // slots by the last report and since; slots of ours that have started
