Cancel no attempts: worker nodes go on with them, and we lost count of that work

Checked by a trace of every attempt: 52 attempts withdrawn, and not one note of any after that; jobs sent to those worker nodes next waited up to 6.3 s for their start, which in turn held up all releases (backedUp). Ruled out: the drains (kept), lost notes, our own sockets. At fault: withdraw() in logic/logic.go: a cancelled attempt left the count of slots in use, so the worker node looked like the least occupied one; overdue(), which took no news from attempts of ended jobs.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -405,7 +405,7 @@
 func (d *Dispatcher) backedUp() bool {
 	wait := 0.0
 	for _, a := range d.unstarted {
-		last := a.job.index < 0 && a.number == len(a.job.attempts)-1
+		last := a.job.index < 0 && !a.job.closed && a.number == len(a.job.attempts)-1
 		if age := d.now - a.sent; last && age > d.promptBy(a.job) && age < silence*d.lateStart {
 			wait += a.job.need
 		}
@@ -488,7 +488,7 @@
 // overdue looks at an attempt that has not started, or not ended, when it should have.
 func (d *Dispatcher) overdue(a *attempt) {
 	j, w := a.job, a.worker
-	if a.ended || j.closed {
+	if a.ended { // a job that has ended still shows by its attempts how a worker fares
 		return
 	}
 	switch run := d.now - a.start; {
@@ -703,18 +703,10 @@
 	if j.closed {
 		return
 	}
-	// One copy runs: the ones that wait in a queue, ours or a worker's, are not needed any more.
+	// One copy runs: no further one is needed. Those that are out are not withdrawn, though, nor are those of a job
+	// that has ended: workers go on with what is cancelled, in their queues too, but tell nothing of it any more. We
+	// would count room that is not there, send the next job behind that work and find it late.
 	d.unhold(j)
-	d.withdraw(j, false)
-}
-
-// withdraw cancels a job's attempts where that is allowed, those that run only on demand.
-func (d *Dispatcher) withdraw(j *job, running bool) {
-	for _, a := range j.attempts {
-		if d.set.Cancelling && !a.ended && (running || !a.started) {
-			d.do(Cancel{Job: j.ID, Attempt: a.number})
-		}
-	}
 }
 
 // rescue puts a job that is stuck on one worker back among the held, to be started elsewhere.
@@ -725,8 +717,12 @@
 	}
 	if d.set.SecondCopies {
 		d.hold(j)
-	} else if j.class.Effect == Safe {
-		d.withdraw(j, true)
+	} else if j.class.Effect == Safe && d.set.Cancelling { // to move it, its only attempt must end
+		for _, a := range j.attempts {
+			if !a.ended {
+				d.do(Cancel{Job: j.ID, Attempt: a.number})
+			}
+		}
 	}
 }
 
@@ -801,11 +797,8 @@
 	if j == nil {
 		return
 	}
-	if d.unhold(j); !j.closed {
-		j.closed = true
-		d.withdraw(j, true)
-	}
-	if j.out == 0 {
+	d.unhold(j)
+	if j.closed = true; j.out == 0 {
 		delete(d.jobs, j.ID)
 	}
 }
