Serve on over clients' links after SIGTERM, until near SIGKILL, and leave nothing unanswered

PROTOCOL: clients keep using the links that they have for as long as those stay open, and SIGKILL comes 3.7 s after SIGTERM at the soonest. Ruled out: lost queries (none), slow starts (ready at once). At fault: drain() in link/clients.go closed links between queries at SIGTERM; run.go refused queries after 0.8 s. Now links stay until 0.9 s before SIGKILL; what came late and is still open then gets its final answer 0.3 s before it.

--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -55,6 +55,7 @@
 	Call     string
 	Parcel   Parcel
 	Deadline time.Duration
+	came     time.Duration
 	asker    Asker
 	attempts []*Attempt
 	out      int
@@ -121,7 +122,7 @@
 		return nil, ErrRepeated
 	}
 	l.lastID++
-	q := &Query{ID: l.lastID, Call: in.Call, Parcel: in.Parcel, Deadline: now + in.Job.Left, asker: in.Asker}
+	q := &Query{ID: l.lastID, Call: in.Call, Parcel: in.Parcel, Deadline: now + in.Job.Left, came: now, asker: in.Asker}
 	in.Job.ID = q.ID
 	l.queries[q.ID], l.calls[q.Call] = q, q
 	l.bytes += len(q.Parcel.Body)
@@ -338,6 +339,29 @@
 	return l.module.Step(now, events, l.actions[:0]), true
 }
 
+// Finish gives each query that came since then and is still open its final answer now: time is up for this process.
+func (l *Ledger) Finish(since time.Duration) {
+	for _, q := range l.queries {
+		if !q.closed && q.came >= since {
+			l.events = append(l.events, logic.ClientGone{Job: q.ID}) // as far as the module is concerned
+			l.dismiss(q)
+		}
+	}
+}
+
+// dismiss answers an open query without the module.
+func (l *Ledger) dismiss(q *Query) {
+	switch {
+	case q.closed:
+		return
+	case len(q.attempts) == 0:
+		q.asker.Throttle(0) // nothing was sent, so trying again is harmless
+	default:
+		q.asker.Fail()
+	}
+	l.close(q)
+}
+
 func (l *Ledger) startAnew() {
 	for _, q := range l.queries {
 		for _, a := range q.attempts {
@@ -345,16 +369,7 @@
 				l.giveUp(a, Withdrawn)
 			}
 		}
-		switch {
-		case q.closed:
-		case len(q.attempts) == 0:
-			q.asker.Throttle(0) // nothing was sent, so trying again is harmless
-		default:
-			q.asker.Fail()
-		}
-		if !q.closed {
-			l.close(q)
-		}
+		l.dismiss(q)
 	}
 	l.module, l.timer, l.events, l.actions = l.start(), 0, l.events[:0], nil
 	list := logic.WorkerList{Kind: logic.ListCached}
--- a/internal/link/clients.go
+++ b/internal/link/clients.go
@@ -210,9 +210,9 @@
 	_ = unix.EpollCtl(c.loop.epoll, unix.EPOLL_CTL_MOD, c.fd, &unix.EpollEvent{Events: events, Fd: int32(c.fd)})
 }
 
-// drain closes links between queries from now on; those that come all the same are served.
-func (c *clientLinks) drain() {
-	c.draining = true
+// close closes links between queries from now on; queries that come all the same are refused.
+func (c *clientLinks) close() {
+	c.closing = true
 	for _, from := range []*list.List{&c.useless, &c.mute, &c.idle} {
 		for e := from.Front(); e != nil; e = from.Front() {
 			k := e.Value.(*clientLink)
@@ -437,7 +437,7 @@
 		_ = unix.Shutdown(k.fd, unix.SHUT_WR)
 		k.wait(&k.home.leaving)
 	case len(k.in) == 0 && !k.last:
-		if k.rest(); k.home.draining {
+		if k.rest(); k.home.closing {
 			k.end()
 			return
 		}
@@ -491,7 +491,7 @@
 		}
 		k.since = k.loop.now
 		// A link that ends says so with its last answer.
-		k.last = k.last || k.home.draining && len(k.turns) == 0
+		k.last = k.last || k.home.closing && len(k.turns) == 0
 		b := appendAnswer(k.loop.writing[:0], t.status, t.body, t.retry, !k.last || len(k.turns) > 0)
 		if k.loop.writing = b[:0]; cap(b) > 4*maxBody {
 			k.loop.writing = nil
--- a/internal/link/start.go
+++ b/internal/link/start.go
@@ -70,14 +70,21 @@
 // OnWake sets what Wake brings about.
 func (l *Loop) OnWake(act func()) { l.onWake = act }
 
-// Drain closes links between queries and tells that the scheduler is not ready; what comes is still served.
-func (l *Loop) Drain() { l.clients.drain() }
+// Drain tells that the scheduler is not ready. What comes is still served: clients keep the links that they have,
+// and may have no other scheduler to go to.
+func (l *Loop) Drain() { l.clients.draining = true }
 
 // After calls act once in the loop.
 func (l *Loop) After(span time.Duration, act func()) { l.after(span, (*waker)(l), act) }
 
-// Close takes no query any more.
-func (l *Loop) Close() { l.clients.closing = true }
+// Close takes no query any more. Links between queries are closed, the others with their answers.
+func (l *Loop) Close() { l.clients.close() }
+
+// Finish gives final answers to the queries that came within the last span and are still open.
+func (l *Loop) Finish(span time.Duration) { l.Ledger.Finish(l.now - span) }
+
+// Idle tells whether nobody is connected who ever brought anything of use, and Quiet holds.
+func (l *Loop) Idle() bool { return l.clients.idle.Len() == 0 && l.Quiet() }
 
 // Quiet tells whether every query is answered and every answer has left.
 func (l *Loop) Quiet() bool { return l.Ledger.Open() == 0 && l.clients.quiet() }
--- a/internal/run/run.go
+++ b/internal/run/run.go
@@ -16,8 +16,15 @@
 	"valvecove/internal/link"
 )
 
-// stillComing is how long after SIGTERM queries may still come in: the front takes a moment to notice.
-const stillComing = 800 * time.Millisecond
+// After SIGTERM new connections still come for a moment, and clients keep using the links that they have. SIGKILL
+// comes no sooner than the longest deadline, or killAfter where that is longer, and killSpare more. What comes later
+// than killSpare after SIGTERM must be answered before that.
+const (
+	killAfter = 3 * time.Second
+	killSpare = 700 * time.Millisecond
+	lastTaken = 900 * time.Millisecond // before SIGKILL: a query that comes later would hardly be served in time
+	lastWords = 300 * time.Millisecond // before SIGKILL: whatever is still open is answered
+)
 
 // scheduler is one that runs.
 type scheduler struct {
@@ -25,6 +32,7 @@
 	conf     config.Config
 	loop     *link.Loop
 	draining bool
+	settled  bool // no connection is on its way any more
 	closed   bool
 }
 
@@ -64,7 +72,7 @@
 		}
 	}()
 	loop.Logf("%s: listening at %v", c.Name, loop.Addr())
-	return loop.Run(func() bool { return s.closed && loop.Quiet() })
+	return loop.Run(func() bool { return s.closed && loop.Quiet() || s.settled && loop.Idle() })
 }
 
 // told does what a signal asks for. It runs in the loop.
@@ -75,14 +83,25 @@
 	case !s.draining: // once: a second SIGTERM must not begin the drain anew
 		s.draining = true
 		s.loop.Logf("%s: draining", s.conf.Name)
-		s.loop.Drain()
-		s.loop.After(stillComing, func() {
-			s.loop.Close()
-			s.closed = true
-		})
+		s.drain()
 	}
 }
 
+// drain serves on for as long as there is time to, and sees to it that nothing is left unanswered.
+func (s *scheduler) drain() {
+	killed := killSpare
+	for _, c := range s.conf.Settings.Classes {
+		killed = max(killed, killSpare+min(c.GiveUp, killAfter))
+	}
+	s.loop.Drain()
+	s.loop.After(killSpare, func() { s.settled = true })
+	s.loop.After(max(killed-lastTaken, killed/2), func() {
+		s.loop.Close()
+		s.closed = true
+	})
+	s.loop.After(killed-lastWords, func() { s.loop.Finish(killed - lastWords - killSpare) })
+}
+
 // reload goes on by the file as it is now; one with a fault changes nothing. While draining too: queries in hand
 // still need worker nodes, and drains and starts among those are still to be heard of.
 func (s *scheduler) reload() {
