--- a/logic/logic.go
+++ b/logic/logic.go
@@ -703,9 +703,9 @@
 	if j.closed {
 		return
 	}
-	// One copy runs: no further one is needed. Those that are out are not withdrawn, nor those of a job that has
-	// ended: workers go on with what is cancelled, in their queues too, but tell nothing of it any more. We would
-	// count room that is not there, send the next job behind that work and find it late.
+	// One copy runs: no further one is needed. Those that are out are not withdrawn, nor those of a job that
+	// has ended: workers go on with what is cancelled, in their queues too, but tell nothing of it any more.
+	// We would count room that is not there, send the next job behind that work and find it late.
 	d.unhold(j)
 }
 
