Keep a worker free for a large job over tau; end rooms at the slots seen in use

At fault: roomFor() in logic/logic.go (need = 1 over tau; DESIGN wants a node able to start the job now) and grow().

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -41,6 +41,7 @@
 	ownerJobs   = 2.0                    // mean jobs that an owner's part of a cold budget holds
 	hashFactor  = 0x9e3779b97f4a7c15     // golden ratio in 64 bits: spreads ids
 	coldMargin  = 0.4                    // part of the cold budget used: sizes have heavy tails
+	overTries   = 2                      // late starts on a worker that runs as many as any ever did
 	copyShare   = 0.2                    // copies per first send, so that they feed no overload
 	copyBurst   = 10.0                   // and as many saved up
 	probeLoss   = 0.006                  // part of the result that probes may cost
@@ -194,6 +195,9 @@
 			d.roomy = append(d.roomy, w)
 		}
 	}
+	if d.kept != nil && d.keptFor.index < 0 {
+		d.kept, d.keptFor = nil, nil
+	}
 	for !d.held.empty() && len(aside) < skipLimit && !d.backedUp() {
 		j := d.held.first()
 		for !d.oldest.empty() && (d.oldest.first().index < 0 || d.oldest.first().spare) {
@@ -202,7 +206,11 @@
 		if !d.oldest.empty() && d.now > d.oldest.first().promote {
 			j = d.oldest.first()
 		}
-		if w := d.choose(j); w != nil {
+		w := d.choose(j)
+		if w == nil && j.need > 1 && d.now > j.promote {
+			d.keep(j)
+		}
+		if w != nil {
 			d.unhold(j)
 			d.send(j, w)
 			continue
@@ -215,6 +223,21 @@
 	}
 }
 
+// keep holds a worker free for a large job that is over tau and fits nowhere, the one that has the least to finish:
+// else smaller jobs would slip past it for ever. Sent before it fits, it would hold up all behind it in the queue.
+func (d *Dispatcher) keep(j *job) {
+	if d.kept != nil && d.kept.Ready {
+		return
+	}
+	d.kept, d.keptFor = nil, j
+	for _, w := range d.order {
+		if w.Ready && !d.suspect(w) && open(j, w) && d.maySend(j, w) && (w.tooBig == 0 || j.need < w.tooBig) &&
+			(d.kept == nil || w.used/w.pace < d.kept.used/d.kept.pace) {
+			d.kept = w
+		}
+	}
+}
+
 // choose picks the ready worker with the fewest of our slots in use, of those that can start the job now;
 // ties are drawn by strength. Departures: one on which the job would miss its aim is passed over while the
 // aim can still be met; crossings, new connections and workers likely to be busy weigh like slots in use.
@@ -330,11 +353,7 @@
 // ---- Rooms: how much of ours a worker can start at once ----
 
 func (d *Dispatcher) roomFor(j *job, w *worker) bool {
-	need := j.need
-	if d.now > j.promote {
-		need = 1 // over tau a large job waits its turn at a worker: else smaller ones slip past it for ever
-	}
-	if w.tooBig > 0 && j.need >= w.tooBig || w.used > 0 && w.used+need > w.room {
+	if w.tooBig > 0 && j.need >= w.tooBig || w.used > 0 && w.used+j.need > min(w.room, d.slots(w)) || w == d.kept && j != d.keptFor {
 		return false
 	}
 	late := d.promptBy(j)
@@ -371,6 +390,9 @@
 			w.room++
 		}
 	} else if a.sent >= w.cut {
+		if k := d.kind(w.Kind); w.running >= k.slots {
+			k.over++
+		}
 		// A room of one for each of many dispatchers is still a queue at the worker. Where even that one is
 		// late, leave the worker alone as long as it waited, longer each time, until one starts promptly.
 		if w.room <= 1 {
@@ -424,9 +446,19 @@
 }
 
 func (d *Dispatcher) seenSlots(w *worker, n float64) {
-	if d.coldShare(w) == 1 {
-		d.kind(w.Kind).slots = max(d.kind(w.Kind).slots, n)
+	if k := d.kind(w.Kind); d.coldShare(w) == 1 && n > k.slots {
+		k.slots, k.over = n, 0
+	}
+}
+
+// slots is what a worker of this kind can run at once: the most of ours that was seen to run on one, once a few
+// that were sent beyond it have come late. Room alone drifts past it: where one job ends as the next comes, the
+// next starts promptly.
+func (d *Dispatcher) slots(w *worker) float64 {
+	if k := d.kind(w.Kind); k.over >= overTries {
+		return k.slots
 	}
+	return math.Inf(1)
 }
 
 // ---- Health: silence, failure and slowness, told apart by symptom ----
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -761,6 +761,62 @@
 	t.Fatal("the large job was never sent")
 }
 
+// Incident: a job of four slots, over tau, was sent to a worker with room for one. It waited at the head of that
+// worker's queue and held up all behind it. Now a worker is kept free for it, and others go elsewhere meanwhile.
+func TestLargeJobWaitsForItsRoom(t *testing.T) {
+	s := newScene(t, testSettings())
+	s.workers(2)
+	for id := uint64(1); id <= 2; id++ {
+		s.d.workers[id].room = 4
+		s.step(s.job(id, 1, 300*ms))
+		at := taken[Send](s)[0].Worker
+		s.step(Started{Job: id, Worker: at})
+	}
+	big := s.job(3, 1, 2*time.Second)
+	big.Slots = 4
+	s.step(big)
+	s.wait(4 * time.Second) // far over tau
+	expectJobs(t, taken[Send](s))
+	for id := uint64(10); id < 14; id++ {
+		s.step(s.job(id, 0, 20*ms))
+	}
+	for _, a := range taken[Send](s) {
+		if s.d.workers[a.Worker] == s.d.kept {
+			t.Fatalf("job %d went to the worker kept for the large one", a.Job)
+		}
+	}
+	for _, a := range slices.Clone(s.d.kept.out) {
+		s.step(s.done(a.job.ID, a.number, a.worker.ID, OK))
+	}
+	if sends := taken[Send](s); len(sends) == 0 || sends[0].Job != 3 {
+		t.Fatalf("expected the large job to be sent first, got %v", sends)
+	}
+}
+
+// Where one job ends as the next comes, the next starts promptly though no slot was free when it was sent: room
+// drifted past what a worker can run, and jobs waited behind long ones.
+func TestRoomEndsAtTheSlotsSeen(t *testing.T) {
+	s := newScene(t, testSettings())
+	s.workers(1)
+	w := s.d.workers[1]
+	w.room = 9
+	for id := uint64(1); id <= 4; id++ {
+		s.busy(id)
+	}
+	for late := uint64(0); late < overTries; late++ {
+		if w.restUntil, w.room = 0, 9; s.d.slots(w) < 9 {
+			t.Fatalf("room ends at %v before anything was late", s.d.slots(w))
+		}
+		s.step(s.job(10+late, 1, 20*ms))
+		expectJobs(t, taken[Send](s), 10+late)
+		s.wait(200 * ms)
+		s.step(s.done(10+late, 0, 1, TimedOut))
+	}
+	if got := s.d.slots(w); got != 4 {
+		t.Fatalf("room ends at %v, with four seen running", got)
+	}
+}
+
 func TestSubscriptionIsRetriedWithGrowingWaits(t *testing.T) {
 	set := testSettings()
 	set.MustSubscribe = true
--- a/logic/state.go
+++ b/logic/state.go
@@ -35,9 +35,11 @@
 	lateStart               time.Duration   // mean delay of late starts
 	busy                    map[int]float64 // by zone: how likely a worker has no free slot
 	roomy                   []*worker       // those that may have room, in this step
-	trialAt                 time.Duration   // no suspect is tried before
-	mistrust, mistrustAll   bool            // most workers look bad; every worker looks broken
-	copies, probes          float64         // budgets
+	kept                    *worker         // takes nothing but keptFor, a large job
+	keptFor                 *job
+	trialAt                 time.Duration // no suspect is tried before
+	mistrust, mistrustAll   bool          // most workers look bad; every worker looks broken
+	copies, probes          float64       // budgets
 	quota                   []float64
 	asked, follows          bool
 	quotaAt, askAt, askWait time.Duration
@@ -106,8 +108,12 @@
 	work float64
 }
 
-// kind is what is known of one kind of machine: log speed, runs it was learnt from, slots seen.
-type kind struct{ speed, seen, slots float64 }
+// kind is what is known of one kind of machine: log speed, runs it was learnt from, slots seen, and late starts
+// where one more was tried.
+type kind struct {
+	speed, seen, slots float64
+	over               int
+}
 
 // alarm is a look that the dispatcher has promised itself.
 type alarm struct {
