Stay until SIGKILL is due after SIGTERM: ended early, a scheduler looks like one that died

PROTOCOL: the front notices only after some seconds that a scheduler has died. Ruled out: closed or evicted links, refusals, lost queries.

--- a/internal/link/start.go
+++ b/internal/link/start.go
@@ -83,8 +83,5 @@
 // Finish gives final answers to the queries that came within the last span and are still open.
 func (l *Loop) Finish(span time.Duration) { l.Ledger.Finish(l.now - span) }
 
-// Idle tells whether nobody is connected who ever brought anything of use, and Quiet holds.
-func (l *Loop) Idle() bool { return l.clients.idle.Len() == 0 && l.Quiet() }
-
 // Quiet tells whether every query is answered and every answer has left.
 func (l *Loop) Quiet() bool { return l.Ledger.Open() == 0 && l.clients.quiet() }
--- a/internal/run/run.go
+++ b/internal/run/run.go
@@ -32,8 +32,7 @@
 	conf     config.Config
 	loop     *link.Loop
 	draining bool
-	settled  bool // no connection is on its way any more
-	closed   bool
+	over     bool // there is nothing more to stay for
 }
 
 // Scheduler runs until it has been told to stop and has drained.
@@ -72,7 +71,7 @@
 		}
 	}()
 	loop.Logf("%s: listening at %v", c.Name, loop.Addr())
-	return loop.Run(func() bool { return s.closed && loop.Quiet() || s.settled && loop.Idle() })
+	return loop.Run(func() bool { return s.over && loop.Quiet() })
 }
 
 // told does what a signal asks for. It runs in the loop.
@@ -94,12 +93,11 @@
 		killed = max(killed, killSpare+min(c.GiveUp, killAfter))
 	}
 	s.loop.Drain()
-	s.loop.After(killSpare, func() { s.settled = true })
-	s.loop.After(max(killed-lastTaken, killed/2), func() {
-		s.loop.Close()
-		s.closed = true
-	})
+	s.loop.After(max(killed-lastTaken, killed/2), s.loop.Close)
 	s.loop.After(killed-lastWords, func() { s.loop.Finish(killed - lastWords - killSpare) })
+	// Until then it stays even with nothing in hand. One that has ended looks like one that has died: the front takes
+	// seconds to notice, and clients go on to try it. One that is there answers 503.
+	s.loop.After(killed, func() { s.over = true })
 }
 
 // reload goes on by the file as it is now; one with a fault changes nothing. While draining too: queries in hand
--- a/internal/run/run_test.go
+++ b/internal/run/run_test.go
@@ -10,6 +10,7 @@
 	"strings"
 	"syscall"
 	"testing"
+	"time"
 )
 
 const conf = `{"name":"n0","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","limits":{"sockets":64},
@@ -111,6 +112,7 @@
 		t.Errorf("/up: %q", line)
 	}
 	answer := s.talk(query)
+	told := time.Now()
 	s.signal(syscall.SIGTERM)
 	if line, _ := answer.ReadString('\n'); line != givenUp {
 		t.Errorf("the query in hand: %q", line)
@@ -118,6 +120,10 @@
 	if err := <-s.end; err != nil {
 		t.Error(err)
 	}
+	// With nothing in hand it stays all the same: gone early, it would look as if it had died.
+	if stayed, due := time.Since(told), 500*time.Millisecond+killSpare; stayed < due {
+		t.Errorf("ended %v after SIGTERM, %v before SIGKILL is due", stayed, due-stayed)
+	}
 }
 
 // On SIGHUP the file is read again: its discovery is watched, and a query in hand is still answered. A file with
