--- a/logic/logic.go
+++ b/logic/logic.go
@@ -223,16 +223,16 @@
 	}
 }
 
-// keep holds a worker free for a large job that is over tau and fits nowhere, the one that has the least to finish:
-// else smaller jobs would slip past it for ever. Sent before it fits, it would hold up all behind it in the queue.
+// keep holds a worker free for a large job that is over tau and fits nowhere, the one with least to finish:
+// else smaller jobs would slip past it for ever. Sent before it fits, it would hold up a worker's queue.
 func (d *Dispatcher) keep(j *job) {
 	if d.kept != nil && d.kept.Ready {
 		return
 	}
 	d.kept, d.keptFor = nil, j
 	for _, w := range d.order {
-		if w.Ready && !d.suspect(w) && open(j, w) && d.maySend(j, w) && (w.tooBig == 0 || j.need < w.tooBig) &&
-			(d.kept == nil || w.used/w.pace < d.kept.used/d.kept.pace) {
+		may := w.Ready && (w.tooBig == 0 || j.need < w.tooBig) && open(j, w) && d.maySend(j, w) && !d.suspect(w)
+		if may && (d.kept == nil || w.used/w.pace < d.kept.used/d.kept.pace) {
 			d.kept = w
 		}
 	}
@@ -353,7 +353,8 @@
 // ---- Rooms: how much of ours a worker can start at once ----
 
 func (d *Dispatcher) roomFor(j *job, w *worker) bool {
-	if w.tooBig > 0 && j.need >= w.tooBig || w.used > 0 && w.used+j.need > min(w.room, d.slots(w)) || w == d.kept && j != d.keptFor {
+	if w.tooBig > 0 && j.need >= w.tooBig || w.used > 0 && w.used+j.need > min(w.room, d.slots(w)) ||
+		w == d.kept && j != d.keptFor {
 		return false
 	}
 	late := d.promptBy(j)
@@ -451,9 +452,9 @@
 	}
 }
 
-// slots is what a worker of this kind can run at once: the most of ours that was seen to run on one, once a few
-// that were sent beyond it have come late. Room alone drifts past it: where one job ends as the next comes, the
-// next starts promptly.
+// slots is what a worker of this kind can run at once: the most of ours that was seen to run on one, once a
+// few that were sent beyond it have come late. Room alone drifts past it: where one job ends as the next
+// comes, the next starts promptly.
 func (d *Dispatcher) slots(w *worker) float64 {
 	if k := d.kind(w.Kind); k.over >= overTries {
 		return k.slots
