--- a/logic/logic.go
+++ b/logic/logic.go
@@ -231,7 +231,8 @@
 	}
 	d.kept, d.keptFor = nil, j
 	for _, w := range d.order {
-		may := w.Ready && (w.tooBig == 0 || j.need < w.tooBig) && open(j, w) && d.maySend(j, w) && !d.suspect(w)
+		small := w.tooBig == 0 || j.need < w.tooBig
+		may := w.Ready && small && open(j, w) && d.maySend(j, w) && !d.suspect(w)
 		if may && (d.kept == nil || w.used/w.pace < d.kept.used/d.kept.pace) {
 			d.kept = w
 		}
