Count a further request's time from its own first byte on any link that has spoken

Seen in review: on a link whose requests had all been refused, or that only asks /up, the 2 s for a whole request counted from the one before, so that a request which came in two pieces after a rest could be answered 408 at once. At fault: ready() in link/clients.go. The test fails without the change.

--- a/internal/link/clients.go
+++ b/internal/link/clients.go
@@ -342,7 +342,7 @@
 		take := k.fill
 		if k.last {
 			take = k.discard
-		} else if k.useful && len(k.in) == 0 {
+		} else if k.spoke && len(k.in) == 0 { // another request begins, however long the link was idle
 			k.since = k.loop.now
 		}
 		ended, err := take()
--- a/internal/link/clients_test.go
+++ b/internal/link/clients_test.go
@@ -169,6 +169,10 @@
 	}
 	w.now += lingerMost
 	w.turn()
+	peers["resting"].write([]byte("GET /up")) // another request begins
+	w.turn()
+	w.now += sweepEvery
+	w.turn()
 	if left := len(w.loop.clients.links); left != 2 {
 		t.Errorf("%d links left, expected those of who waits and who rests", left)
 	}
