--- a/internal/link/clients_test.go
+++ b/internal/link/clients_test.go
@@ -173,6 +173,9 @@
 	w.turn()
 	w.now += sweepEvery
 	w.turn()
+	if peers["resting"].read(1 << 10); strings.Contains(string(peers["resting"].got), " 408 ") {
+		t.Error("a request that has just begun was given up")
+	}
 	if left := len(w.loop.clients.links); left != 2 {
 		t.Errorf("%d links left, expected those of who waits and who rests", left)
 	}
