Add the status call on a side port, an operators' file and an observer of the ledger

The ledger tells observers what happens to each query; internal/status keeps a bounded table of it, and internal/link answers GET /status/ID. Tests: a model of the table on the ledger, one of a status link, and a job followed over real sockets while its worker node posts events.

--- a/cmd/valvecove/main.go
+++ b/cmd/valvecove/main.go
@@ -2,6 +2,7 @@
 package main
 
 import (
+	"flag"
 	"fmt"
 	"os"
 
@@ -9,7 +10,13 @@
 )
 
 func main() {
-	if err := run.Scheduler(os.Getenv, os.Stderr); err != nil {
+	ops := flag.String("config", "", "the operators' own `file`, which turns features on; without it all are off")
+	flag.Parse()
+	if flag.NArg() > 0 {
+		fmt.Fprintf(os.Stderr, "valvecove: not known: %s\n", flag.Arg(0))
+		os.Exit(2)
+	}
+	if err := run.Scheduler(os.Getenv, *ops, os.Stderr); err != nil {
 		fmt.Fprintln(os.Stderr, "valvecove:", err)
 		os.Exit(1)
 	}
--- /dev/null
+++ b/internal/config/ops.go
@@ -0,0 +1,167 @@
+package config
+
+import (
+	"fmt"
+	"maps"
+	"net/netip"
+	"os"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/BurntSushi/toml"
+)
+
+// Ops is the operators' own file: the features that are on. One whose section is absent is nil, and off.
+type Ops struct {
+	Status *Status
+}
+
+// Status is the status call on a side port.
+type Status struct {
+	Port       uint16
+	Retain     time.Duration // an ended job is kept for so long
+	MaxEntries int
+}
+
+// LoadOps reads the operators' file; without a name all features are off.
+func LoadOps(path string) (Ops, error) {
+	if path == "" {
+		return Ops{}, nil
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return Ops{}, fmt.Errorf("--config: %w", err)
+	}
+	o, err := DecodeOps(string(text))
+	if err != nil {
+		return Ops{}, fmt.Errorf("%s: %w", path, err)
+	}
+	return o, nil
+}
+
+// DecodeOps reads the operators' file from its text.
+func DecodeOps(text string) (Ops, error) {
+	var tree map[string]any
+	if _, err := toml.Decode(text, &tree); err != nil {
+		return Ops{}, fmt.Errorf("not TOML: %w", err)
+	}
+	var o Ops
+	top := &table{keys: tree}
+	if t := top.table("status"); t != nil {
+		o.Status = &Status{Port: uint16(t.must("listen_port").whole("listen_port", 0, 1, 65535)),
+			Retain:     time.Duration(t.number("retain_s", 600, 0, 1e7) * float64(time.Second)),
+			MaxEntries: t.whole("max_entries", 20_000, 1, 1_000_000)}
+		t.end()
+	}
+	top.end()
+	return o, top.fault()
+}
+
+// Check refuses what does not go together with the platform's configuration.
+func (o Ops) Check(c Config) error {
+	if o.Status != nil && o.Status.Port == c.Listen.Port() {
+		return keyError([]string{"status", "listen_port"}, "%d is the port of PROXY_LISTEN", o.Status.Port)
+	}
+	return nil
+}
+
+// StatusAddr is where the status call listens: on the host of PROXY_LISTEN.
+func (o Ops) StatusAddr(c Config) netip.AddrPort {
+	return netip.AddrPortFrom(c.Listen.Addr(), o.Status.Port)
+}
+
+// table is one table of the file. What has been read is taken out, so that what is left at the end is not known.
+type table struct {
+	path []string
+	keys map[string]any
+	err  *error // the first fault, shared with the tables within
+}
+
+func (t *table) fail(key, format string, args ...any) {
+	if t.err == nil {
+		t.err = new(error)
+	}
+	if *t.err == nil {
+		*t.err = keyError(append(slices.Clone(t.path), strings.Split(key, ".")...), format, args...)
+	}
+}
+
+func (t *table) fault() error {
+	if t.err == nil {
+		return nil
+	}
+	return *t.err
+}
+
+func (t *table) take(key string) (value any, ok bool) {
+	value, ok = t.keys[key]
+	delete(t.keys, key)
+	return value, ok
+}
+
+// table gives a table within, or nil if there is none.
+func (t *table) table(key string) *table {
+	value, ok := t.take(key)
+	if !ok {
+		return nil
+	}
+	keys, ok := value.(map[string]any)
+	if !ok {
+		t.fail(key, "expected a table")
+		return nil
+	}
+	if t.err == nil {
+		t.err = new(error)
+	}
+	return &table{path: append(slices.Clone(t.path), key), keys: keys, err: t.err}
+}
+
+// must is the table itself; without the key it has a fault.
+func (t *table) must(key string) *table {
+	if _, ok := t.keys[key]; !ok {
+		t.fail(key, "missing")
+	}
+	return t
+}
+
+func (t *table) whole(key string, without, least, most int) int {
+	value, ok := t.take(key)
+	if !ok {
+		return without
+	}
+	n, ok := value.(int64)
+	switch {
+	case !ok:
+		t.fail(key, "expected a whole number")
+	case n < int64(least) || n > int64(most):
+		t.fail(key, "expected %d to %d, got %d", least, most, n)
+	}
+	return int(n)
+}
+
+// number reads a number with or without a fraction.
+func (t *table) number(key string, without, least, most float64) float64 {
+	value, ok := t.take(key)
+	if !ok {
+		return without
+	}
+	x, ok := value.(float64)
+	if n, whole := value.(int64); whole {
+		x, ok = float64(n), true
+	}
+	switch {
+	case !ok:
+		t.fail(key, "expected a number")
+	case !(x >= least && x <= most):
+		t.fail(key, "expected %v to %v, got %v", least, most, x)
+	}
+	return x
+}
+
+// end refuses what has not been read.
+func (t *table) end() {
+	if len(t.keys) > 0 {
+		t.fail(slices.Sorted(maps.Keys(t.keys))[0], "not known")
+	}
+}
--- /dev/null
+++ b/internal/config/ops_test.go
@@ -0,0 +1,53 @@
+package config
+
+import (
+	"strings"
+	"testing"
+	"time"
+)
+
+// Each fault of the operators' file names its key.
+func TestOpsFaults(t *testing.T) {
+	for text, want := range map[string]string{
+		"status = 1":                                   `key "status": expected a table`,
+		"[status]":                                     `key "status.listen_port": missing`,
+		"[status]\nlisten_port = '80'":                 `key "status.listen_port": expected a whole number`,
+		"[status]\nlisten_port = 65536":                `key "status.listen_port": expected 1 to 65535, got 65536`,
+		"[status]\nlisten_port = 80.5":                 `key "status.listen_port": expected a whole number`,
+		"[status]\nlisten_port = 80\nretain_s = -1":    `key "status.retain_s": expected 0 to 1e+07, got -1`,
+		"[status]\nlisten_port = 80\nretain_s = true":  `key "status.retain_s": expected a number`,
+		"[status]\nlisten_port = 80\nretain_s = nan":   `key "status.retain_s": expected 0 to 1e+07, got NaN`,
+		"[status]\nlisten_port = 80\nmax_entries = 0":  `key "status.max_entries": expected 1 to 1000000, got 0`,
+		"[status]\nlisten_port = 80\nport = 1\nno = 2": `key "status.no": not known`,
+		"[stats]\n":          `key "stats": not known`,
+		"listen_port = 80":   `key "listen_port": not known`,
+		"[status":            "not TOML",
+		"[status]\n[status]": "not TOML",
+	} {
+		if _, err := DecodeOps(text); err == nil || !strings.HasPrefix(err.Error(), want) {
+			t.Errorf("%q: %v, expected %s", text, err, want)
+		}
+	}
+}
+
+// What is absent is off, or has its default; what does not go with the platform's configuration is a fault.
+func TestOps(t *testing.T) {
+	c, err := Decode([]byte(sound), none)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if o, err := DecodeOps("# nothing"); err != nil || o != (Ops{}) {
+		t.Errorf("an empty file: %+v, %v", o, err)
+	}
+	o, err := DecodeOps("[status]\nlisten_port = 9000")
+	if err != nil || *o.Status != (Status{9000, 600 * time.Second, 20_000}) {
+		t.Errorf("defaults: %+v, %v", o.Status, err)
+	}
+	if err := o.Check(c); err == nil || !strings.Contains(err.Error(), `key "status.listen_port"`) {
+		t.Errorf("the port of PROXY_LISTEN: %v", err)
+	}
+	o, _ = DecodeOps("[status]\nlisten_port = 9001\nretain_s = 0.5\nmax_entries = 7")
+	if err := o.Check(c); err != nil || *o.Status != (Status{9001, 500 * time.Millisecond, 7}) || o.StatusAddr(c).String() != "127.0.0.1:9001" {
+		t.Errorf("%+v, %v", o.Status, err)
+	}
+}
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -54,12 +54,17 @@
 	ID       uint64
 	Call     string
 	Parcel   Parcel
+	Job      logic.Job
 	Deadline time.Duration
-	came     time.Duration
+	Came     time.Duration
+	Sent     time.Duration // first; 0: not yet
 	asker    Asker
 	attempts []*Attempt
 	out      int
 	closed   bool
+	left     bool    // closed by its client
+	over     bool    // and the observers have been told
+	outcome  Outcome // what its attempts have come to so far
 }
 
 // Attempt is one sending of a query.
@@ -69,7 +74,7 @@
 	Number   int
 	Worker   uint64
 	Stage    Stage  // kept by the carrier
-	from     string // the host's own id
+	From     string // the host's own id
 	ended    bool
 }
 
@@ -84,6 +89,8 @@
 	carrier Carrier
 	report  func(format string, args ...any)
 
+	observers []Observer
+
 	events  []logic.Event // not told yet
 	spare   []logic.Event
 	actions []logic.Action
@@ -122,11 +129,13 @@
 		return nil, ErrRepeated
 	}
 	l.lastID++
-	q := &Query{ID: l.lastID, Call: in.Call, Parcel: in.Parcel, Deadline: now + in.Job.Left, came: now, asker: in.Asker}
+	q := &Query{ID: l.lastID, Call: in.Call, Parcel: in.Parcel, Deadline: now + in.Job.Left, Came: now, asker: in.Asker}
 	in.Job.ID = q.ID
+	q.Job = in.Job
 	l.queries[q.ID], l.calls[q.Call] = q, q
 	l.bytes += len(q.Parcel.Body)
 	l.events = append(l.events, in.Job)
+	l.tell(News{What: NewsTaken, Query: q})
 	return q, nil
 }
 
@@ -136,6 +145,7 @@
 		return
 	}
 	l.events = append(l.events, logic.ClientGone{Job: q.ID})
+	q.left = true
 	l.close(q)
 }
 
@@ -144,6 +154,9 @@
 	if q.closed = true; l.calls[q.Call] == q {
 		delete(l.calls, q.Call)
 	}
+	if !q.left {
+		l.tellOver(q)
+	}
 	l.drop(q)
 }
 
@@ -151,6 +164,8 @@
 	if q.closed && q.out == 0 && l.queries[q.ID] == q {
 		delete(l.queries, q.ID)
 		l.bytes -= len(q.Parcel.Body)
+		l.tellOver(q)
+		l.tell(News{What: NewsDropped, Query: q})
 	}
 }
 
@@ -164,9 +179,11 @@
 	a.ended = true
 	q.out--
 	l.expiries.Remove(a)
-	if k := (attemptKey{q.Call, a.from}); l.live[k] == a {
+	if k := (attemptKey{q.Call, a.From}); l.live[k] == a {
 		delete(l.live, k)
 	}
+	q.came(outcome(fault))
+	l.tell(News{What: NewsEnded, Query: q, Attempt: a, Fault: fault})
 	if fault == nil && !q.closed {
 		l.close(q)
 		q.asker.Serve(got)
@@ -206,6 +223,7 @@
 		return false, ErrNote
 	}
 	a := l.live[attemptKey{n.ID, n.From}]
+	l.tell(News{What: NewsNote, Attempt: a, Note: &n})
 	if a == nil {
 		return false, nil
 	}
@@ -342,7 +360,7 @@
 // Finish gives each query that came since then and is still open its final answer now: time is up for this process.
 func (l *Ledger) Finish(since time.Duration) {
 	for _, q := range l.queries {
-		if !q.closed && q.came >= since {
+		if !q.closed && q.Came >= since {
 			l.events = append(l.events, logic.ClientGone{Job: q.ID}) // as far as the module is concerned
 			l.dismiss(q)
 		}
@@ -421,14 +439,14 @@
 		l.events = append(l.events, logic.Outcome{Job: s.Job, Worker: s.Worker, Result: logic.NotSent, Closed: true})
 		return
 	}
-	a := &Attempt{Query: q, Number: len(q.attempts), Worker: s.Worker, from: l.table.hosts[s.Worker].ID}
+	a := &Attempt{Query: q, Number: len(q.attempts), Worker: s.Worker, From: l.table.hosts[s.Worker].ID}
 	q.attempts = append(q.attempts, a)
 	q.out++
 	// Patience is trimmed to the deadline.
 	if a.At = q.Deadline; s.Patience > 0 {
 		a.At = min(a.At, now+s.Patience)
 	}
-	key := attemptKey{q.Call, a.from}
+	key := attemptKey{q.Call, a.From}
 	switch {
 	case q.closed || now >= q.Deadline || a.Number >= l.tries || l.live[key] != nil:
 		// Over, out of time or of tries; or the worker node has one of this query, and gets no second.
@@ -438,6 +456,10 @@
 	default:
 		l.live[key] = a
 		l.expiries.Add(a)
+		if q.Sent == 0 {
+			q.Sent = now
+		}
+		l.tell(News{What: NewsSent, Query: q, Attempt: a})
 		l.carrier.Carry(a)
 	}
 }
--- a/internal/link/clients.go
+++ b/internal/link/clients.go
@@ -73,22 +73,22 @@
 	c.resume()
 }
 
-func (l *Loop) listen(at netip.AddrPort) error {
+// listen opens a socket whose connections owner accepts.
+func (l *Loop) listen(at netip.AddrPort, owner handler) (int, error) {
 	fd, sa, err := socket(at)
 	if err != nil {
-		return err
+		return -1, err
 	}
 	_ = unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_REUSEADDR, 1)
 	_ = unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_RCVBUF, socketBuffer) // accepted ones inherit these
 	_ = unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_SNDBUF, socketBuffer)
 	if err := unix.Bind(fd, sa); err != nil {
-		return fmt.Errorf("listening at %v: %w", at, err)
+		return -1, fmt.Errorf("listening at %v: %w", at, err)
 	}
 	if err := unix.Listen(fd, 4096); err != nil {
-		return fmt.Errorf("listening at %v: %w", at, err)
+		return -1, fmt.Errorf("listening at %v: %w", at, err)
 	}
-	l.clients.fd = fd
-	return l.add(fd, unix.EPOLLIN, l.clients)
+	return fd, l.add(fd, unix.EPOLLIN, owner)
 }
 
 func index(names []string) map[string]int {
@@ -445,9 +445,16 @@
 	k.count()
 }
 
+// turnAway answers a request that is no query, or may not be one.
+func (k *clientLink) turnAway(t *turn, in *ledger.Arrival, status int, what string) {
+	k.loop.Ledger.Refuse(in, status)
+	t.reply(status, what+"\n")
+}
+
 // refuse answers what can't be read any further; the link ends with that.
 func (k *clientLink) refuse(status int, what string) {
 	k.busy()
+	k.loop.Ledger.Refuse(nil, status)
 	k.add(false).reply(status, what)
 }
 
@@ -492,7 +499,11 @@
 		k.since = k.loop.now
 		// A link that ends says so with its last answer.
 		k.last = k.last || k.home.closing && len(k.turns) == 0
-		b := appendAnswer(k.loop.writing[:0], t.status, t.body, t.retry, !k.last || len(k.turns) > 0)
+		fields := ""
+		if t.retry > 0 {
+			fields = "Retry-After: " + strconv.FormatFloat(t.retry.Seconds(), 'f', 3, 64) + "\r\n"
+		}
+		b := appendAnswer(k.loop.writing[:0], t.status, fields, t.body, !k.last || len(k.turns) > 0)
 		if k.loop.writing = b[:0]; cap(b) > 4*maxBody {
 			k.loop.writing = nil
 		}
@@ -554,32 +565,34 @@
 	_, named := k.home.classes[string(first)]
 	switch {
 	case name == nil && !named:
-		t.reply(404, "no such path\n")
+		k.turnAway(t, nil, 404, "no such path")
 	case string(m.Method) != "POST":
-		t.reply(405, "POST only\n")
+		k.turnAway(t, nil, 405, "POST only")
 	case !known:
-		t.reply(400, "X-Call-Class: not a class\n")
+		k.turnAway(t, nil, 400, "X-Call-Class: not a class")
 	case !bytes.Equal(name, first):
-		t.reply(400, "X-Call-Class: not the class in the path\n")
+		k.turnAway(t, nil, 400, "X-Call-Class: not the class in the path")
 	default:
 		in, fault := k.home.read(m, class, rest)
 		if fault != "" {
-			t.reply(400, fault+"\n")
+			k.turnAway(t, nil, 400, fault)
 			return
 		}
 		// It was sent nowhere, so another try is harmless; after a flood has passed, or elsewhere if this one stops.
 		switch c := k.home; {
 		case c.closing:
+			k.loop.Ledger.Refuse(&in, 503)
 			t.Throttle(0)
 			return
 		case k.loop.Ledger.Open() >= c.queries || k.loop.Ledger.Bytes()+len(m.Body) > c.budget:
+			k.loop.Ledger.Refuse(&in, 503)
 			t.Throttle(min(fullFor, c.set.MaxRetryAfter))
 			return
 		}
 		in.Asker = t
 		q, err := k.loop.Ledger.Take(k.loop.now, in)
 		if err != nil {
-			t.reply(409, "X-Call-Id: "+err.Error()+"\n")
+			k.turnAway(t, &in, 409, "X-Call-Id: "+err.Error())
 			return
 		}
 		t.query, k.useful = q, true
--- a/internal/link/clients_test.go
+++ b/internal/link/clients_test.go
@@ -399,7 +399,8 @@
 // Out of descriptors, the loop waits a moment and then accepts again: what came meanwhile is served, not lost.
 func TestAcceptsAgainAfterEMFILE(t *testing.T) {
 	w := newWorld(&steps.Steps{T: t})
-	if err := w.loop.listen(netip.MustParseAddrPort("127.0.0.1:0")); err != nil {
+	var err error
+	if w.loop.clients.fd, err = w.loop.listen(netip.MustParseAddrPort("127.0.0.1:0"), w.loop.clients); err != nil {
 		t.Fatal(err)
 	}
 	fd, _, err := socket(w.loop.Addr())
--- a/internal/link/http.go
+++ b/internal/link/http.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"errors"
 	"strconv"
-	"time"
 )
 
 // Limits of a message.
@@ -369,8 +368,8 @@
 	500: "Internal Server Error", 501: "Not Implemented", 502: "Bad Gateway", 503: "Service Unavailable",
 	505: "HTTP Version Not Supported"}
 
-// appendAnswer writes a response. retry, where it is not 0, tells when to come back.
-func appendAnswer(b []byte, status int, body []byte, retry time.Duration, keep bool) []byte {
+// appendAnswer writes a response; fields are whole lines of its head.
+func appendAnswer(b []byte, status int, fields string, body []byte, keep bool) []byte {
 	b = append(b, "HTTP/1.1 "...)
 	b = strconv.AppendInt(b, int64(status), 10)
 	b = append(append(b, ' '), reasons[status]...)
@@ -378,14 +377,11 @@
 		b = append(b, "\r\nContent-Length: "...)
 		b = strconv.AppendInt(b, int64(len(body)), 10)
 	}
-	if retry > 0 {
-		b = append(b, "\r\nRetry-After: "...)
-		b = strconv.AppendFloat(b, retry.Seconds(), 'f', 3, 64)
-	}
+	b = append(append(b, "\r\n"...), fields...)
 	if !keep {
-		b = append(b, "\r\nConnection: close"...)
+		b = append(b, "Connection: close\r\n"...)
 	}
-	b = append(b, "\r\n\r\n"...)
+	b = append(b, "\r\n"...)
 	if status == 204 {
 		return b
 	}
--- a/internal/link/loop.go
+++ b/internal/link/loop.go
@@ -46,6 +46,8 @@
 	clients  *clientLinks
 	servers  *serverLinks
 	watch    *watch
+	status   *statusLinks // nil: off
+	side     int          // descriptors for features
 }
 
 // Logs are kept quiet: so many lines at once, and so many a second after that.
--- a/internal/link/servers.go
+++ b/internal/link/servers.go
@@ -367,6 +367,9 @@
 	case m.Status/100 == 4 && k.errand.kind == carrying:
 		fault.Reason = ledger.Unusable
 	}
+	if k.errand.kind == carrying {
+		k.loop.Ledger.Answered(k.errand.attempt, m.Status)
+	}
 	if k.errand.kind == carrying && fault == nil {
 		k.reach(ledger.Accepted)
 		delete(k.home.carried, k.errand.attempt)
--- a/internal/link/start.go
+++ b/internal/link/start.go
@@ -1,6 +1,7 @@
 package link
 
 import (
+	"fmt"
 	"io"
 	"net/netip"
 	"time"
@@ -9,19 +10,23 @@
 
 	"valvecove/internal/config"
 	"valvecove/internal/ledger"
+	"valvecove/internal/status"
 	"valvecove/logic"
 )
 
 // Own descriptors besides links: standard ones, epoll, eventfd, listener, watch, and what the runtime opens.
 const ownDescriptors = 24
 
-// Open returns a loop that listens and is ready to run.
-func Open(c config.Config, log io.Writer) (*Loop, error) {
+// Open returns a loop that listens and is ready to run, with the features that are on.
+func Open(c config.Config, ops config.Ops, log io.Writer) (*Loop, error) {
 	l, err := newLoop(log)
 	if err != nil {
 		return nil, err
 	}
-	servers, clients := share(c.Limits.Sockets)
+	if ops.Status != nil {
+		l.side = statusMost + 2 // and the listener; one more is accepted before another makes room
+	}
+	servers, clients := l.share(c.Limits.Sockets)
 	l.serve(servers, c.Settings.ConnectTimeout, c.Settings.ConnIdle)
 	l.watch = &watch{stream: stream{loop: l}, to: c.Discovery}
 	seed := c.Seed
@@ -31,13 +36,26 @@
 	}
 	l.Ledger = ledger.New(c.Settings.TryLimit, c.Settings.Names, module, c.Known, l.servers, l.Logf)
 	l.accept(clients, bufferBudget(c), &c.Settings.Settings, c.Settings.Names)
-	return l, l.listen(c.Listen)
+	if l.clients.fd, err = l.listen(c.Listen, l.clients); err != nil {
+		return nil, err
+	}
+	if ops.Status != nil {
+		table := status.New(*ops.Status, c.Settings.Names, c.Settings.TellsStart, l.Now)
+		if err := l.serveStatus(ops.StatusAddr(c), table); err != nil {
+			return nil, fmt.Errorf("key \"status.listen_port\": %w", err)
+		}
+		l.Ledger.Attach(table)
+	}
+	return l, nil
 }
 
+// Now is the time of the present turn.
+func (l *Loop) Now() time.Duration { return l.now }
+
 // share parts the descriptors. Server links hold one only until a job is accepted; clients hold theirs for as
 // long as it runs.
-func share(sockets int) (servers, clients int) {
-	most := sockets - ownDescriptors
+func (l *Loop) share(sockets int) (servers, clients int) {
+	most := sockets - ownDescriptors - l.side
 	servers = max(8, most/6)
 	return servers, most - servers
 }
@@ -48,7 +66,7 @@
 
 // Reload goes on by another configuration: links, queries and what the module knows stay.
 func (l *Loop) Reload(c config.Config) {
-	servers, clients := share(c.Limits.Sockets)
+	servers, clients := l.share(c.Limits.Sockets)
 	l.servers.most = servers
 	l.clients.limit(clients, bufferBudget(c))
 	if c.Discovery != l.watch.to {
--- a/internal/run/run.go
+++ b/internal/run/run.go
@@ -35,8 +35,9 @@
 	over     bool // there is nothing more to stay for
 }
 
-// Scheduler runs until it has been told to stop and has drained.
-func Scheduler(env func(string) string, log io.Writer) error {
+// Scheduler runs until it has been told to stop and has drained. ops names the operators' file; without one no
+// feature is on.
+func Scheduler(env func(string) string, ops string, log io.Writer) error {
 	// From the first moment on: by default SIGHUP ends a process, and with it all that it has taken.
 	signals := make(chan os.Signal, 16)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
@@ -46,8 +47,15 @@
 	if err != nil {
 		return err
 	}
+	features, err := config.LoadOps(ops)
+	if err == nil {
+		err = features.Check(c)
+	}
+	if err != nil {
+		return err
+	}
 	limit(c.Limits)
-	loop, err := link.Open(c, log)
+	loop, err := link.Open(c, features, log)
 	if err != nil {
 		return err
 	}
--- a/internal/run/run_test.go
+++ b/internal/run/run_test.go
@@ -22,12 +22,20 @@
 type started struct {
 	*testing.T
 	path, addr string
+	ops        string         // the operators' file
 	lines      *bufio.Scanner // of its log
 	end        chan error
 }
 
-func start(t *testing.T, conf string) *started {
+func start(t *testing.T, conf string) *started { return startWith(t, conf, "") }
+
+// startWith starts one with features on.
+func startWith(t *testing.T, conf, ops string) *started {
 	s := &started{T: t, path: filepath.Join(t.TempDir(), "config.json"), end: make(chan error, 1)}
+	if ops != "" {
+		s.ops = filepath.Join(t.TempDir(), "ops.toml")
+		s.write(s.ops, ops)
+	}
 	s.configure(conf)
 	logs, log, err := os.Pipe() // holds what is not read, so that the log never holds up the loop
 	if err != nil {
@@ -35,7 +43,7 @@
 	}
 	t.Cleanup(func() { logs.Close() })
 	go func() {
-		s.end <- Scheduler(func(name string) string { return map[string]string{"PROXY_CONFIG": s.path}[name] }, log)
+		s.end <- Scheduler(func(name string) string { return map[string]string{"PROXY_CONFIG": s.path}[name] }, s.ops, log)
 		log.Close()
 	}()
 	s.lines = bufio.NewScanner(logs)
@@ -43,8 +51,10 @@
 	return s
 }
 
-func (s *started) configure(conf string) {
-	if err := os.WriteFile(s.path, []byte(conf), 0o600); err != nil {
+func (s *started) configure(conf string) { s.write(s.path, conf) }
+
+func (s *started) write(path, text string) {
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		s.Fatal(err)
 	}
 }
--- /dev/null
+++ b/internal/run/status_test.go
@@ -0,0 +1,154 @@
+package run
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"strconv"
+	"strings"
+	"syscall"
+	"testing"
+)
+
+// freePort is one at which nobody listens.
+func freePort(t *testing.T) string {
+	l := listen(t)
+	defer l.Close()
+	_, port, _ := net.SplitHostPort(l.Addr().String())
+	return port
+}
+
+// body reads one answer.
+func body(t *testing.T, r *bufio.Reader) (status, text string) {
+	length := 0
+	for line := "?"; line != ""; {
+		raw, err := r.ReadString('\n')
+		if err != nil {
+			t.Fatal(err)
+		}
+		line = strings.TrimSpace(raw)
+		if code, ok := strings.CutPrefix(line, "HTTP/1.1 "); ok {
+			status = code[:3]
+		}
+		if n, ok := strings.CutPrefix(line, "Content-Length: "); ok {
+			length, _ = strconv.Atoi(n)
+		}
+	}
+	b := make([]byte, length)
+	if _, err := io.ReadFull(r, b); err != nil {
+		t.Fatal(err)
+	}
+	return status, strings.TrimSpace(string(b))
+}
+
+// worked is a scheduler and its one worker node, which the test plays.
+type worked struct {
+	*started
+	host  net.Listener
+	polls *bufio.Reader
+	side  net.Conn
+}
+
+// work starts a scheduler whose jobs have a minute, with one worker node.
+func work(t *testing.T, ops string) *worked {
+	w := &worked{host: listen(t)}
+	w.started = startWith(t, strings.NewReplacer(`"hostPort":"127.0.0.1:1"`, `"hostPort":"`+w.host.Addr().String()+`"`,
+		"80000", "50000000", "500000", "60000000", `"settings":{`,
+		`"settings":{"domain":{"tells_start":true,"progress":2000000},"tenants":[{"name":"swat-society"}],`).Replace(conf), ops)
+	return w
+}
+
+// take plays the worker node, which accepts a request.
+func (w *worked) take() {
+	c, err := w.host.Accept()
+	if err != nil {
+		w.Fatal(err)
+	}
+	w.Cleanup(func() { c.Close() })
+	body(w.T, bufio.NewReader(c))
+	io.WriteString(c, "HTTP/1.1 202 Accepted\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")
+}
+
+func (w *worked) submit(id string) *bufio.Reader {
+	return w.talk("POST /a HTTP/1.1\r\nX-Call-Class: a\r\nX-Caller: swat-society\r\nX-Call-Id: " + id + "\r\nContent-Length: 0\r\n\r\n")
+}
+
+// tell plays a worker node's note, and waits for its answer.
+func (w *worked) tell(note string) {
+	r := w.talk("POST /v1/job-events HTTP/1.1\r\nContent-Length: " + strconv.Itoa(len(note)) + "\r\n\r\n" + note)
+	if line, _ := r.ReadString('\n'); line != "HTTP/1.1 204 No Content\r\n" {
+		w.Errorf("%s: %q", note, line)
+	}
+}
+
+// poll asks for the status of a job.
+func (w *worked) poll(id, status, want string) {
+	w.Helper()
+	io.WriteString(w.side, "GET /status/"+id+" HTTP/1.1\r\n\r\n")
+	if got, text := body(w.T, w.polls); got != status || text != want {
+		w.Errorf("%s: %s %s, expected %s %s", id, got, text, status, want)
+	}
+}
+
+func (w *worked) stop() {
+	w.signal(syscall.SIGTERM)
+	if err := <-w.end; err != nil {
+		w.Error(err)
+	}
+}
+
+// A branch follows a payout over real sockets: held back by nothing, sent, started, under way, done; and another
+// that its worker node loses. While draining too.
+func TestStatusCall(t *testing.T) {
+	port := freePort(t)
+	w := work(t, "[status]\nlisten_port = "+port)
+	var err error
+	if w.side, err = net.Dial("tcp", "127.0.0.1:"+port); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { w.side.Close() })
+	w.polls = bufio.NewReader(w.side)
+	w.poll("9b1f03aa5c7e2d41", "404", "no such id")
+	answer := w.submit("9b1f03aa5c7e2d41")
+	w.take()
+	const start = `{"id":"9b1f03aa5c7e2d41","class":"a","tenant":"swat-society",`
+	note := func(rest string) { w.tell(`{"id":"9b1f03aa5c7e2d41","from":"s-1",` + rest) }
+	w.poll("9b1f03aa5c7e2d41", "200", start+`"state":"waiting","worker":"s-1"}`)
+	note(`"state":"started"}`)
+	w.poll("9b1f03aa5c7e2d41", "200", start+`"state":"running","worker":"s-1"}`)
+	note(`"state":"running","share":0.4}`)
+	w.poll("9b1f03aa5c7e2d41", "200", start+`"state":"running","worker":"s-1","share":0.4}`)
+	note(`"state":"done","result":"booked"}`)
+	if status, text := body(t, answer); status != "200" || text != "booked" {
+		t.Errorf("the client got %s %s", status, text)
+	}
+	w.poll("9b1f03aa5c7e2d41", "200", start+`"state":"ended","worker":"s-1","outcome":"served"}`)
+	w.submit("2")
+	w.take()
+	w.signal(syscall.SIGTERM)
+	w.log("draining")
+	w.tell(`{"id":"2","from":"s-1","state":"started"}`)
+	w.poll("2", "200", `{"id":"2","class":"a","tenant":"swat-society","state":"running","worker":"s-1"}`)
+	w.tell(`{"id":"2","from":"s-1","state":"done","result":""}`)
+	if err := <-w.end; err != nil {
+		t.Error(err)
+	}
+}
+
+// A port that somebody has, or a key that is not known, ends the start with a message that names it.
+func TestStatusPortTaken(t *testing.T) {
+	l := listen(t)
+	_, port, _ := net.SplitHostPort(l.Addr().String())
+	for ops, want := range map[string]string{
+		"[status]\nlisten_port = " + port: `key "status.listen_port": listening at ` + l.Addr().String(),
+		"[status]\nlisten_prot = " + port: `key "status.listen_port": missing`,
+	} {
+		s := &started{T: t, path: t.TempDir() + "/config.json", ops: t.TempDir() + "/ops.toml"}
+		s.configure(conf)
+		s.write(s.ops, ops)
+		err := Scheduler(func(name string) string { return map[string]string{"PROXY_CONFIG": s.path}[name] }, s.ops, io.Discard)
+		if err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%s: %v, expected %s", ops, err, want)
+		}
+	}
+}
--- /dev/null
+++ b/internal/status/status_test.go
@@ -0,0 +1,239 @@
+package status
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	jsoniter "github.com/json-iterator/go"
+
+	"valvecove/internal/config"
+	"valvecove/internal/ledger"
+	"valvecove/internal/steps"
+	"valvecove/logic"
+)
+
+// side is a client and a carrier at once: it remembers what was sent.
+type side struct{ out []*ledger.Attempt }
+
+func (s *side) Serve([]byte)            {}
+func (s *side) Throttle(time.Duration)  {}
+func (s *side) Fail()                   {}
+func (s *side) Carry(a *ledger.Attempt) { s.out = append(s.out, a) }
+func (s *side) GiveUp(*ledger.Attempt)  {}
+func (s *side) Probe(uint64)            {}
+func (s *side) FreeLinks(uint64)        {}
+func (s *side) Watch(int64)             {}
+
+// modelJob is what a branch should be told of one job.
+type modelJob struct {
+	q       *ledger.Query
+	open    bool              // in the table's eyes
+	left    bool              // by its client
+	tries   map[string]string // by worker node: "sent", "started", or the share told last
+	outcome string
+	ended   time.Duration
+}
+
+// world is a table on a ledger, with a module that does as it is told.
+type world struct {
+	*steps.Steps
+	*side
+	module *steps.Script
+	ledger *ledger.Ledger
+	table  *Table
+	now    time.Duration
+}
+
+func newWorld(s *steps.Steps, conf config.Status) *world {
+	w := &world{Steps: s, side: &side{}, module: &steps.Script{}, now: time.Hour}
+	names := ledger.Names{Classes: []string{"cash-payout"}, Tenants: []string{"swat-society"}}
+	w.ledger = ledger.New(6, names, func() ledger.Module { return w.module }, ledger.HostGroup{Hosts: []ledger.Host{
+		{ID: "s-0", Addr: "127.0.0.1:1", State: "up"}, {ID: "s-1", Addr: "127.0.0.1:1", State: "up"}}}, w.side,
+		func(f string, args ...any) { s.Check(!strings.HasPrefix(f, "panic"), f, args...) })
+	w.table = New(conf, names, true, func() time.Duration { return w.now })
+	w.ledger.Step(w.now)
+	w.ledger.Attach(w.table)
+	return w
+}
+
+// do has the module act.
+func (w *world) do(a logic.Action) {
+	w.module.Next = append(w.module.Next, a)
+	w.ledger.HostsLost() // something to step for
+	w.ledger.Step(w.now)
+}
+
+func (w *world) take(id string) *ledger.Query {
+	q, err := w.ledger.Take(w.now, ledger.Arrival{Call: id, Job: logic.Job{Left: time.Minute}, Asker: w.side})
+	w.Check(err == nil, "%s was refused: %v", id, err)
+	return q
+}
+
+// send sends a job to a worker node by its name, and tells whether it went.
+func (w *world) send(q *ledger.Query, host string) bool {
+	before := len(w.out)
+	list := w.module.Heard[0].(logic.WorkerList).Workers
+	w.do(logic.Send{Job: q.ID, Worker: list[int(host[2]-'0')].ID})
+	return len(w.out) > before
+}
+
+func (w *world) tell(id, host, state string, share float64) {
+	result := "r"
+	_, err := w.ledger.Tell(ledger.Note{ID: id, From: host, State: state, Share: share, Result: &result})
+	w.Check(err == nil, "note refused: %v", err)
+}
+
+func (w *world) find(id string) (a answer, ok bool) {
+	body, ok := w.table.Find(id)
+	if ok && jsoniter.ConfigDefault.Unmarshal(body, &a) != nil {
+		w.Check(false, "not JSON: %s", body)
+	}
+	return a, ok
+}
+
+// A job is waiting until its worker node says that it runs, and again once that attempt has ended without a
+// result; it ends once, by the outcome that says most of whether it has run.
+func FuzzTable(f *testing.F) {
+	steps.Fuzz(f, func(s *steps.Steps) {
+		w := newWorld(s, config.Status{Retain: 20 * time.Second, MaxEntries: 1000})
+		jobs := map[string]*modelJob{}
+		outcomes := map[string]string{"done": "served", "failed": "error", "returned": "turned away", "lost": "reset"}
+		for n := 0; s.More(); n++ {
+			w.now += time.Duration(s.Pick(100)) * 10 * time.Millisecond
+			id := strconv.Itoa(s.Pick(8))
+			host, j := "s-"+strconv.Itoa(s.Pick(2)), jobs[id]
+			end := func(how string) { j.open, j.outcome, j.ended = false, how, w.now }
+			switch what := s.Pick(12); {
+			case j == nil || what == 0 && !j.open && len(j.tries) == 0: // an id may come again
+				jobs[id] = &modelJob{q: w.take(id), open: true, tries: map[string]string{}}
+				s.Did("take " + id)
+			case what < 3:
+				if w.send(j.q, host) {
+					j.tries[host] = "sent"
+				}
+				s.Did("send " + id + " to " + host)
+			case what < 9:
+				state := []string{"started", "running", "done", "failed", "returned", "lost"}[s.Pick(6)]
+				share := float64(s.Pick(5)) / 4
+				w.tell(id, host, state, share)
+				s.Did(fmt.Sprint(host, " tells ", id, " ", state, share))
+				how, ends := outcomes[state]
+				switch {
+				case j.tries[host] == "":
+				case !ends && state == "running":
+					j.tries[host] = fmt.Sprint(share)
+				case !ends && j.tries[host] == "sent":
+					j.tries[host] = "started"
+				case ends:
+					delete(j.tries, host)
+					if firm := j.outcome == "served" || (how == "turned away" && j.outcome != ""); j.open && !firm {
+						j.outcome = how
+					}
+					if j.open && (state == "done" && !j.left || j.left && len(j.tries) == 0) {
+						end(j.outcome)
+					}
+				}
+			case what == 9:
+				w.do([]logic.Action{logic.Refuse{Job: j.q.ID}, logic.Fail{Job: j.q.ID}}[s.Pick(2)])
+				s.Did("give up " + id)
+				switch {
+				case !j.open || j.left:
+				case len(j.tries) > 0:
+					end("timed out")
+				case j.outcome == "":
+					end("turned away")
+				default:
+					end(j.outcome)
+				}
+			case what == 10:
+				w.ledger.Gone(j.q)
+				s.Did("the client of " + id + " leaves")
+				if j.left = j.left || j.open; j.open && len(j.tries) == 0 {
+					if end(j.outcome); j.outcome == "" {
+						end("turned away")
+					}
+				}
+			}
+			for id, j := range jobs {
+				got, ok := w.find(id)
+				kept := j.open || w.now-j.ended < 20*time.Second
+				s.Check(ok == kept, "%s: found %v, expected %v", id, ok, kept)
+				if !ok {
+					continue
+				}
+				state, share := "waiting", ""
+				for _, how := range j.tries {
+					if how != "sent" {
+						state = "running"
+					}
+					if how != "sent" && how != "started" {
+						share = max(share, how)
+					}
+				}
+				if !j.open {
+					state, share = "ended", ""
+				}
+				s.Check(got.State == state && (got.Share != nil) == (share != "") && (share == "" || fmt.Sprint(*got.Share) == share),
+					"%s: %+v, expected %s, share %q", id, got, state, share)
+				s.Check(j.open && got.Outcome == "" || !j.open && string(got.Outcome) == j.outcome, "%s: %+v, expected %s", id, got, j.outcome)
+			}
+		}
+	})
+}
+
+// Where all entries are open the oldest makes room, else the one that ended first; what is heard of a query whose
+// entry is gone, or is a later query's, changes nothing.
+func TestTableFull(t *testing.T) {
+	w := newWorld(&steps.Steps{T: t}, config.Status{Retain: time.Minute, MaxEntries: 3})
+	known := func(want string) {
+		t.Helper()
+		got := ""
+		for _, id := range []string{"a", "b", "c", "d", "e"} {
+			if a, ok := w.find(id); ok {
+				got += id + ":" + a.State + string(a.Outcome) + " "
+			}
+		}
+		if got != want || len(w.table.entries) > 3 {
+			t.Errorf("known: %q, expected %q", got, want)
+		}
+	}
+	a, b := w.take("a"), w.take("b")
+	w.take("c")
+	w.do(logic.Fail{Job: b.ID})
+	w.take("d")
+	known("a:waiting c:waiting d:waiting ")
+	w.take("e")
+	known("c:waiting d:waiting e:waiting ")
+	w.do(logic.Fail{Job: a.ID})
+	known("c:waiting d:waiting e:waiting ")
+	w.ledger.Refuse(&ledger.Arrival{Call: "c"}, 503) // with an open query's id, at the door
+	known("c:waiting d:waiting e:waiting ")
+	w.ledger.Refuse(&ledger.Arrival{Call: "a"}, 503)
+	known("a:endedturned away d:waiting e:waiting ")
+}
+
+// An id that comes again after its query was answered is a new entry; the attempt of the earlier one that is still
+// out says nothing of it.
+func TestIDAgain(t *testing.T) {
+	w := newWorld(&steps.Steps{T: t}, config.Status{Retain: time.Minute, MaxEntries: 3})
+	first := w.take("a")
+	w.send(first, "s-0")
+	w.do(logic.Refuse{Job: first.ID})
+	if a, _ := w.find("a"); a.Outcome != ledger.TimedOut || a.Worker != "s-0" {
+		t.Errorf("answered with an attempt out: %+v", a)
+	}
+	second := w.take("a")
+	w.tell("a", "s-0", "started", 0)
+	if a, _ := w.find("a"); a.State != "waiting" || a.Worker != "" {
+		t.Errorf("the second query after news of the first: %+v", a)
+	}
+	w.tell("a", "s-0", "done", 0)
+	w.send(second, "s-0")
+	w.tell("a", "s-0", "running", 0.5)
+	if a, _ := w.find("a"); a.State != "running" || *a.Share != 0.5 {
+		t.Errorf("the second query: %+v", a)
+	}
+}
