--- a/logic/logic.go
+++ b/logic/logic.go
@@ -58,7 +58,8 @@
 
 // New returns a dispatcher that knows nothing but its settings.
 func New(set Settings, seed uint64) *Dispatcher {
-	d := &Dispatcher{set: set, rng: rand.New(rand.NewPCG(seed, 0)), jobs: map[uint64]*job{},
+	src := rand.NewPCG(seed, 0)
+	d := &Dispatcher{set: set, rng: rand.New(src), src: src, jobs: map[uint64]*job{},
 		workers: map[uint64]*worker{}, kinds: map[int]*kind{},
 		busy: map[int]float64{}, keyWork: map[uint64]float64{}, spread: firstSpread, copies: copyBurst}
 	d.alarms.less = func(a, b alarm) bool { return a.at < b.at }
@@ -84,7 +85,7 @@
 	d.weights[len(set.Classes)] = 1 // prior: the chance of running long rises with the hint
 	d.startBest = max(set.ConnectTimeout/promptPart, time.Millisecond)
 	d.quota = slices.Clone(set.TenantQuota)
-	d.alarm(0, d.sweep)
+	d.alarm(alarm{what: upkeep})
 	return d
 }
 
@@ -121,7 +122,7 @@
 		d.armed = 0
 	}
 	for d.alarms.first().at <= d.now { // never empty: the sweep renews itself
-		d.alarms.take().act()
+		d.look(d.alarms.take())
 	}
 	d.release()
 	if next := d.alarms.first().at; d.armed == 0 || next < d.armed {
@@ -156,8 +157,8 @@
 	j.spare = d.overShare(j)
 	d.jobs[e.ID] = j
 	d.probes = min(d.probes+min(probeWidth, probeLoss/max(d.set.ProbePrice, 1e-9)), float64(len(d.order)))
-	d.alarm(j.deadline, func() { d.end(j) })
-	d.alarm(j.aim-seconds(j.work/math.Exp(d.best)), func() { d.late(j) })
+	d.alarm(alarm{at: j.deadline, what: deadline, job: j})
+	d.alarm(alarm{at: j.aim - seconds(j.work/math.Exp(d.best)), what: aimPast, job: j})
 	d.ask(j)
 	d.hold(j)
 }
@@ -324,8 +325,9 @@
 	d.weights[j.Class] += learnRate * g
 	d.weights[n] = max(0.1, d.weights[n]+learnRate*g*h) // a longer hint never counts as shorter
 	d.weights[n+1] += learnRate * g * s
-	if len(d.keyWork) >= keysKept {
+	if len(d.keyWork)+d.keysAway >= keysKept {
 		clear(d.keyWork) // forget all: what is still in use is soon learnt again
+		d.keysAway = 0
 	}
 	if j.Key != 0 {
 		d.keyWork[j.Key] = math.Exp(own)
@@ -407,7 +409,7 @@
 func (d *Dispatcher) leave(w *worker, least time.Duration) {
 	w.rest = min(max(least, 2*w.rest), longPause)
 	w.restUntil = d.now + w.rest
-	d.alarm(w.restUntil, func() {}) // held jobs are looked at again then
+	d.alarm(alarm{at: w.restUntil}) // held jobs are looked at again then
 }
 
 func (d *Dispatcher) shrink(w *worker, a *attempt) {
@@ -495,7 +497,7 @@
 	}
 	w.pause = min(max(firstPause, 2*w.pause), longPause)
 	w.badUntil = d.now + w.pause/2 + time.Duration(d.rng.Int64N(int64(w.pause)))
-	d.alarm(w.badUntil, func() {})
+	d.alarm(alarm{at: w.badUntil})
 	d.do(Log{fmt.Sprintf("worker %d %s: set aside for about %v", w.ID, why, w.pause)})
 }
 
@@ -528,7 +530,7 @@
 	switch run := d.now - a.start; {
 	case !a.started:
 		if wait := d.now - a.sent; wait < silence*d.lateStart {
-			d.alarm(a.sent+silence*d.lateStart, func() { d.overdue(a) })
+			d.alarm(alarm{at: a.sent + silence*d.lateStart, what: overlate, attempt: a})
 		} else if d.linkNews(a, false); w.heard < a.sent {
 			d.blame(w, false, "silent")
 		}
@@ -670,7 +672,7 @@
 		// A late start is news at once, but a job is moved only when waiting on begins to endanger its aim.
 		wait = max(d.promptBy(j), (j.aim-d.now-a.expect)/movePart)
 	}
-	d.alarm(d.now+wait, func() { d.overdue(a) })
+	d.alarm(alarm{at: d.now + wait, what: overlate, attempt: a})
 }
 
 // link guards against connections dropped unseen while idle: what is sent on one gets no answer, or breaks.
@@ -733,7 +735,7 @@
 	}
 	w.running += j.Slots
 	d.seenSlots(w, w.running)
-	d.alarm(d.now+d.overlong(a), func() { d.overdue(a) })
+	d.alarm(alarm{at: d.now + d.overlong(a), what: overlate, attempt: a})
 	if j.closed {
 		return
 	}
@@ -869,7 +871,7 @@
 		j.spare, j.late = true, true
 		d.held.reorder(j.index)
 	}
-	d.alarm(d.now+sweepEvery, func() { d.late(j) })
+	d.alarm(alarm{at: d.now + sweepEvery, what: aimPast, job: j})
 }
 
 // lateIsNil tells whether an answer past the aim earns less than its miss costs where few misses are borne.
@@ -949,7 +951,7 @@
 }
 
 func (d *Dispatcher) sweep() {
-	d.alarm(d.now+upkeepEvery, d.sweep)
+	d.alarm(alarm{at: d.now + upkeepEvery, what: upkeep})
 	if d.set.MustSubscribe && !d.follows && !d.asked && d.now >= d.askAt {
 		d.asked = true
 		d.do(Subscribe{})
@@ -1005,8 +1007,25 @@
 		d.probes--
 		d.do(Probe{Worker: pick.ID})
 		j.askUntil = d.now + 2*d.startBest + j.class.Aim/(4*promptPart)
-		d.alarm(j.askUntil, func() {})
+		d.alarm(alarm{at: j.askUntil})
 	}
 }
 
-func (d *Dispatcher) alarm(at time.Duration, act func()) { d.alarms.add(alarm{max(at, d.now+1), act}) }
+func (d *Dispatcher) alarm(a alarm) {
+	a.at = max(a.at, d.now+1)
+	d.alarms.add(a)
+}
+
+// look does what an alarm is for. After any, held jobs are looked at.
+func (d *Dispatcher) look(a alarm) {
+	switch a.what {
+	case upkeep:
+		d.sweep()
+	case deadline:
+		d.end(a.job)
+	case aimPast:
+		d.late(a.job)
+	case overlate:
+		d.overdue(a.attempt)
+	}
+}
--- a/logic/rules_test.go
+++ b/logic/rules_test.go
@@ -213,6 +213,11 @@
 
 // play feeds a dispatcher a random legal sequence of events; nothing models a worker.
 func play(seed uint64, steps int) (*referee, *Dispatcher, []Action) {
+	return playBeside(seed, steps, func(*Dispatcher, time.Duration, []Event, []Action) {})
+}
+
+// playBeside shows each step's events to someone before the dispatcher gets them, and its actions after that.
+func playBeside(seed uint64, steps int, beside func(*Dispatcher, time.Duration, []Event, []Action)) (*referee, *Dispatcher, []Action) {
 	rng := rand.New(rand.NewPCG(seed, 1))
 	set := randomSettings(rng)
 	d, r := New(set, seed), newReferee(set)
@@ -239,7 +244,9 @@
 		}
 		events = append(events, randomNews(rng, r)...)
 		r.hear(events)
-		actions := d.Step(r.now, events, nil)
+		beside(d, r.now, events, nil)
+		actions := d.Step(r.now, events, []Action{})
+		beside(d, r.now, events, actions)
 		r.judge(actions)
 		log = append(log, actions...)
 	}
--- a/logic/state.go
+++ b/logic/state.go
@@ -9,6 +9,7 @@
 type Dispatcher struct {
 	set                     Settings
 	rng                     *rand.Rand
+	src                     *rand.PCG     // under rng: all of its state
 	now, born               time.Duration // born: the first step
 	dst                     []Action
 	jobs                    map[uint64]*job
@@ -25,6 +26,7 @@
 	muShort, meanWorth      float64
 	meanCost, arrivals      float64            // work times slots of the mean job
 	keyWork                 map[uint64]float64 // by key: the work that its last run showed
+	keysAway                int                // keys known too, whose work a snapshot left out
 	fullLeft                []time.Duration    // by class: the time that a first try leaves
 	spread                  float64            // mean distance, in logs, of run times from what was expected
 	startBest               time.Duration      // least delay of any start notice: the way there and back
@@ -117,6 +119,19 @@
 
 // alarm is a look that the dispatcher has promised itself.
 type alarm struct {
-	at  time.Duration
-	act func()
+	at      time.Duration
+	what    look
+	job     *job
+	attempt *attempt
 }
+
+// look is what an alarm is for. Alarms are data, so that a snapshot can hold them.
+type look int
+
+const (
+	heldJobs look = iota // nothing but the look at held jobs that ends each step
+	upkeep
+	deadline
+	aimPast
+	overlate
+)
