Record what comes in and what is decided: the capture, its replay, and a spool before slow writers

A wrapper of the module records each step's events at their exact time and the decisions; each segment opens with the module's state, so a ring that has wrapped and each rotated file replay without a difference. SIGUSR1 writes a copy of the ring to standard error, which a spool keeps from holding up the loop. valvecove replay feeds a capture to the module again. On in service (deploy/ops.toml).

--- /dev/null
+++ b/internal/capture/capture_test.go
@@ -0,0 +1,308 @@
+package capture
+
+import (
+	"bytes"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"valvecove/internal/config"
+	"valvecove/internal/ledger"
+	"valvecove/logic"
+)
+
+const platform = `{"name":"n0","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"8c1f30d27a5be964","settings":{
+"domain":{"tells_start":true,"class_stretch":[2.5,2.0,1.75]},"discovery":"subscribe","zones":["z"],"kinds":["m"],
+"classes":[{"name":"status-check","promise":80000,"give_up":5000000,"idempotency":"pure","gain":2},
+{"name":"cash-payout","promise":500000,"give_up":7500000,"idempotency":"side_effect","gain":2},
+{"name":"account-credit","promise":500000,"give_up":12000000,"idempotency":"token","window":20000000,"gain":3}],
+"bounds":{"try_limit":6,"connect_timeout":250000,"second_copies":true,"probes":true,"retry_after":true,"max_retry_after":2000000},
+"prices":{"probe":0.004},"rules":{"ask_every":10000000,"cold":8800000,"cold_from":0.3,"overload_factor":3.0,"fall":2000000},
+"tenants":[{"name":"swat-society","quota_per_s":6.0}]}}`
+
+// play is a scheduler without sockets, whose worker nodes do as a random source says.
+type play struct {
+	t      testing.TB
+	rng    *rand.Rand
+	ledger *ledger.Ledger
+	rec    *Recorder
+	now    time.Duration
+	out    []*ledger.Attempt
+	jobs   int
+}
+
+func (p *play) Serve([]byte)            {}
+func (p *play) Throttle(time.Duration)  {}
+func (p *play) Fail()                   {}
+func (p *play) Carry(a *ledger.Attempt) { p.out = append(p.out, a) }
+func (p *play) GiveUp(*ledger.Attempt)  {}
+func (p *play) Probe(w uint64)          { p.ledger.Probed(w, nil) }
+func (p *play) FreeLinks(uint64)        {}
+func (p *play) Watch(int64)             { p.hosts() }
+
+func newPlay(t testing.TB, seed uint64, conf config.Capture) *play {
+	c, err := config.Decode([]byte(platform), func(string) string { return "" })
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := &play{t: t, rng: rand.New(rand.NewPCG(seed, 3)), now: 1718000000123456789}
+	p.rec, err = New(conf, c, func() time.Duration { return p.now }, t.Logf)
+	if err != nil {
+		t.Fatal(err)
+	}
+	next := c.Seed
+	p.ledger = ledger.New(6, c.Settings.Names, func() ledger.Module {
+		next++
+		return p.rec.Wrap(logic.New(c.Settings.Settings, next))
+	}, ledger.HostGroup{}, p, func(string, ...any) {})
+	p.rec.Host = p.ledger.Host
+	p.ledger.Attach(p.rec)
+	return p
+}
+
+func (p *play) hosts() {
+	g := ledger.HostGroup{Generation: 1, Reset: p.rng.IntN(2) == 0}
+	for n := range 4 + p.rng.IntN(5) {
+		h := ledger.Host{ID: "s-" + strconv.Itoa(n), Addr: "127.0.0.1:1", Zone: "z", Kind: "m", Weight: 1,
+			State: []string{"up", "up", "up", "draining"}[p.rng.IntN(4)]}
+		if p.rng.IntN(6) == 0 {
+			h.StartedMs = p.now.Milliseconds() - int64(p.rng.IntN(20000))
+		}
+		g.Hosts = append(g.Hosts, h)
+	}
+	p.ledger.Hosts(g)
+}
+
+// run plays so many steps.
+func (p *play) run(steps int) {
+	for range steps {
+		p.now += time.Duration(p.rng.IntN(30_000_000))
+		for range p.rng.IntN(3) {
+			p.jobs++
+			class := p.rng.IntN(3)
+			q, err := p.ledger.Take(p.now, ledger.Arrival{Call: fmt.Sprintf("%016x", p.jobs), Asker: p, Job: logic.Job{Class: class,
+				Key: uint64(p.rng.IntN(40)), Left: time.Duration(1+p.rng.IntN(5)) * time.Second, Slots: float64(1 + p.rng.IntN(2)),
+				Hint: time.Duration(1 + p.rng.IntN(400_000_000))}, Parcel: ledger.Parcel{Verb: "POST", Path: "/x", Body: []byte("secret")}})
+			if err != nil {
+				p.t.Fatal(err)
+			}
+			if p.rng.IntN(30) == 0 {
+				p.ledger.Gone(q)
+			}
+		}
+		result := "secret"
+		for i := 0; i < len(p.out); i++ {
+			state := []string{"started", "started", "running", "done", "done", "failed", "returned", "lost"}[p.rng.IntN(8)]
+			if p.rng.IntN(4) == 0 {
+				a := p.out[i]
+				p.ledger.Tell(ledger.Note{ID: a.Query.Call, From: a.From, State: state, Share: p.rng.Float64(), Result: &result})
+			}
+		}
+		if len(p.out) > 20 {
+			p.out = p.out[10:] // worker nodes that never say more
+		}
+		if p.rng.IntN(60) == 0 {
+			p.hosts()
+		}
+		p.ledger.Step(p.now)
+	}
+}
+
+func replayed(t *testing.T, text []byte, ops string) (differences int, out, warnings string, err error) {
+	o, err := config.DecodeOps(ops)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var a, b bytes.Buffer
+	differences, err = Replay(bytes.NewReader(text), o, &a, &b)
+	return differences, a.String(), b.String(), err
+}
+
+// same expects that a capture replays without a difference or a warning; it counts the sends.
+func same(t *testing.T, text []byte) int {
+	t.Helper()
+	n, out, warnings, err := replayed(t, text, "")
+	if n != 0 || err != nil || warnings != "" {
+		t.Errorf("%d differences, %v, %q:\n%.600s", n, err, warnings, out)
+	}
+	if bytes.Contains(text, []byte("secret")) {
+		t.Error("a body is in it")
+	}
+	return bytes.Count(text, []byte(`"out":"send"`))
+}
+
+// Whatever is left of a ring, wrapped or not, replays without a difference; it never holds more than it may but for
+// a step. So does each file of a capture in files.
+func TestReplaySame(t *testing.T) {
+	for seed := range uint64(12) {
+		p := newPlay(t, seed, config.Capture{MemoryKB: 48})
+		wrapped, sends := false, 0
+		for range 40 {
+			p.run(25)
+			text := p.rec.Dump()
+			wrapped = wrapped || !bytes.Contains(text, []byte(`"why":"start"`))
+			if len(text) > 60<<10 {
+				t.Errorf("%d bytes in a ring of %d", len(text), 48<<10)
+			}
+			sends += same(t, text)
+		}
+		if !wrapped || sends < 100 || p.rec.Lost() > 0 {
+			t.Errorf("wrapped %v, %d sends, %d lost", wrapped, sends, p.rec.Lost())
+		}
+	}
+}
+
+func TestFiles(t *testing.T) {
+	dir := t.TempDir()
+	for process := range 2 { // the second one keeps no more than the first
+		p := newPlay(t, uint64(process), config.Capture{Dir: dir, FileMB: 1, Files: 3})
+		p.rec.sink.(*files).most = 64 << 10
+		p.run(2000)
+		if p.rec.Close(time.Minute); p.rec.Lost() > 0 || p.rec.Dump() != nil {
+			t.Errorf("%d lost", p.rec.Lost())
+		}
+	}
+	names, _ := filepath.Glob(dir + "/*")
+	if len(names) != 3 || filepath.Base(names[0]) < "n0-00000010" {
+		t.Errorf("files: %v", names)
+	}
+	for _, name := range names[:2] {
+		text, err := os.ReadFile(name)
+		if err != nil {
+			t.Fatal(err)
+		}
+		same(t, text)
+	}
+	if _, err := newFiles(config.Capture{Dir: dir + "/none"}, "n0"); err == nil {
+		t.Error("a directory that is not there was taken")
+	}
+}
+
+// A disk that fails leaves whole lines and is counted; once it works again a new segment goes on, which replays.
+func TestDiskFails(t *testing.T) {
+	dir := t.TempDir()
+	p := newPlay(t, 1, config.Capture{Dir: dir, FileMB: 1, Files: 3})
+	f := p.rec.sink.(*files)
+	settled := func() { // until the spool has done all that it has
+		done := make(chan struct{})
+		f.Large(func() error { close(done); return nil })
+		<-done
+	}
+	p.run(100)
+	settled()
+	f.file.Close()
+	p.run(50)
+	settled()
+	p.run(1)
+	if p.rec.Lost() == 0 || !p.rec.lost {
+		t.Errorf("%d lost under a closed file", p.rec.Lost())
+	}
+	p.now += retryAfter
+	p.run(100)
+	p.rec.Close(time.Minute)
+	names, _ := filepath.Glob(dir + "/*")
+	if len(names) != 2 {
+		t.Fatalf("files: %v", names)
+	}
+	for _, name := range names {
+		text, _ := os.ReadFile(name)
+		same(t, text)
+	}
+	if text, _ := os.ReadFile(names[1]); !bytes.Contains(text, []byte(whyGap)) {
+		t.Error("the gap is not told")
+	}
+}
+
+// Another setting makes differences, each with its line, the job's id and both decisions; a name that is not among
+// the recorded ones, or a value that no scheduler could work by, does not replay.
+func TestReplayOtherSettings(t *testing.T) {
+	p := newPlay(t, 1, config.Capture{MemoryKB: 1 << 10})
+	p.run(400)
+	text := append([]byte("n0: listening at 127.0.0.1:1\n"), p.rec.Dump()...)
+	n, out, warnings, err := replayed(t, text, "[replay.settings.classes.cash-payout]\npromise = 5000000")
+	lines := strings.Split(string(text), "\n")
+	if n == 0 || n != strings.Count(out, "\n") || err != nil || warnings != "" {
+		t.Fatalf("%d differences, %v, %q", n, err, warnings)
+	}
+	for _, line := range strings.Split(strings.TrimSpace(out), "\n") {
+		var at int
+		var id, was string
+		if _, err := fmt.Sscanf(line, "line %d: %s was %s", &at, &id, &was); err != nil || at < 2 || at > len(lines) ||
+			was != "nothing," && !strings.Contains(lines[at-1], id) && !strings.Contains(id+was, "host") {
+			t.Errorf("%q: %v", line, err)
+		}
+	}
+	for ops, want := range map[string]string{
+		"[replay.settings.bounds]\ntry_limits = 1":       `line 2: key "replay.settings.bounds.try_limits": not among the recorded settings`,
+		"[replay.settings.bounds]\ntry_limit = 0":        `line 2: key "replay.settings.bounds.try_limit": expected 1 at least, got 0`,
+		"[replay.settings.bounds]\ntry_limit = 'x'":      `line 2: key "replay.settings.bounds.try_limit": expected a number`,
+		"[replay.settings.classes.loans]\npromise = 1.0": `line 2: key "replay.settings.classes.loans": not among the recorded settings`,
+	} {
+		if _, _, _, err := replayed(t, text, ops); err == nil || err.Error() != want {
+			t.Errorf("%s: %v, expected %s", ops, err, want)
+		}
+	}
+}
+
+// A module that panics is recorded up to that and replays; the one after it begins a segment of its own.
+func TestReplayPanic(t *testing.T) {
+	p := newPlay(t, 1, config.Capture{MemoryKB: 1 << 10})
+	p.run(100)
+	p.rec.edge.Dispatcher = &logic.Dispatcher{} // panics whatever it is told
+	p.ledger.HostsLost()
+	p.ledger.Step(p.now)
+	p.run(100)
+	text := p.rec.Dump()
+	if !bytes.Contains(text, []byte(`"out":"panic"`)) || !bytes.Contains(text, []byte(whyRestart)) {
+		t.Fatal("no panic and no second module in it")
+	}
+	// Replayed, the module is whole: the panic itself is the one difference.
+	n, out, warnings, err := replayed(t, text, "")
+	if n != 1 || !strings.Contains(out, "the module was a panic, now ") || err != nil || warnings != "" {
+		t.Errorf("%d differences, %v, %q:\n%s", n, err, warnings, out)
+	}
+}
+
+// A last line that is cut anywhere is skipped with a warning, and with it the step that it was of; any other broken
+// line is an error with its number; log lines are passed over; and nothing makes the replay panic.
+func FuzzBroken(f *testing.F) {
+	p := newPlay(f, 1, config.Capture{MemoryKB: 1 << 10})
+	p.run(40)
+	text := p.rec.Dump()
+	lines := bytes.SplitAfter(text, []byte("\n"))
+	for n := range 60 {
+		f.Add(uint16(n*7), uint16(n*13), []byte(`{"t":1,"in":"job","of":3}`))
+	}
+	f.Add(uint16(9), uint16(3), []byte(`{"t":1,"in":"outcome","worker":"s-9"}`))
+	f.Add(uint16(9), uint16(3), []byte(`{"t":1,"in":"start","seed":"1","settings":{"classes":[]}}`))
+	f.Add(uint16(9), uint16(3), []byte(`{"t":1,"in":"progress","job":1,"past":1,"share":1e300,"of":-1}`))
+	f.Fuzz(func(t *testing.T, at, by uint16, other []byte) {
+		n := int(at) % len(lines)
+		before := bytes.Join(lines[:n], nil)
+		cut := lines[n][:int(by)%len(lines[n])]
+		differences, out, warnings, err := replayed(t, append(bytes.Clone(before), cut...), "")
+		switch {
+		case n == 0:
+			if err != ErrNoCapture {
+				t.Errorf("nothing whole: %v", err)
+			}
+		case err != nil || differences != 0 || len(cut) > 0 && len(cut) < len(lines[n])-1 && !strings.Contains(warnings, fmt.Sprintf("line %d is cut short", n+1)):
+			t.Errorf("cut in line %d: %v, %q, %s", n+1, err, warnings, out)
+		}
+		if len(cut) > 0 && len(cut) < len(lines[n])-1 {
+			whole := slices.Concat(before, cut, []byte("\n"), lines[len(lines)-2])
+			if _, _, _, err := replayed(t, whole, ""); err == nil || !strings.HasPrefix(err.Error(), fmt.Sprintf("line %d: ", n+1)) {
+				t.Errorf("broken in line %d: %v", n+1, err)
+			}
+		}
+		if n > 0 {
+			_, _, _, _ = replayed(t, slices.Concat(before, other, []byte("\n"), bytes.Join(lines[n:], nil)), "")
+		}
+	})
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -9,6 +9,7 @@
 	"net/netip"
 	"os"
 	"reflect"
+	"slices"
 	"strconv"
 
 	jsoniter "github.com/json-iterator/go"
@@ -32,6 +33,7 @@
 	Limits    Limits
 	Known     ledger.HostGroup // as it was last seen, perhaps long ago
 	Settings  Settings
+	Platform  []byte // the settings as the platform's text has them
 }
 
 // Limits where the configuration names none: those of the smallest machine that the platform has.
@@ -124,11 +126,11 @@
 	if d.err != nil {
 		return c, d.err
 	}
-	c.Settings = d.set
+	c.Settings, c.Platform = d.set, []byte(jsoniter.Get(text, "settings").ToString())
+	var err error
 	if c.Name == "" {
 		c.Name = env("PROXY_NAME")
 	}
-	var err error
 	if c.Listen, err = address("listen", "PROXY_LISTEN", listen, env); err != nil {
 		return c, err
 	}
@@ -143,7 +145,10 @@
 	if !settings {
 		return c, keyError([]string{"settings"}, "missing")
 	}
-	return c, c.check()
+	if err := c.check(); err != nil {
+		return c, err
+	}
+	return c, c.Settings.check("settings")
 }
 
 func address(key, variable, value string, env func(string) string) (netip.AddrPort, error) {
@@ -162,7 +167,6 @@
 
 // check refuses what a scheduler could not work by.
 func (c *Config) check() error {
-	s := &c.Settings
 	switch {
 	case c.Limits.Cores <= 0:
 		return keyError([]string{"limits", "cores"}, "expected more than 0, got %v", c.Limits.Cores)
@@ -170,25 +174,33 @@
 		return keyError([]string{"limits", "memory_mb"}, "expected 16 at least, got %d", c.Limits.MemoryMB)
 	case c.Limits.Sockets < fewestSockets:
 		return keyError([]string{"limits", "sockets"}, "expected %d at least, got %d", fewestSockets, c.Limits.Sockets)
+	}
+	return nil
+}
+
+// check refuses settings that a scheduler could not work by. under is where they stand.
+func (s *Settings) check(under ...string) error {
+	key := func(path ...string) []string { return append(slices.Clone(under), path...) }
+	switch {
 	case len(s.Classes) == 0:
-		return keyError([]string{"settings", "classes"}, "expected one class at least")
+		return keyError(key("classes"), "expected one class at least")
 	case s.TryLimit < 1:
-		return keyError([]string{"settings", "bounds", "try_limit"}, "expected 1 at least, got %d", s.TryLimit)
+		return keyError(key("bounds", "try_limit"), "expected 1 at least, got %d", s.TryLimit)
 	case s.ConnectTimeout <= 0:
-		return keyError([]string{"settings", "bounds", "connect_timeout"}, "expected more than 0, got %v", s.ConnectTimeout)
+		return keyError(key("bounds", "connect_timeout"), "expected more than 0, got %v", s.ConnectTimeout)
 	}
 	for i, class := range s.Classes {
 		at := strconv.Itoa(i)
 		if s.Names.Classes[i] == "" {
-			return keyError([]string{"settings", "classes", at, "name"}, "missing")
+			return keyError(key("classes", at, "name"), "missing")
 		}
 		if class.GiveUp <= 0 {
-			return keyError([]string{"settings", "classes", at, "give_up"}, "expected more than 0, got %v", class.GiveUp)
+			return keyError(key("classes", at, "give_up"), "expected more than 0, got %v", class.GiveUp)
 		}
 	}
 	for i, name := range s.Names.Tenants {
 		if name == "" {
-			return keyError([]string{"settings", "tenants", strconv.Itoa(i), "name"}, "missing")
+			return keyError(key("tenants", strconv.Itoa(i), "name"), "missing")
 		}
 	}
 	return nil
--- a/internal/config/ops.go
+++ b/internal/config/ops.go
@@ -10,11 +10,14 @@
 	"time"
 
 	"github.com/BurntSushi/toml"
+	jsoniter "github.com/json-iterator/go"
 )
 
 // Ops is the operators' own file: the features that are on. One whose section is absent is nil, and off.
 type Ops struct {
-	Status *Status
+	Status  *Status
+	Capture *Capture
+	Replay  *Replay
 }
 
 // Status is the status call on a side port.
@@ -24,6 +27,19 @@
 	MaxEntries int
 }
 
+// Capture is the record of what comes in and what is decided.
+type Capture struct {
+	MemoryKB int    // of the ring
+	Dir      string // for files in place of the ring; none: the ring
+	FileMB   int
+	Files    int
+}
+
+// Replay is for a replay of a capture only.
+type Replay struct {
+	settings map[string]any // in place of recorded ones, by their names
+}
+
 // LoadOps reads the operators' file; without a name all features are off.
 func LoadOps(path string) (Ops, error) {
 	if path == "" {
@@ -54,6 +70,18 @@
 			MaxEntries: t.whole("max_entries", 20_000, 1, 1_000_000)}
 		t.end()
 	}
+	if t := top.table("capture"); t != nil {
+		o.Capture = &Capture{MemoryKB: t.whole("memory_kb", 512, 64, 1<<20), Dir: t.text("dir"),
+			FileMB: t.whole("file_mb", 8, 1, 1<<10), Files: t.whole("files", 4, 1, 1000)}
+		t.end()
+	}
+	if t := top.table("replay"); t != nil {
+		o.Replay = &Replay{}
+		if set := t.table("settings"); set != nil {
+			o.Replay.settings = set.keys
+		}
+		t.end()
+	}
 	top.end()
 	return o, top.fault()
 }
@@ -63,9 +91,73 @@
 	if o.Status != nil && o.Status.Port == c.Listen.Port() {
 		return keyError([]string{"status", "listen_port"}, "%d is the port of PROXY_LISTEN", o.Status.Port)
 	}
+	// The ring may be there twice, while a copy of it is written out.
+	if most := c.Limits.MemoryMB << 10 / 8; o.Capture != nil && o.Capture.Dir == "" && o.Capture.MemoryKB > most {
+		return keyError([]string{"capture", "memory_kb"}, "expected %d at most where limits.memory_mb is %d, got %d", most,
+			c.Limits.MemoryMB, o.Capture.MemoryKB)
+	}
 	return nil
 }
 
+// Override gives the platform's settings in a recorded text, with those of [replay.settings] in place of its own.
+func (o Ops) Override(recorded []byte) (Settings, error) {
+	at := []string{"replay", "settings"}
+	if o.Replay != nil && len(o.Replay.settings) > 0 {
+		var tree any
+		if err := exact.Unmarshal(recorded, &tree); err != nil {
+			return Settings{}, fmt.Errorf("recorded settings: %w", err)
+		}
+		tree, err := override(at, tree, o.Replay.settings)
+		if err != nil {
+			return Settings{}, err
+		}
+		if recorded, err = exact.Marshal(tree); err != nil {
+			return Settings{}, keyError(at, "%v", err)
+		}
+	}
+	s, err := decodeSettings(recorded, at...)
+	if err != nil {
+		return Settings{}, err
+	}
+	return s, s.check(at...)
+}
+
+// exact keeps numbers as they are written.
+var exact = jsoniter.Config{UseNumber: true}.Froze()
+
+// override puts values in place of those with the same names. In a list, a table's keys are the elements' names.
+func override(at []string, recorded, by any) (any, error) {
+	table, ok := by.(map[string]any)
+	if !ok {
+		return by, nil
+	}
+	for _, key := range slices.Sorted(maps.Keys(table)) {
+		at := append(slices.Clone(at), key)
+		var found bool
+		var err error
+		switch old := recorded.(type) {
+		case map[string]any:
+			if _, found = old[key]; found {
+				old[key], err = override(at, old[key], table[key])
+			}
+		case []any:
+			for i, element := range old {
+				if fields, ok := element.(map[string]any); ok && fields["name"] == key {
+					found = true
+					old[i], err = override(at, element, table[key])
+				}
+			}
+		}
+		if err == nil && !found {
+			err = keyError(at, "not among the recorded settings")
+		}
+		if err != nil {
+			return nil, err
+		}
+	}
+	return recorded, nil
+}
+
 // StatusAddr is where the status call listens: on the host of PROXY_LISTEN.
 func (o Ops) StatusAddr(c Config) netip.AddrPort {
 	return netip.AddrPortFrom(c.Listen.Addr(), o.Status.Port)
@@ -140,6 +232,19 @@
 	return int(n)
 }
 
+// text reads text; without the key there is none, but given it is not empty.
+func (t *table) text(key string) string {
+	value, ok := t.take(key)
+	if !ok {
+		return ""
+	}
+	text, ok := value.(string)
+	if !ok || text == "" {
+		t.fail(key, "expected text")
+	}
+	return text
+}
+
 // number reads a number with or without a fraction.
 func (t *table) number(key string, without, least, most float64) float64 {
 	value, ok := t.take(key)
--- a/internal/config/ops_test.go
+++ b/internal/config/ops_test.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -19,10 +20,16 @@
 		"[status]\nlisten_port = 80\nretain_s = nan":   `key "status.retain_s": expected 0 to 1e+07, got NaN`,
 		"[status]\nlisten_port = 80\nmax_entries = 0":  `key "status.max_entries": expected 1 to 1000000, got 0`,
 		"[status]\nlisten_port = 80\nport = 1\nno = 2": `key "status.no": not known`,
-		"[stats]\n":          `key "stats": not known`,
-		"listen_port = 80":   `key "listen_port": not known`,
-		"[status":            "not TOML",
-		"[status]\n[status]": "not TOML",
+		"[capture]\nmemory_kb = 63":                    `key "capture.memory_kb": expected 64 to 1048576, got 63`,
+		"[capture]\ndir = 5":                           `key "capture.dir": expected text`,
+		"[capture]\nfile_mb = 0":                       `key "capture.file_mb": expected 1 to 1024, got 0`,
+		"[capture]\nfiles = '4'":                       `key "capture.files": expected a whole number`,
+		"[replay]\nsetting = 1":                        `key "replay.setting": not known`,
+		"[replay]\nsettings = 1":                       `key "replay.settings": expected a table`,
+		"[stats]\n":                                    `key "stats": not known`,
+		"listen_port = 80":                             `key "listen_port": not known`,
+		"[status":                                      "not TOML",
+		"[status]\n[status]":                           "not TOML",
 	} {
 		if _, err := DecodeOps(text); err == nil || !strings.HasPrefix(err.Error(), want) {
 			t.Errorf("%q: %v, expected %s", text, err, want)
@@ -36,10 +43,22 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if o, err := DecodeOps("# nothing"); err != nil || o != (Ops{}) {
+	if o, err := DecodeOps("# nothing"); err != nil || o.Status != nil || o.Capture != nil || o.Replay != nil {
 		t.Errorf("an empty file: %+v, %v", o, err)
 	}
-	o, err := DecodeOps("[status]\nlisten_port = 9000")
+	o, err := DecodeOps("[capture]\n")
+	if err != nil || *o.Capture != (Capture{MemoryKB: 512, FileMB: 8, Files: 4}) || o.Check(c) != nil {
+		t.Errorf("defaults: %+v, %v", o.Capture, err)
+	}
+	if o.Capture.MemoryKB = 192<<10/8 + 1; o.Check(c) == nil {
+		t.Error("a ring that takes up much of the memory")
+	}
+	if text, err := os.ReadFile("../../deploy/ops.toml"); err != nil {
+		t.Error(err)
+	} else if o, err := DecodeOps(string(text)); err != nil || o.Capture == nil || o.Status != nil || o.Check(c) != nil {
+		t.Errorf("ours: %+v, %v", o, err)
+	}
+	o, err = DecodeOps("[status]\nlisten_port = 9000")
 	if err != nil || *o.Status != (Status{9000, 600 * time.Second, 20_000}) {
 		t.Errorf("defaults: %+v, %v", o.Status, err)
 	}
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -19,8 +19,11 @@
 
 // DecodeSettings reads the settings object in the platform's words, with times in microseconds. Keys that are
 // not known are skipped, and those that are absent leave their zero value. Errors name the key.
-func DecodeSettings(object []byte) (Settings, error) {
-	d := decoder{walker: walker{it: jsoniter.ParseBytes(jsoniter.ConfigDefault, object)}}
+func DecodeSettings(object []byte) (Settings, error) { return decodeSettings(object) }
+
+// decodeSettings says in its errors where the object stands.
+func decodeSettings(object []byte, under ...string) (Settings, error) {
+	d := decoder{walker: walker{it: jsoniter.ParseBytes(jsoniter.ConfigDefault, object), path: under}}
 	d.settings()
 	if d.err == nil {
 		d.end()
--- a/internal/link/loop.go
+++ b/internal/link/loop.go
@@ -13,6 +13,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"valvecove/internal/capture"
 	"valvecove/internal/due"
 	"valvecove/internal/ledger"
 )
@@ -46,8 +47,9 @@
 	clients  *clientLinks
 	servers  *serverLinks
 	watch    *watch
-	status   *statusLinks // nil: off
-	side     int          // descriptors for features
+	status   *statusLinks      // nil: off
+	side     int               // descriptors for features
+	Capture  *capture.Recorder // nil: off
 }
 
 // Logs are kept quiet: so many lines at once, and so many a second after that.
--- a/internal/link/start.go
+++ b/internal/link/start.go
@@ -8,6 +8,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"valvecove/internal/capture"
 	"valvecove/internal/config"
 	"valvecove/internal/ledger"
 	"valvecove/internal/status"
@@ -29,12 +30,25 @@
 	servers, clients := l.share(c.Limits.Sockets)
 	l.serve(servers, c.Settings.ConnectTimeout, c.Settings.ConnIdle)
 	l.watch = &watch{stream: stream{loop: l}, to: c.Discovery}
+	if ops.Capture != nil {
+		if l.Capture, err = capture.New(*ops.Capture, c, l.Now, l.Logf); err != nil {
+			return nil, fmt.Errorf("key \"capture.dir\": %w", err)
+		}
+	}
 	seed := c.Seed
 	module := func() ledger.Module {
 		seed++
-		return logic.New(c.Settings.Settings, seed)
+		m := logic.New(c.Settings.Settings, seed)
+		if l.Capture != nil {
+			return l.Capture.Wrap(m)
+		}
+		return m
 	}
 	l.Ledger = ledger.New(c.Settings.TryLimit, c.Settings.Names, module, c.Known, l.servers, l.Logf)
+	if l.Capture != nil {
+		l.Capture.Host = l.Ledger.Host
+		l.Ledger.Attach(l.Capture)
+	}
 	l.accept(clients, bufferBudget(c), &c.Settings.Settings, c.Settings.Names)
 	if l.clients.fd, err = l.listen(c.Listen, l.clients); err != nil {
 		return nil, err
--- /dev/null
+++ b/internal/run/capture_test.go
@@ -0,0 +1,110 @@
+package run
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+
+	"valvecove/internal/capture"
+	"valvecove/internal/config"
+)
+
+// dumped asks for the capture and reads the log up to its end.
+func (s *started) dumped() string {
+	s.signal(syscall.SIGUSR1)
+	var text strings.Builder
+	for s.lines.Scan() {
+		text.WriteString(s.lines.Text() + "\n")
+		if strings.Contains(s.lines.Text(), "capture of ") {
+			return text.String()
+		}
+	}
+	s.Fatal("no capture in the log")
+	return ""
+}
+
+// What a scheduler has done over real sockets comes out on SIGUSR1, with the log's lines around it, and replays
+// without a difference; under another setting it does not; what is no capture is unusable.
+func TestCaptureAndReplay(t *testing.T) {
+	w := work(t, "[capture]")
+	answer := w.submit("9b1f03aa5c7e2d41")
+	w.take()
+	w.tell(`{"id":"9b1f03aa5c7e2d41","from":"s-1","state":"started"}`)
+	w.tell(`{"id":"9b1f03aa5c7e2d41","from":"s-1","state":"done","result":"booked: 42 rupees"}`)
+	body(t, answer)
+	w.talk("POST /b HTTP/1.1\r\nX-Call-Class: b\r\nContent-Length: 0\r\n\r\n").ReadString('\n')
+	text := w.dumped()
+	w.stop()
+	for _, want := range []string{`"in":"head","id":"9b1f03aa5c7e2d41","method":"POST","path":"/a","class":"a","tenant":"swat-society"`,
+		`"out":"send","id":"9b1f03aa5c7e2d41","worker":"s-1"`, `"in":"answer","id":"9b1f03aa5c7e2d41","status":202`,
+		`"in":"event","id":"9b1f03aa5c7e2d41","length":17,"state":"done"`, `"out":"over","id":"9b1f03aa5c7e2d41","outcome":"served"`,
+		`"out":"turned away","status":400`, `"in":"start","why":"start"`, `"in":"hosts"`} {
+		if !strings.Contains(text, want) {
+			t.Errorf("no %s in\n%s", want, text)
+		}
+	}
+	if strings.Contains(text, "rupees") {
+		t.Error("a body is in it")
+	}
+	file := filepath.Join(t.TempDir(), "ring.jsonl")
+	w.write(file, text)
+	garbage := filepath.Join(t.TempDir(), "garbage")
+	w.write(garbage, "n0: draining\n")
+	for _, c := range []struct {
+		file, ops, out, warning string
+		code                    int
+	}{
+		{file, "", "", "", 0},
+		{file, "[replay.settings.classes.a]\npromise = 1", "9b1f03aa5c7e2d41 was s-1, now ", "", 1},
+		{file, "[replay.settings.bounds]\ntry_limit = 'x'", "", `key "replay.settings.bounds.try_limit": expected a number`, 2},
+		{garbage, "", "", "no capture in it", 2},
+		{file + "x", "", "", "no such file", 2},
+	} {
+		ops, err := config.DecodeOps(c.ops)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var out, warnings bytes.Buffer
+		code := capture.Command(c.file, ops, &out, &warnings)
+		if code != c.code || !strings.Contains(out.String(), c.out) || !strings.Contains(warnings.String(), c.warning) || c.out == "" && out.Len() > 0 {
+			t.Errorf("%s with %q: %d, %q, %q", c.file, c.ops, code, out.String(), warnings.String())
+		}
+	}
+}
+
+// A log that nobody takes in holds up neither the jobs nor the end.
+func TestLogStuck(t *testing.T) {
+	logs, log, err := os.Pipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer logs.Close()
+	fd := int(log.Fd())
+	_ = syscall.SetNonblock(fd, true)
+	for fill := bytes.Repeat([]byte("x"), 4096); err == nil; { // until the pipe is full
+		_, err = syscall.Write(fd, fill)
+	}
+	_ = syscall.SetNonblock(fd, false) // as standard error is
+	l := listen(t)
+	addr := l.Addr().String()
+	l.Close()
+	s := &started{T: t, path: filepath.Join(t.TempDir(), "config.json"), ops: filepath.Join(t.TempDir(), "ops.toml"),
+		addr: addr, end: make(chan error, 1)}
+	s.configure(strings.Replace(conf, "127.0.0.1:0", addr, 1))
+	s.write(s.ops, "[capture]")
+	go func() {
+		s.end <- Scheduler(func(name string) string { return map[string]string{"PROXY_CONFIG": s.path}[name] }, s.ops, log)
+	}()
+	s.up()
+	s.signal(syscall.SIGUSR1)
+	if line, _ := s.talk(query).ReadString('\n'); line != givenUp {
+		t.Errorf("a query while the log is stuck: %q", line)
+	}
+	s.signal(syscall.SIGTERM)
+	if err := <-s.end; err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/run/run.go
+++ b/internal/run/run.go
@@ -2,6 +2,7 @@
 package run
 
 import (
+	"fmt"
 	"io"
 	"math"
 	"os"
@@ -14,6 +15,7 @@
 
 	"valvecove/internal/config"
 	"valvecove/internal/link"
+	"valvecove/internal/spool"
 )
 
 // After SIGTERM new connections still come for a moment, and clients keep using the links that they have. SIGKILL
@@ -24,6 +26,9 @@
 	killSpare = 700 * time.Millisecond
 	lastTaken = 900 * time.Millisecond // before SIGKILL: a query that comes later would hardly be served in time
 	lastWords = 300 * time.Millisecond // before SIGKILL: whatever is still open is answered
+	lastFlush = 200 * time.Millisecond // at the end: for a log or a disk that takes in what waits
+
+	logWaiting = 256 << 10 // bytes of log that may wait
 )
 
 // scheduler is one that runs.
@@ -32,7 +37,8 @@
 	conf     config.Config
 	loop     *link.Loop
 	draining bool
-	over     bool // there is nothing more to stay for
+	over     bool          // there is nothing more to stay for
+	spool    *spool.Writer // before standard error; nil where no feature writes there
 }
 
 // Scheduler runs until it has been told to stop and has drained. ops names the operators' file; without one no
@@ -55,11 +61,23 @@
 		return err
 	}
 	limit(c.Limits)
+	s := &scheduler{env: env, conf: c}
+	if features.Capture != nil {
+		// Standard error may be slow or gone: with features that write much to it, nobody waits for it.
+		s.spool = spool.Before(log, logWaiting, func(n uint64) string {
+			return fmt.Sprintf("%s: %d pieces of the log are lost, as they were not taken in\n", c.Name, n)
+		})
+		defer s.spool.Close(lastFlush)
+		log = s.spool
+		signal.Notify(signals, syscall.SIGUSR1)
+	}
 	loop, err := link.Open(c, features, log)
 	if err != nil {
 		return err
 	}
-	s := &scheduler{env: env, conf: c, loop: loop}
+	if s.loop = loop; loop.Capture != nil {
+		defer loop.Capture.Close(lastFlush)
+	}
 	told, end := make(chan os.Signal, cap(signals)), make(chan struct{})
 	loop.OnWake(func() {
 		for len(told) > 0 {
@@ -87,6 +105,8 @@
 	switch {
 	case sig == syscall.SIGHUP:
 		s.reload()
+	case sig == syscall.SIGUSR1:
+		s.dump()
 	case !s.draining: // once: a second SIGTERM must not begin the drain anew
 		s.draining = true
 		s.loop.Logf("%s: draining", s.conf.Name)
@@ -94,6 +114,19 @@
 	}
 }
 
+// dump writes a copy of what the capture holds to the log, in one piece.
+func (s *scheduler) dump() {
+	held := s.loop.Capture.Dump()
+	switch {
+	case held == nil:
+		s.loop.Logf("%s: the capture is in files, %d pieces lost", s.conf.Name, s.loop.Capture.Lost())
+	case s.spool.WriteLarge(held):
+		s.loop.Logf("%s: capture of %d bytes written, %d segments lost", s.conf.Name, len(held), s.loop.Capture.Lost())
+	default:
+		s.loop.Logf("%s: a capture is still being written", s.conf.Name)
+	}
+}
+
 // drain serves on for as long as there is time to, and sees to it that nothing is left unanswered.
 func (s *scheduler) drain() {
 	killed := killSpare
--- a/internal/run/run_test.go
+++ b/internal/run/run_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"runtime"
 	"strconv"
 	"strings"
 	"syscall"
@@ -173,3 +174,19 @@
 		t.Error(err)
 	}
 }
+
+// up waits until the scheduler accepts connections.
+func (s *started) up() {
+	for {
+		select {
+		case err := <-s.end:
+			s.Fatalf("ended: %v", err)
+		default:
+		}
+		if c, err := net.Dial("tcp", s.addr); err == nil {
+			c.Close()
+			return
+		}
+		runtime.Gosched()
+	}
+}
