Write figures by tenant, class and outcome as statsd or influx lines, and describe the capture

Counters, gauges and timers from the ledger's news; batches go to standard error, a file or a UDP collector, never waiting for any.

--- a/internal/config/ops.go
+++ b/internal/config/ops.go
@@ -17,6 +17,7 @@
 type Ops struct {
 	Status  *Status
 	Capture *Capture
+	Figures *Figures
 	Replay  *Replay
 }
 
@@ -35,6 +36,15 @@
 	Files    int
 }
 
+// Figures are counters, gauges and timers for a collector.
+type Figures struct {
+	Format   string
+	Every    time.Duration
+	To       netip.AddrPort // by UDP; not valid: nowhere
+	File     string         // none: nowhere; without both, standard error
+	MaxBatch int            // bytes
+}
+
 // Replay is for a replay of a capture only.
 type Replay struct {
 	settings map[string]any // in place of recorded ones, by their names
@@ -75,6 +85,16 @@
 			FileMB: t.whole("file_mb", 8, 1, 1<<10), Files: t.whole("files", 4, 1, 1000)}
 		t.end()
 	}
+	if t := top.table("figures"); t != nil {
+		o.Figures = &Figures{Format: t.text("format"), Every: time.Duration(t.whole("flush_ms", 10_000, 10, 3_600_000)) * time.Millisecond,
+			To: t.target("udp_target"), File: t.text("file"), MaxBatch: t.whole("max_batch_bytes", 1400, 1, 65_000)}
+		if f := o.Figures; f.Format == "" {
+			f.Format = "statsd"
+		} else if f.Format != "statsd" && f.Format != "influx" {
+			t.fail("format", `expected "statsd" or "influx", got %q`, f.Format)
+		}
+		t.end()
+	}
 	if t := top.table("replay"); t != nil {
 		o.Replay = &Replay{}
 		if set := t.table("settings"); set != nil {
@@ -245,6 +265,19 @@
 	return text
 }
 
+// target reads an address and port to send to; names are not looked up.
+func (t *table) target(key string) netip.AddrPort {
+	text := t.text(key)
+	if text == "" {
+		return netip.AddrPort{}
+	}
+	a, err := netip.ParseAddrPort(text)
+	if err != nil || a.Port() == 0 {
+		t.fail(key, "expected an address and port, got %q", text)
+	}
+	return a
+}
+
 // number reads a number with or without a fraction.
 func (t *table) number(key string, without, least, most float64) float64 {
 	value, ok := t.take(key)
--- a/internal/config/ops_test.go
+++ b/internal/config/ops_test.go
@@ -24,6 +24,12 @@
 		"[capture]\ndir = 5":                           `key "capture.dir": expected text`,
 		"[capture]\nfile_mb = 0":                       `key "capture.file_mb": expected 1 to 1024, got 0`,
 		"[capture]\nfiles = '4'":                       `key "capture.files": expected a whole number`,
+		"[figures]\nformat = 'graphite'":               `key "figures.format": expected "statsd" or "influx", got "graphite"`,
+		"[figures]\nflush_ms = 9":                      `key "figures.flush_ms": expected 10 to 3600000, got 9`,
+		"[figures]\nudp_target = 'collector:8125'":     `key "figures.udp_target": expected an address and port, got "collector:8125"`,
+		"[figures]\nudp_target = '127.0.0.1:0'":        `key "figures.udp_target": expected an address and port, got "127.0.0.1:0"`,
+		"[figures]\nmax_batch_bytes = 0":               `key "figures.max_batch_bytes": expected 1 to 65000, got 0`,
+		"[figures]\nfile = ''":                         `key "figures.file": expected text`,
 		"[replay]\nsetting = 1":                        `key "replay.setting": not known`,
 		"[replay]\nsettings = 1":                       `key "replay.settings": expected a table`,
 		"[stats]\n":                                    `key "stats": not known`,
@@ -53,6 +59,10 @@
 	if o.Capture.MemoryKB = 192<<10/8 + 1; o.Check(c) == nil {
 		t.Error("a ring that takes up much of the memory")
 	}
+	o, err = DecodeOps("[figures]\n")
+	if err != nil || *o.Figures != (Figures{Format: "statsd", Every: 10 * time.Second, MaxBatch: 1400}) {
+		t.Errorf("defaults: %+v, %v", o.Figures, err)
+	}
 	if text, err := os.ReadFile("../../deploy/ops.toml"); err != nil {
 		t.Error(err)
 	} else if o, err := DecodeOps(string(text)); err != nil || o.Capture == nil || o.Status != nil || o.Check(c) != nil {
--- /dev/null
+++ b/internal/figures/figures_test.go
@@ -0,0 +1,274 @@
+package figures
+
+import (
+	"errors"
+	"fmt"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"valvecove/internal/config"
+	"valvecove/internal/ledger"
+	"valvecove/internal/steps"
+	"valvecove/logic"
+)
+
+// target keeps the batches that it takes.
+type target struct {
+	got  []string
+	gone bool
+}
+
+func (t *target) Send(b []byte) error {
+	if t.gone {
+		return errors.New("gone")
+	}
+	t.got = append(t.got, string(b))
+	return nil
+}
+
+func (t *target) lines() (lines []string) {
+	return strings.Split(strings.TrimSuffix(strings.Join(t.got, ""), "\n"), "\n")
+}
+
+// side is a client and a carrier at once.
+type side struct{ out []*ledger.Attempt }
+
+func (s *side) Serve([]byte)            {}
+func (s *side) Throttle(time.Duration)  {}
+func (s *side) Fail()                   {}
+func (s *side) Carry(a *ledger.Attempt) { s.out = append(s.out, a) }
+func (s *side) GiveUp(*ledger.Attempt)  {}
+func (s *side) Probe(uint64)            {}
+func (s *side) FreeLinks(uint64)        {}
+func (s *side) Watch(int64)             {}
+
+// world is figures on a ledger, with a module that does as it is told.
+type world struct {
+	side
+	ledger  *ledger.Ledger
+	module  *steps.Script
+	figures *Figures
+	target  *target
+	now     time.Duration
+	worker  uint64
+}
+
+func newWorld(conf config.Figures, names ledger.Names) *world {
+	w := &world{module: &steps.Script{}, target: &target{}, now: 1718000000 * time.Second}
+	w.ledger = ledger.New(6, names, func() ledger.Module { return w.module },
+		ledger.HostGroup{Hosts: []ledger.Host{{ID: "s-0", Addr: "127.0.0.1:1", State: "up"}}}, w, func(string, ...any) {})
+	w.ledger.Step(w.now)
+	w.worker = w.module.Heard[0].(logic.WorkerList).Workers[0].ID
+	w.figures = New(conf, names, func() time.Duration { return w.now }, w.target)
+	w.ledger.Attach(w.figures)
+	return w
+}
+
+func (w *world) take(id string, tenant, class int) *ledger.Query {
+	q, err := w.ledger.Take(w.now, ledger.Arrival{Call: id, Asker: w, Job: logic.Job{Tenant: tenant, Class: class, Left: time.Hour}})
+	if err != nil {
+		panic(err)
+	}
+	return q
+}
+
+func (w *world) do(a logic.Action) {
+	w.module.Next = append(w.module.Next, a)
+	w.ledger.HostsLost() // something to step for
+	w.ledger.Step(w.now)
+}
+
+func (w *world) tell(id, state string) {
+	result := ""
+	_, _ = w.ledger.Tell(ledger.Note{ID: id, From: "s-0", State: state, Result: &result})
+}
+
+func (w *world) flush() {
+	w.target.got = nil
+	w.figures.Gather()
+	for w.figures.Send(1) {
+	}
+}
+
+var names = ledger.Names{Tenants: []string{"khyber-society", "mardan-society"}, Classes: []string{"status-check", "account-credit"}}
+
+// A job that is served, in both forms, with all the figures that it makes.
+func TestForms(t *testing.T) {
+	for format, want := range map[string]string{
+		"statsd": "valvecove.time:40.000|ms|#tenant:mardan-society,class:account-credit,outcome:served\n" +
+			"valvecove.held:15.000|ms|#tenant:mardan-society,class:account-credit,outcome:served\n" +
+			"valvecove.jobs:1|c|#tenant:mardan-society,class:account-credit,outcome:served\n" +
+			"valvecove.attempts:1|c|#tenant:mardan-society,class:account-credit,outcome:served\n" +
+			"valvecove.open:0|g|#tenant:mardan-society,class:account-credit\n" +
+			"valvecove.out:0|g|#tenant:mardan-society,class:account-credit\n",
+		"influx": "valvecove.time,tenant=mardan-society,class=account-credit,outcome=served ms=40.000 1718000000040000000\n" +
+			"valvecove.held,tenant=mardan-society,class=account-credit,outcome=served ms=15.000 1718000000040000000\n" +
+			"valvecove.jobs,tenant=mardan-society,class=account-credit,outcome=served count=1i 1718000000040000000\n" +
+			"valvecove.attempts,tenant=mardan-society,class=account-credit,outcome=served count=1i 1718000000040000000\n" +
+			"valvecove.open,tenant=mardan-society,class=account-credit value=0i 1718000000040000000\n" +
+			"valvecove.out,tenant=mardan-society,class=account-credit value=0i 1718000000040000000\n",
+	} {
+		w := newWorld(config.Figures{Format: format, MaxBatch: 10_000}, names)
+		q := w.take("a", 1, 1)
+		w.now += 15 * time.Millisecond
+		w.do(logic.Send{Job: q.ID, Worker: w.worker})
+		w.now += 25 * time.Millisecond
+		w.tell("a", "done")
+		if w.flush(); len(w.target.got) != 1 || w.target.got[0] != want {
+			t.Errorf("%s: %q", format, w.target.got)
+		}
+	}
+}
+
+// Names with anything in them can't end a tag or a line, in either form.
+func TestEscapes(t *testing.T) {
+	odd := ledger.Names{Tenants: []string{"a,b=c d|e#f:g\nh\\"}, Classes: []string{strings.Repeat("x", 300)}}
+	for format, want := range map[string]string{
+		"statsd": "valvecove.jobs:1|c|#tenant:a_b=c_d_e_f_g_h\\,class:" + strings.Repeat("x", longestTag) + ",outcome:turned_away",
+		"influx": `valvecove.jobs,tenant=a\,b\=c\ d|e#f:g_h_,class=` + strings.Repeat("x", longestTag) + `,outcome=turned\ away count=1i`,
+	} {
+		w := newWorld(config.Figures{Format: format, MaxBatch: 1400}, odd)
+		w.ledger.Refuse(&ledger.Arrival{Call: "a"}, 503)
+		if w.flush(); len(w.target.lines()) != 1 || !strings.HasPrefix(w.target.lines()[0], want) {
+			t.Errorf("%s: %q, expected %q", format, w.target.lines(), want)
+		}
+	}
+}
+
+// Whatever happens, and however small a batch may be, each job, attempt and refusal is counted once, gauges are what
+// is open and out, batches hold whole figures and stay under the limit but for one that is longer by itself; batches
+// that nobody takes are counted.
+func FuzzFigures(f *testing.F) {
+	steps.Fuzz(f, func(s *steps.Steps) {
+		most := 1 + 4*s.Pick(200)
+		w := newWorld(config.Figures{Format: "statsd", MaxBatch: most}, names)
+		want, got := map[string]int{}, map[string]int{}
+		sum := func() { // of what was handed on
+			for _, b := range w.target.got {
+				s.Check(len(b) < most || strings.Count(b, "\n") == 1, "a batch of %d, under %d", len(b), most)
+			}
+			for _, line := range w.target.lines() {
+				if line == "" {
+					continue
+				}
+				name, rest, _ := strings.Cut(line, ":")
+				value, tags, ok := strings.Cut(rest, "|")
+				if kind := tags[:1]; kind == "c" {
+					n, err := strconv.Atoi(value)
+					got[name+tags] += n
+					ok = ok && err == nil
+				} else if kind == "g" {
+					got[name+tags], _ = strconv.Atoi(value)
+				} else {
+					got[name+tags]++
+				}
+				s.Check(ok, "%q", line)
+			}
+		}
+		type job struct {
+			id   string
+			q    *ledger.Query
+			tags string
+			out  bool
+		}
+		var open []*job
+		for n := 0; s.More(); n++ {
+			var j *job
+			at := 0
+			if len(open) > 0 {
+				at = s.Pick(len(open))
+				j = open[at]
+			}
+			what := s.Pick(8)
+			over := func(how string, sent bool) {
+				open = append(open[:at], open[at+1:]...)
+				want["valvecove.jobsc|#"+j.tags+",outcome:"+how]++
+				want["valvecove.timems|#"+j.tags+",outcome:"+how]++
+				if sent {
+					want["valvecove.heldms|#"+j.tags+",outcome:"+how]++
+				}
+				want["valvecove.openg|#"+j.tags]--
+			}
+			switch {
+			case j == nil || what == 0:
+				tenant, class := s.Pick(2), s.Pick(2)
+				j = &job{id: strconv.Itoa(n), tags: "tenant:" + names.Tenants[tenant] + ",class:" + names.Classes[class]}
+				j.q = w.take(j.id, tenant, class)
+				want["valvecove.openg|#"+j.tags]++
+				open = append(open, j)
+			case what < 3 && !j.out:
+				w.do(logic.Send{Job: j.q.ID, Worker: w.worker})
+				want["valvecove.outg|#"+j.tags]++
+				j.out = true
+			case what < 5 && j.out:
+				w.tell(j.id, "done")
+				want["valvecove.attemptsc|#"+j.tags+",outcome:served"]++
+				want["valvecove.outg|#"+j.tags]--
+				over("served", true)
+			case what == 5 && !j.out && j.q.Sent == 0:
+				w.do(logic.Refuse{Job: j.q.ID})
+				over("turned_away", false)
+			case what == 6:
+				w.ledger.Refuse(nil, 400)
+				want["valvecove.bad_requestsc"]++
+			case what == 7:
+				w.flush()
+				sum()
+			}
+			w.now += time.Millisecond
+			s.Did(fmt.Sprint(what))
+		}
+		w.flush()
+		sum()
+		for name, n := range want {
+			s.Check(got[name] == n, "%s: %d, expected %d", name, got[name], n)
+		}
+		for name, n := range got {
+			s.Check(want[name] == n, "%s: %d, expected %d", name, n, want[name])
+		}
+		w.target.gone = true
+		before := w.figures.errors
+		w.flush()
+		s.Check(w.figures.errors > before || len(want) == 0, "batches that nobody took are not counted")
+		lost := w.figures.errors
+		w.target.gone = false
+		if w.flush(); lost > 0 {
+			s.Check(strings.Contains(strings.Join(w.target.got, ""), fmt.Sprintf("valvecove.figures_send_errors:%d|c\n", lost)), "not told: %q", w.target.got)
+		}
+	})
+}
+
+// What waits stays under its bound: the oldest figures go, whole, and are counted.
+func TestPendingBound(t *testing.T) {
+	w := newWorld(config.Figures{Format: "statsd", MaxBatch: 1400}, names)
+	const jobs = 5000
+	for n := range jobs {
+		q := w.take(strconv.Itoa(n), 0, 0)
+		w.now += time.Duration(n) * time.Microsecond
+		w.do(logic.Refuse{Job: q.ID})
+		if waits := len(w.figures.pending) - w.figures.from; waits > mostPending || cap(w.figures.pending) > 4*mostPending {
+			t.Fatalf("%d bytes wait, in %d", waits, cap(w.figures.pending))
+		}
+	}
+	w.flush()
+	lines, timers := w.target.lines(), 0
+	w.flush() // what was dropped while the first was gathered
+	own := w.target.lines()
+	for _, line := range lines {
+		if strings.HasPrefix(line, "valvecove.time:") {
+			timers++
+		}
+	}
+	dropped := 0
+	for _, line := range append(own, lines...) {
+		n := 0
+		if fmt.Sscanf(line, "valvecove.figures_dropped:%d|c", &n); n > 0 {
+			dropped += n
+		}
+	}
+	if dropped == 0 || timers+dropped != jobs || !strings.HasPrefix(lines[timers-1], "valvecove.time:4.999|ms|") {
+		t.Errorf("%d timers and %d dropped of %d, the last %q", timers, dropped, jobs, lines[timers-1])
+	}
+}
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -75,6 +75,7 @@
 	Worker   uint64
 	Stage    Stage  // kept by the carrier
 	From     string // the host's own id
+	sent     bool   // the carrier has it, or had it
 	ended    bool
 }
 
@@ -182,8 +183,10 @@
 	if k := (attemptKey{q.Call, a.From}); l.live[k] == a {
 		delete(l.live, k)
 	}
-	q.came(outcome(fault))
-	l.tell(News{What: NewsEnded, Query: q, Attempt: a, Fault: fault})
+	if a.sent {
+		q.came(fault.Outcome())
+		l.tell(News{What: NewsEnded, Query: q, Attempt: a, Fault: fault})
+	}
 	if fault == nil && !q.closed {
 		l.close(q)
 		q.asker.Serve(got)
@@ -459,6 +462,7 @@
 		if q.Sent == 0 {
 			q.Sent = now
 		}
+		a.sent = true
 		l.tell(News{What: NewsSent, Query: q, Attempt: a})
 		l.carrier.Carry(a)
 	}
--- a/internal/ledger/observer.go
+++ b/internal/ledger/observer.go
@@ -19,8 +19,8 @@
 // neverRan tells whether an outcome proves that nothing has run.
 func (o Outcome) neverRan() bool { return o == "" || o == TurnedAway || o == CouldNotReach }
 
-// outcome is the protocol's word for how an attempt ended; none for one that was never sent.
-func outcome(f *Fault) Outcome {
+// Outcome is the protocol's word for how an attempt ended that was sent; nil stands for served.
+func (f *Fault) Outcome() Outcome {
 	switch {
 	case f == nil:
 		return Served
@@ -28,12 +28,12 @@
 		return CouldNotReach
 	}
 	return [...]Outcome{Cut: ConnectionLost, Rejected: TurnedAway, Unusable: TurnedAway, Errored: Error,
-		Expired: TimedOut, Withdrawn: TimedOut, Unsent: ""}[f.Reason]
+		Expired: TimedOut, Withdrawn: TimedOut}[f.Reason]
 }
 
 // came takes in how an attempt ended. What may have run counts for more than a later attempt that never did.
 func (q *Query) came(o Outcome) {
-	if o != "" && q.outcome != Served && (q.outcome.neverRan() || !o.neverRan()) {
+	if q.outcome != Served && (q.outcome.neverRan() || !o.neverRan()) {
 		q.outcome = o
 	}
 }
@@ -62,7 +62,7 @@
 	NewsSent                // an attempt begins
 	NewsAnswer              // its worker node has answered the request, by Status
 	NewsNote                // a worker node's note; Attempt is nil if it is about none that is out
-	NewsEnded               // an attempt ended; Fault nil: served
+	NewsEnded               // an attempt that was sent has ended; Fault nil: served
 	NewsOver                // a query has its answer, or its client has left and nothing of it is out any more
 	NewsDropped             // a query is forgotten: nothing more will be heard of its number
 )
--- a/internal/link/loop.go
+++ b/internal/link/loop.go
@@ -15,6 +15,7 @@
 
 	"valvecove/internal/capture"
 	"valvecove/internal/due"
+	"valvecove/internal/figures"
 	"valvecove/internal/ledger"
 )
 
@@ -50,6 +51,7 @@
 	status   *statusLinks      // nil: off
 	side     int               // descriptors for features
 	Capture  *capture.Recorder // nil: off
+	figures  *figures.Figures  // nil: off
 }
 
 // Logs are kept quiet: so many lines at once, and so many a second after that.
--- a/internal/link/start.go
+++ b/internal/link/start.go
@@ -10,6 +10,7 @@
 
 	"valvecove/internal/capture"
 	"valvecove/internal/config"
+	"valvecove/internal/figures"
 	"valvecove/internal/ledger"
 	"valvecove/internal/status"
 	"valvecove/logic"
@@ -18,14 +19,21 @@
 // Own descriptors besides links: standard ones, epoll, eventfd, listener, watch, and what the runtime opens.
 const ownDescriptors = 24
 
-// Open returns a loop that listens and is ready to run, with the features that are on.
-func Open(c config.Config, ops config.Ops, log io.Writer) (*Loop, error) {
+// Open returns a loop that listens and is ready to run, with the features that are on. figuresTo are targets of figures
+// besides a collector.
+func Open(c config.Config, ops config.Ops, log io.Writer, figuresTo ...figures.Target) (*Loop, error) {
 	l, err := newLoop(log)
 	if err != nil {
 		return nil, err
 	}
 	if ops.Status != nil {
-		l.side = statusMost + 2 // and the listener; one more is accepted before another makes room
+		l.side += statusMost + 2 // and the listener; one more is accepted before another makes room
+	}
+	if ops.Figures != nil {
+		l.side += 2 // a socket and a file
+	}
+	if ops.Capture != nil && ops.Capture.Dir != "" {
+		l.side += 2 // two files for a moment
 	}
 	servers, clients := l.share(c.Limits.Sockets)
 	l.serve(servers, c.Settings.ConnectTimeout, c.Settings.ConnIdle)
@@ -60,6 +68,15 @@
 		}
 		l.Ledger.Attach(table)
 	}
+	if ops.Figures != nil {
+		targets := figuresTo
+		if ops.Figures.To.IsValid() {
+			targets = append(targets, &collector{to: ops.Figures.To, fd: -1})
+		}
+		l.figures = figures.New(*ops.Figures, c.Settings.Names, l.Now, targets...)
+		l.Ledger.Attach(l.figures)
+		l.sendFigures(l.figures)
+	}
 	return l, nil
 }
 
--- a/internal/run/run.go
+++ b/internal/run/run.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"valvecove/internal/config"
+	"valvecove/internal/figures"
 	"valvecove/internal/link"
 	"valvecove/internal/spool"
 )
@@ -62,22 +63,38 @@
 	}
 	limit(c.Limits)
 	s := &scheduler{env: env, conf: c}
-	if features.Capture != nil {
+	if features.Capture != nil || features.Figures != nil {
 		// Standard error may be slow or gone: with features that write much to it, nobody waits for it.
 		s.spool = spool.Before(log, logWaiting, func(n uint64) string {
 			return fmt.Sprintf("%s: %d pieces of the log are lost, as they were not taken in\n", c.Name, n)
 		})
 		defer s.spool.Close(lastFlush)
 		log = s.spool
+	}
+	if features.Capture != nil {
 		signal.Notify(signals, syscall.SIGUSR1)
 	}
-	loop, err := link.Open(c, features, log)
+	var targets []figures.Target
+	if f := features.Figures; f != nil && f.File != "" {
+		file, err := os.OpenFile(f.File, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o640)
+		if err != nil {
+			return fmt.Errorf("key \"figures.file\": %w", err)
+		}
+		defer file.Close()
+		lines := spool.Before(file, logWaiting, nil)
+		defer lines.Close(lastFlush)
+		targets = append(targets, offered{lines})
+	} else if f != nil && !f.To.IsValid() {
+		targets = append(targets, offered{s.spool})
+	}
+	loop, err := link.Open(c, features, log, targets...)
 	if err != nil {
 		return err
 	}
 	if s.loop = loop; loop.Capture != nil {
 		defer loop.Capture.Close(lastFlush)
 	}
+	defer loop.LastFigures()
 	told, end := make(chan os.Signal, cap(signals)), make(chan struct{})
 	loop.OnWake(func() {
 		for len(told) > 0 {
@@ -100,6 +117,12 @@
 	return loop.Run(func() bool { return s.over && loop.Quiet() })
 }
 
+// offered is a target of figures that a spool stands before.
+type offered struct{ *spool.Writer }
+
+// Send hands a batch on whole.
+func (o offered) Send(batch []byte) error { return o.Offer(batch) }
+
 // told does what a signal asks for. It runs in the loop.
 func (s *scheduler) told(sig os.Signal) {
 	switch {
--- a/internal/spool/spool.go
+++ b/internal/spool/spool.go
@@ -3,6 +3,7 @@
 package spool
 
 import (
+	"errors"
 	"io"
 	"sync"
 	"sync/atomic"
@@ -117,25 +118,40 @@
 	to     io.Writer
 	lost   func(pieces uint64) string // what to say once there is room again
 	missed uint64                     // pieces dropped that were spoken of
+	noted  uint64                     // pieces that failed and were spoken of
 }
 
-// Before returns a writer in front of another. lost gives the line that is written in place of what was dropped.
+// Before returns a writer in front of another. lost, unless it is nil, gives the line that is written in place of
+// what was dropped.
 func Before(to io.Writer, most int, lost func(pieces uint64) string) *Writer {
 	return &Writer{Spool: New(most), to: to, lost: lost}
 }
 
 // Write never fails and never waits.
 func (w *Writer) Write(b []byte) (int, error) {
-	if gone := w.Dropped(); gone > w.missed {
+	_ = w.Offer(b)
+	return len(b), nil
+}
+
+// ErrFull is said of what was dropped, or of a writer that has failed since it was last asked.
+var ErrFull = errors.New("not taken in")
+
+// Offer copies and queues text. An error tells that this, or something before it, was not written.
+func (w *Writer) Offer(b []byte) error {
+	if gone := w.Dropped(); gone > w.missed && w.lost != nil {
 		line := []byte(w.lost(gone - w.missed))
 		if !w.Put(len(line), w.writes(line)) {
-			return len(b), nil // no room yet: Put has counted it in b's place
+			return ErrFull // no room yet: Put has counted it in b's place
 		}
 		w.missed = gone
 	}
 	copied := append([]byte(nil), b...)
-	w.Put(len(copied), w.writes(copied))
-	return len(b), nil
+	taken := w.Put(len(copied), w.writes(copied))
+	if failed := w.Failed(); !taken || failed > w.noted {
+		w.noted = failed
+		return ErrFull
+	}
+	return nil
 }
 
 // WriteLarge hands on text of any size, which is not copied; false: another such still waits.
