Add address lists and PROXY headers of trusted fronts; share the tests' two sides

Both lists judge the socket's own address at accept, on both listeners. A header of a trusted front names the client of a link, and client= and via= are on each line about it. Off unless [addresses] is there. Also: a request with an open query's id is no refused job in the figures and the status table, and the budget of log lines does not go below zero when the clock is set back.

--- a/internal/config/ops.go
+++ b/internal/config/ops.go
@@ -1,11 +1,13 @@
 package config
 
 import (
+	"errors"
 	"fmt"
 	"maps"
 	"net/netip"
 	"os"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -15,10 +17,11 @@
 
 // Ops is the operators' own file: the features that are on. One whose section is absent is nil, and off.
 type Ops struct {
-	Status  *Status
-	Capture *Capture
-	Figures *Figures
-	Replay  *Replay
+	Status    *Status
+	Capture   *Capture
+	Figures   *Figures
+	Addresses *Addresses
+	Replay    *Replay
 }
 
 // Status is the status call on a side port.
@@ -45,6 +48,13 @@
 	MaxBatch int            // bytes
 }
 
+// Addresses say who may connect, and who may speak for another.
+type Addresses struct {
+	Allow  []netip.Prefix // empty: everyone
+	Deny   []netip.Prefix // even if allowed
+	Fronts []netip.Prefix // may send a PROXY header
+}
+
 // Replay is for a replay of a capture only.
 type Replay struct {
 	settings map[string]any // in place of recorded ones, by their names
@@ -95,6 +105,10 @@
 		}
 		t.end()
 	}
+	if t := top.table("addresses"); t != nil {
+		o.Addresses = &Addresses{Allow: t.ranges("allow"), Deny: t.ranges("deny"), Fronts: t.ranges("trusted_fronts")}
+		t.end()
+	}
 	if t := top.table("replay"); t != nil {
 		o.Replay = &Replay{}
 		if set := t.table("settings"); set != nil {
@@ -265,6 +279,32 @@
 	return text
 }
 
+// ranges reads a list of CIDR ranges. IPv4 written as IPv6 is taken as IPv4, as the addresses of links are.
+func (t *table) ranges(key string) (list []netip.Prefix) {
+	value, ok := t.take(key)
+	if !ok {
+		return nil
+	}
+	texts, ok := value.([]any)
+	if !ok {
+		t.fail(key, "expected a list")
+	}
+	for i, x := range texts {
+		text, _ := x.(string)
+		p, err := netip.ParsePrefix(text)
+		if err == nil && p.Addr().Is4In6() {
+			if p = netip.PrefixFrom(p.Addr().Unmap(), p.Bits()-96); !p.IsValid() {
+				err = errors.New("too wide")
+			}
+		}
+		if err != nil {
+			t.fail(key+"."+strconv.Itoa(i), `expected a range such as "10.20.0.0/16" or "fd00:5a::/48", got %#v`, x)
+		}
+		list = append(list, p.Masked())
+	}
+	return list
+}
+
 // target reads an address and port to send to; names are not looked up.
 func (t *table) target(key string) netip.AddrPort {
 	text := t.text(key)
--- a/internal/config/ops_test.go
+++ b/internal/config/ops_test.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"fmt"
 	"os"
 	"strings"
 	"testing"
@@ -30,6 +31,11 @@
 		"[figures]\nudp_target = '127.0.0.1:0'":        `key "figures.udp_target": expected an address and port, got "127.0.0.1:0"`,
 		"[figures]\nmax_batch_bytes = 0":               `key "figures.max_batch_bytes": expected 1 to 65000, got 0`,
 		"[figures]\nfile = ''":                         `key "figures.file": expected text`,
+		"[addresses]\nallow = '10.0.0.0/8'":            `key "addresses.allow": expected a list`,
+		"[addresses]\ndeny = ['10.0.0.0/8', '10.1']":   `key "addresses.deny[1]": expected a range such as "10.20.0.0/16" or "fd00:5a::/48", got "10.1"`,
+		"[addresses]\ndeny = ['10.0.0.0/33']":          `key "addresses.deny[0]": expected a range`,
+		"[addresses]\nallow = ['::ffff:0.0.0.0/95']":   `key "addresses.allow[0]": expected a range`,
+		"[addresses]\ntrusted_fronts = [1]":            `key "addresses.trusted_fronts[0]": expected a range such as "10.20.0.0/16" or "fd00:5a::/48", got 1`,
 		"[replay]\nsetting = 1":                        `key "replay.setting": not known`,
 		"[replay]\nsettings = 1":                       `key "replay.settings": expected a table`,
 		"[stats]\n":                                    `key "stats": not known`,
@@ -63,6 +69,11 @@
 	if err != nil || *o.Figures != (Figures{Format: "statsd", Every: 10 * time.Second, MaxBatch: 1400}) {
 		t.Errorf("defaults: %+v, %v", o.Figures, err)
 	}
+	o, err = DecodeOps(`[addresses]
+allow = ["10.20.1.1/16", "::ffff:10.0.0.0/104", "fd00:5a::/48"]`)
+	if a := o.Addresses; err != nil || fmt.Sprint(a.Allow) != "[10.20.0.0/16 10.0.0.0/8 fd00:5a::/48]" || a.Deny != nil || a.Fronts != nil {
+		t.Errorf("ranges: %+v, %v", a, err)
+	}
 	if text, err := os.ReadFile("../../deploy/ops.toml"); err != nil {
 		t.Error(err)
 	} else if o, err := DecodeOps(string(text)); err != nil || o.Capture == nil || o.Status != nil || o.Check(c) != nil {
--- a/internal/figures/figures.go
+++ b/internal/figures/figures.go
@@ -67,7 +67,7 @@
 		g.seen = true
 		g.open++
 	case ledger.NewsRefused:
-		if n.Query == nil {
+		if n.Query == nil || n.Status != 503 {
 			f.bad++
 		} else {
 			f.count(n.Query, n.Query.Outcome()).jobs++
--- a/internal/figures/figures_test.go
+++ b/internal/figures/figures_test.go
@@ -11,6 +11,7 @@
 	"valvecove/internal/config"
 	"valvecove/internal/ledger"
 	"valvecove/internal/steps"
+	"valvecove/internal/steps/sides"
 	"valvecove/logic"
 )
 
@@ -32,59 +33,20 @@
 	return strings.Split(strings.TrimSuffix(strings.Join(t.got, ""), "\n"), "\n")
 }
 
-// side is a client and a carrier at once.
-type side struct{ out []*ledger.Attempt }
-
-func (s *side) Serve([]byte)            {}
-func (s *side) Throttle(time.Duration)  {}
-func (s *side) Fail()                   {}
-func (s *side) Carry(a *ledger.Attempt) { s.out = append(s.out, a) }
-func (s *side) GiveUp(*ledger.Attempt)  {}
-func (s *side) Probe(uint64)            {}
-func (s *side) FreeLinks(uint64)        {}
-func (s *side) Watch(int64)             {}
-
 // world is figures on a ledger, with a module that does as it is told.
 type world struct {
-	side
-	ledger  *ledger.Ledger
-	module  *steps.Script
+	*sides.World
 	figures *Figures
 	target  *target
-	now     time.Duration
-	worker  uint64
 }
 
 func newWorld(conf config.Figures, names ledger.Names) *world {
-	w := &world{module: &steps.Script{}, target: &target{}, now: 1718000000 * time.Second}
-	w.ledger = ledger.New(6, names, func() ledger.Module { return w.module },
-		ledger.HostGroup{Hosts: []ledger.Host{{ID: "s-0", Addr: "127.0.0.1:1", State: "up"}}}, w, func(string, ...any) {})
-	w.ledger.Step(w.now)
-	w.worker = w.module.Heard[0].(logic.WorkerList).Workers[0].ID
-	w.figures = New(conf, names, func() time.Duration { return w.now }, w.target)
-	w.ledger.Attach(w.figures)
+	w := &world{World: sides.New(names, func(string, ...any) {}), target: &target{}}
+	w.figures = New(conf, names, func() time.Duration { return w.Now }, w.target)
+	w.Ledger.Attach(w.figures)
 	return w
 }
 
-func (w *world) take(id string, tenant, class int) *ledger.Query {
-	q, err := w.ledger.Take(w.now, ledger.Arrival{Call: id, Asker: w, Job: logic.Job{Tenant: tenant, Class: class, Left: time.Hour}})
-	if err != nil {
-		panic(err)
-	}
-	return q
-}
-
-func (w *world) do(a logic.Action) {
-	w.module.Next = append(w.module.Next, a)
-	w.ledger.HostsLost() // something to step for
-	w.ledger.Step(w.now)
-}
-
-func (w *world) tell(id, state string) {
-	result := ""
-	_, _ = w.ledger.Tell(ledger.Note{ID: id, From: "s-0", State: state, Result: &result})
-}
-
 func (w *world) flush() {
 	w.target.got = nil
 	w.figures.Gather()
@@ -111,11 +73,11 @@
 			"valvecove.out,tenant=mardan-society,class=account-credit value=0i 1718000000040000000\n",
 	} {
 		w := newWorld(config.Figures{Format: format, MaxBatch: 10_000}, names)
-		q := w.take("a", 1, 1)
-		w.now += 15 * time.Millisecond
-		w.do(logic.Send{Job: q.ID, Worker: w.worker})
-		w.now += 25 * time.Millisecond
-		w.tell("a", "done")
+		q := w.Take("a", 1, 1)
+		w.Now += 15 * time.Millisecond
+		w.Send(q, "s-0")
+		w.Now += 25 * time.Millisecond
+		w.Tell("a", "s-0", "done", 0)
 		if w.flush(); len(w.target.got) != 1 || w.target.got[0] != want {
 			t.Errorf("%s: %q", format, w.target.got)
 		}
@@ -130,7 +92,7 @@
 		"influx": `valvecove.jobs,tenant=a\,b\=c\ d|e#f:g_h_,class=` + strings.Repeat("x", longestTag) + `,outcome=turned\ away count=1i`,
 	} {
 		w := newWorld(config.Figures{Format: format, MaxBatch: 1400}, odd)
-		w.ledger.Refuse(&ledger.Arrival{Call: "a"}, 503)
+		w.Ledger.Refuse(&ledger.Arrival{Call: "a"}, 503)
 		if w.flush(); len(w.target.lines()) != 1 || !strings.HasPrefix(w.target.lines()[0], want) {
 			t.Errorf("%s: %q, expected %q", format, w.target.lines(), want)
 		}
@@ -195,29 +157,29 @@
 			case j == nil || what == 0:
 				tenant, class := s.Pick(2), s.Pick(2)
 				j = &job{id: strconv.Itoa(n), tags: "tenant:" + names.Tenants[tenant] + ",class:" + names.Classes[class]}
-				j.q = w.take(j.id, tenant, class)
+				j.q = w.Take(j.id, tenant, class)
 				want["valvecove.openg|#"+j.tags]++
 				open = append(open, j)
 			case what < 3 && !j.out:
-				w.do(logic.Send{Job: j.q.ID, Worker: w.worker})
+				w.Send(j.q, "s-0")
 				want["valvecove.outg|#"+j.tags]++
 				j.out = true
 			case what < 5 && j.out:
-				w.tell(j.id, "done")
+				w.Tell(j.id, "s-0", "done", 0)
 				want["valvecove.attemptsc|#"+j.tags+",outcome:served"]++
 				want["valvecove.outg|#"+j.tags]--
 				over("served", true)
 			case what == 5 && !j.out && j.q.Sent == 0:
-				w.do(logic.Refuse{Job: j.q.ID})
+				w.Do(logic.Refuse{Job: j.q.ID})
 				over("turned_away", false)
 			case what == 6:
-				w.ledger.Refuse(nil, 400)
+				w.Ledger.Refuse(nil, 400)
 				want["valvecove.bad_requestsc"]++
 			case what == 7:
 				w.flush()
 				sum()
 			}
-			w.now += time.Millisecond
+			w.Now += time.Millisecond
 			s.Did(fmt.Sprint(what))
 		}
 		w.flush()
@@ -245,9 +207,9 @@
 	w := newWorld(config.Figures{Format: "statsd", MaxBatch: 1400}, names)
 	const jobs = 5000
 	for n := range jobs {
-		q := w.take(strconv.Itoa(n), 0, 0)
-		w.now += time.Duration(n) * time.Microsecond
-		w.do(logic.Refuse{Job: q.ID})
+		q := w.Take(strconv.Itoa(n), 0, 0)
+		w.Now += time.Duration(n) * time.Microsecond
+		w.Do(logic.Refuse{Job: q.ID})
 		if waits := len(w.figures.pending) - w.figures.from; waits > mostPending || cap(w.figures.pending) > 4*mostPending {
 			t.Fatalf("%d bytes wait, in %d", waits, cap(w.figures.pending))
 		}
--- a/internal/link/clients.go
+++ b/internal/link/clients.go
@@ -107,7 +107,7 @@
 			c.pause()
 			return
 		}
-		fd, _, err := unix.Accept4(c.fd, unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
+		fd, sa, err := unix.Accept4(c.fd, unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
 		switch {
 		case errors.Is(err, unix.EINTR) || errors.Is(err, unix.ECONNABORTED):
 			continue
@@ -119,13 +119,15 @@
 			c.pause()
 			return
 		}
-		c.adopt(fd)
+		if from := addrPort(sa); c.loop.admits(fd, from) {
+			c.adopt(fd, from)
+		}
 	}
 }
 
 // adopt makes a link of a connection.
-func (c *clientLinks) adopt(fd int) {
-	k := &clientLink{home: c, since: c.loop.now}
+func (c *clientLinks) adopt(fd int, from netip.AddrPort) {
+	k := &clientLink{home: c, since: c.loop.now, client: from, introduced: c.loop.lists == nil}
 	var err error
 	if k.stream, err = c.loop.stream(fd, streamEvents, k); err != nil {
 		c.loop.Logf("accepting: %v", err)
@@ -152,6 +154,8 @@
 				k.end()
 			}
 		case len(k.turns) > 0 || k.useful && len(k.in) == 0 || age < wholeWithin:
+		case !k.introduced: // what it has sent may be the start of a PROXY header, so nothing is written
+			k.end()
 		case len(k.in) > 0 && !k.last:
 			k.refuse(408, "request not whole\n")
 		case !k.spoke || k.last: // has connected and says nothing
@@ -243,13 +247,17 @@
 	half      bool    // the client has ended its side while queries are served
 	lingering bool    // all is answered, and the peer may still send
 	continued bool
-	spoke     bool          // a whole request has come
-	useful    bool          // and one that was of use: a query, or news of one; anybody can ask whether we are up
-	since     time.Duration // when something last began or went on, see sweep
-	lingers   time.Duration // when it began to
-	counted   int           // bytes that home.held has for it
-	among     *list.List    // the links without a request in hand, if it is one of those
-	place     *list.Element // and where it is there
+	spoke     bool           // a whole request has come
+	useful    bool           // and one that was of use: a query, or news of one; anybody can ask whether we are up
+	since     time.Duration  // when something last began or went on, see sweep
+	lingers   time.Duration  // when it began to
+	counted   int            // bytes that home.held has for it
+	client    netip.AddrPort // whom it speaks for
+	via       netip.AddrPort // and by which front; not valid: by none
+	// introduced is set once it is known whether a PROXY header comes first.
+	introduced bool
+	among      *list.List    // the links without a request in hand, if it is one of those
+	place      *list.Element // and where it is there
 }
 
 // turn is one request's place in the order of answers. It is the Asker of a query.
@@ -310,6 +318,7 @@
 	delete(k.home.links, k)
 	for _, t := range k.turns {
 		if q := t.query; q != nil {
+			k.logf("query %s left by its client", q.Call)
 			t.query = nil
 			k.loop.Ledger.Gone(q)
 		}
@@ -389,7 +398,7 @@
 
 // proceed takes in what can be taken.
 func (k *clientLink) proceed() {
-	for !k.last && !k.closed && len(k.turns) < mostTurns && len(k.out) <= maxUnread && len(k.in) > 0 {
+	for !k.last && !k.closed && len(k.turns) < mostTurns && len(k.out) <= maxUnread && len(k.in) > 0 && k.introduce() {
 		m := &k.loop.message
 		n, err := m.ParseRequest(k.in)
 		var bad *BadMessage
@@ -410,6 +419,9 @@
 			break
 		}
 		k.busy()
+		if !k.spoke {
+			k.logf("client link open")
+		}
 		k.continued, k.spoke, k.since = false, true, k.loop.now
 		k.request(m, k.add(m.KeepAlive))
 		if !k.closed {
@@ -483,6 +495,9 @@
 // settle answers a turn. Answers leave in the order in which the requests came.
 func (t *turn) settle(status int, body []byte, retry time.Duration) {
 	k := t.link
+	if t.query != nil {
+		k.logf("query %s answered with %d", t.query.Call, status)
+	}
 	if t.query = nil; t.done || k.closed {
 		return
 	}
--- a/internal/link/clients_test.go
+++ b/internal/link/clients_test.go
@@ -47,7 +47,7 @@
 func runClientLink(s *steps.Steps) {
 	w := newWorld(s)
 	p, fd := w.pair()
-	w.loop.clients.adopt(fd)
+	w.loop.clients.adopt(fd, netip.AddrPort{})
 	var (
 		unsent string // of the request that is being written
 		ask    = asks[0]
@@ -151,7 +151,7 @@
 	peers := map[string]*peer{}
 	for name, text := range texts {
 		p, fd := w.pair()
-		w.loop.clients.adopt(fd)
+		w.loop.clients.adopt(fd, netip.AddrPort{})
 		p.write([]byte(text))
 		peers[name] = p
 	}
@@ -186,7 +186,7 @@
 func TestRefusedPeersAreDrained(t *testing.T) {
 	w := newWorld(&steps.Steps{T: t})
 	p, fd := w.pair()
-	w.loop.clients.adopt(fd)
+	w.loop.clients.adopt(fd, netip.AddrPort{})
 	p.write([]byte("POST /a HTTP/1.1\r\nContent-Length: 60000000\r\n\r\n"))
 	chunk := make([]byte, 4<<10)
 	for began := w.now; w.now-began < lingerMost-sweepEvery; w.now += lingerQuiet / 2 {
@@ -215,7 +215,7 @@
 	c.budget = 300 << 10
 	for range 20 {
 		p, fd := w.pair()
-		c.adopt(fd)
+		c.adopt(fd, netip.AddrPort{})
 		p.write([]byte("POST /a HTTP/1.1\r\nContent-Length: 65000\r\n\r\n"))
 		for range 12 {
 			p.write(make([]byte, 5000))
@@ -223,7 +223,7 @@
 		}
 	}
 	deaf, fd := w.pair()
-	c.adopt(fd)
+	c.adopt(fd, netip.AddrPort{})
 	for range 400 {
 		deaf.write([]byte(strings.Repeat(numbered(asks[7].text, 1), 100)))
 		w.turn()
@@ -232,7 +232,7 @@
 		t.Errorf("%d bytes held, %d allowed", c.held, most)
 	}
 	usual, fd := w.pair()
-	c.adopt(fd)
+	c.adopt(fd, netip.AddrPort{})
 	usual.write([]byte(numbered(asks[0].text, 1)))
 	if w.turn(); w.loop.Ledger.Open() != 1 {
 		t.Error("a usual query is not taken")
@@ -250,9 +250,9 @@
 func TestBrokenLinksEnd(t *testing.T) {
 	w := newWorld(&steps.Steps{T: t})
 	good, fd := w.pair()
-	w.loop.clients.adopt(fd)
+	w.loop.clients.adopt(fd, netip.AddrPort{})
 	bad, fd := w.pair()
-	w.loop.clients.adopt(fd)
+	w.loop.clients.adopt(fd, netip.AddrPort{})
 	query := numbered(asks[0].text, 1)
 	bad.write([]byte(query))
 	w.turn()
@@ -276,7 +276,7 @@
 	for _, text := range []string{numbered(asks[0].text, 1), numbered(asks[0].text, 2), numbered(asks[6].text, 1),
 		numbered(asks[9].text, 1), numbered(asks[2].text, 1), "", "POST"} {
 		p, fd := w.pair()
-		w.loop.clients.adopt(fd)
+		w.loop.clients.adopt(fd, netip.AddrPort{})
 		p.write([]byte(text))
 		w.turn()
 		peers = append(peers, p)
@@ -306,9 +306,9 @@
 func TestIdleLinksMakeRoom(t *testing.T) {
 	w := newWorld(&steps.Steps{T: t})
 	asking, fd := w.pair()
-	w.loop.clients.adopt(fd)
+	w.loop.clients.adopt(fd, netip.AddrPort{})
 	resting, fd := w.pair()
-	w.loop.clients.adopt(fd)
+	w.loop.clients.adopt(fd, netip.AddrPort{})
 	w.now += graceAtFirst
 	w.turn()
 	asking.write([]byte(numbered(asks[0].text, 1)))
@@ -329,7 +329,7 @@
 	w := newWorld(&steps.Steps{T: t})
 	connect := func(text string) *peer {
 		p, fd := w.pair()
-		w.loop.clients.adopt(fd)
+		w.loop.clients.adopt(fd, netip.AddrPort{})
 		p.write([]byte(text))
 		w.turn()
 		return p
@@ -382,7 +382,7 @@
 	var peers []*peer
 	for n := range w.loop.clients.queries + 1 {
 		p, fd := w.pair()
-		w.loop.clients.adopt(fd)
+		w.loop.clients.adopt(fd, netip.AddrPort{})
 		p.write([]byte(numbered(asks[0].text, n)))
 		peers = append(peers, p)
 		w.turn()
--- a/internal/link/loop.go
+++ b/internal/link/loop.go
@@ -13,6 +13,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"valvecove/internal/address"
 	"valvecove/internal/capture"
 	"valvecove/internal/due"
 	"valvecove/internal/figures"
@@ -42,8 +43,8 @@
 	message  Message
 	Ledger   *ledger.Ledger
 	log      io.Writer
-	logLeft  float64 // lines that may still be written
-	logAt    time.Duration
+	logs     budget // of lines
+	linkLogs budget // and of those about client links
 	onWake   func()
 	clients  *clientLinks
 	servers  *serverLinks
@@ -52,6 +53,7 @@
 	side     int               // descriptors for features
 	Capture  *capture.Recorder // nil: off
 	figures  *figures.Figures  // nil: off
+	lists    *address.Lists    // nil: off
 }
 
 // Logs are kept quiet: so many lines at once, and so many a second after that.
@@ -64,10 +66,10 @@
 // positive; from here on it follows the monotonic clock.
 func newLoop(log io.Writer) (*Loop, error) {
 	origin := time.Now()
-	l := &Loop{scratch: make([]byte, 64<<10), log: log, logLeft: logBurst, dial: connect,
+	l := &Loop{scratch: make([]byte, 64<<10), log: log, dial: connect,
 		clock: func() time.Duration { return time.Duration(origin.UnixNano()) + time.Since(origin) }}
 	l.now = l.clock()
-	l.logAt = l.now
+	l.logs, l.linkLogs = budget{logBurst, l.now}, budget{logBurst, l.now}
 	var err error
 	if l.epoll, err = unix.EpollCreate1(unix.EPOLL_CLOEXEC); err != nil {
 		return nil, fmt.Errorf("epoll: %w", err)
@@ -80,13 +82,24 @@
 
 // Logf writes a line, unless too many have been written lately.
 func (l *Loop) Logf(format string, args ...any) {
-	now := l.clock()
-	l.logLeft = min(logBurst, l.logLeft+logRate*(now-l.logAt).Seconds())
-	if l.logAt = now; l.logLeft < 1 {
-		return
+	if l.logs.may(l.clock()) {
+		fmt.Fprintf(l.log, format+"\n", args...)
+	}
+}
+
+// budget keeps a kind of lines few.
+type budget struct {
+	left float64
+	at   time.Duration
+}
+
+func (b *budget) may(now time.Duration) bool {
+	b.left = min(logBurst, b.left+logRate*max(0, (now-b.at).Seconds()))
+	if b.at = now; b.left < 1 {
+		return false
 	}
-	l.logLeft--
-	fmt.Fprintf(l.log, format+"\n", args...)
+	b.left--
+	return true
 }
 
 // Wake has the loop call onWake soon. It may be called from any goroutine.
@@ -158,7 +171,11 @@
 func (l *Loop) guard(h handler, act func()) {
 	defer func() {
 		if p := recover(); p != nil {
-			l.Logf("panic on a link, which ends: %v\n%s", p, debug.Stack())
+			whose := ""
+			if k, ok := h.(*clientLink); ok {
+				whose = k.whose()
+			}
+			l.Logf("panic on a link, which ends: %v%s\n%s", p, whose, debug.Stack())
 			h.broken()
 		}
 	}()
--- a/internal/link/start.go
+++ b/internal/link/start.go
@@ -8,6 +8,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"valvecove/internal/address"
 	"valvecove/internal/capture"
 	"valvecove/internal/config"
 	"valvecove/internal/figures"
@@ -35,6 +36,9 @@
 	if ops.Capture != nil && ops.Capture.Dir != "" {
 		l.side += 2 // two files for a moment
 	}
+	if ops.Addresses != nil {
+		l.lists = address.New(*ops.Addresses)
+	}
 	servers, clients := l.share(c.Limits.Sockets)
 	l.serve(servers, c.Settings.ConnectTimeout, c.Settings.ConnIdle)
 	l.watch = &watch{stream: stream{loop: l}, to: c.Discovery}
@@ -107,13 +111,8 @@
 
 // Addr is where the loop listens.
 func (l *Loop) Addr() netip.AddrPort {
-	switch sa, _ := unix.Getsockname(l.clients.fd); sa := sa.(type) {
-	case *unix.SockaddrInet4:
-		return netip.AddrPortFrom(netip.AddrFrom4(sa.Addr), uint16(sa.Port))
-	case *unix.SockaddrInet6:
-		return netip.AddrPortFrom(netip.AddrFrom16(sa.Addr), uint16(sa.Port))
-	}
-	return netip.AddrPort{}
+	sa, _ := unix.Getsockname(l.clients.fd)
+	return addrPort(sa)
 }
 
 // OnWake sets what Wake brings about.
--- a/internal/link/status.go
+++ b/internal/link/status.go
@@ -49,11 +49,13 @@
 // ready accepts what waits. Where there are too many links, the one that has been quiet longest makes room.
 func (s *statusLinks) ready(uint32) {
 	for range statusMost {
-		fd, _, err := unix.Accept4(s.fd, unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
+		fd, sa, err := unix.Accept4(s.fd, unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
 		if err != nil { // none waits, or no descriptor is left: it is told again
 			return
 		}
-		s.adopt(fd)
+		if s.loop.admits(fd, addrPort(sa)) {
+			s.adopt(fd)
+		}
 	}
 }
 
--- /dev/null
+++ b/internal/run/addresses_test.go
@@ -0,0 +1,81 @@
+package run
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"strings"
+	"testing"
+)
+
+// from connects from a loopback address.
+func (s *started) from(address string) net.Conn {
+	d := net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(address)}}
+	c, err := d.Dial("tcp", s.addr)
+	if err != nil {
+		s.Fatal(err)
+	}
+	s.Cleanup(func() { c.Close() })
+	return c
+}
+
+// gone expects that a connection ends without a byte.
+func (s *started) gone(c net.Conn, sends string) {
+	io.WriteString(c, sends)
+	b, _ := io.ReadAll(c) // a reset ends it too
+	if len(b) > 0 {
+		s.Errorf("%q was answered with %q", sends, b)
+	}
+}
+
+// Over real sockets: who may not connect is closed and logged, on both listeners; a front's header names the client on
+// each line; from others, or malformed, it closes the link.
+func TestAddressLists(t *testing.T) {
+	port := freePort(t)
+	s := startWith(t, conf, "[addresses]\nallow = ['127.0.0.0/8']\ndeny = ['127.0.0.66/32']\ntrusted_fronts = ['127.0.0.9/32']\n"+
+		"[status]\nlisten_port = "+port)
+	for _, at := range []string{s.addr, "127.0.0.1:" + port} {
+		d := net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP("127.0.0.66")}}
+		c, err := d.Dial("tcp", at)
+		if err != nil {
+			t.Fatal(err)
+		}
+		s.gone(c, "")
+		s.log("refused, in addresses.deny client=" + c.LocalAddr().String())
+		c.Close()
+	}
+	const v2 = "\r\n\r\n\x00\r\nQUIT\n\x21\x11\x00\x0c\xcb\x00\x71\x07\x0a\x14\x00\x01\xc9\x3a\x23\x28"
+	for _, header := range []string{"PROXY TCP4 203.0.113.7 10.20.0.1 51514 9000\r\n", v2} {
+		c := s.from("127.0.0.9")
+		io.WriteString(c, header+query)
+		if line, _ := bufio.NewReader(c).ReadString('\n'); line != givenUp {
+			t.Errorf("after %q: %q", header, line)
+		}
+		whose := " client=203.0.113.7:51514 via=" + c.LocalAddr().String()
+		s.log("client link open" + whose)
+		s.log("query 1 answered with 503" + whose)
+		stranger := s.from("127.0.0.10")
+		s.gone(stranger, header+query)
+		s.log("PROXY header from an address that is not trusted client=" + stranger.LocalAddr().String())
+	}
+	c := s.from("127.0.0.9")
+	s.gone(c, "PROXY TCP4 nowhere\r\n"+query)
+	s.log("closed: malformed PROXY header client=" + c.LocalAddr().String())
+	c = s.from("127.0.0.9")
+	io.WriteString(c, "\r\n\r\n\x00\r\nQUIT\n\x20\x00\x00\x00GET /up HTTP/1.1\r\n\r\n") // the front's own
+	if line, _ := bufio.NewReader(c).ReadString('\n'); line != "HTTP/1.1 200 OK\r\n" {
+		t.Errorf("/up by the front itself: %q", line)
+	}
+	own := c.LocalAddr().String()
+	s.log("client link open client=" + own + " via=" + own)
+}
+
+// With the lists off nothing is said of links, and a header is what it was: bytes that can't be read.
+func TestAddressesOff(t *testing.T) {
+	s := start(t, conf)
+	c := s.dial()
+	io.WriteString(c, "PROXY TCP4 203.0.113.7 10.20.0.1 51514 9000\r\n\r\n")
+	if line, _ := bufio.NewReader(c).ReadString('\n'); !strings.HasPrefix(line, "HTTP/1.1 400 ") {
+		t.Errorf("%q", line)
+	}
+}
--- a/internal/status/status.go
+++ b/internal/status/status.go
@@ -74,7 +74,7 @@
 		return
 	case ledger.NewsRefused:
 		// One with the id of a query that is known says nothing of that one.
-		if n.Query != nil && t.entries[n.Query.Call] == nil {
+		if n.Query != nil && n.Status == 503 && t.entries[n.Query.Call] == nil {
 			t.end(t.enter(n.Query), n.Query.Outcome())
 		}
 		return
--- a/internal/status/status_test.go
+++ b/internal/status/status_test.go
@@ -12,21 +12,10 @@
 	"valvecove/internal/config"
 	"valvecove/internal/ledger"
 	"valvecove/internal/steps"
+	"valvecove/internal/steps/sides"
 	"valvecove/logic"
 )
 
-// side is a client and a carrier at once: it remembers what was sent.
-type side struct{ out []*ledger.Attempt }
-
-func (s *side) Serve([]byte)            {}
-func (s *side) Throttle(time.Duration)  {}
-func (s *side) Fail()                   {}
-func (s *side) Carry(a *ledger.Attempt) { s.out = append(s.out, a) }
-func (s *side) GiveUp(*ledger.Attempt)  {}
-func (s *side) Probe(uint64)            {}
-func (s *side) FreeLinks(uint64)        {}
-func (s *side) Watch(int64)             {}
-
 // modelJob is what a branch should be told of one job.
 type modelJob struct {
 	q       *ledger.Query
@@ -40,52 +29,18 @@
 // world is a table on a ledger, with a module that does as it is told.
 type world struct {
 	*steps.Steps
-	*side
-	module *steps.Script
-	ledger *ledger.Ledger
-	table  *Table
-	now    time.Duration
+	*sides.World
+	table *Table
 }
 
 func newWorld(s *steps.Steps, conf config.Status) *world {
-	w := &world{Steps: s, side: &side{}, module: &steps.Script{}, now: time.Hour}
 	names := ledger.Names{Classes: []string{"cash-payout"}, Tenants: []string{"swat-society"}}
-	w.ledger = ledger.New(6, names, func() ledger.Module { return w.module }, ledger.HostGroup{Hosts: []ledger.Host{
-		{ID: "s-0", Addr: "127.0.0.1:1", State: "up"}, {ID: "s-1", Addr: "127.0.0.1:1", State: "up"}}}, w.side,
-		func(f string, args ...any) { s.Check(!strings.HasPrefix(f, "panic"), f, args...) })
-	w.table = New(conf, names, true, func() time.Duration { return w.now })
-	w.ledger.Step(w.now)
-	w.ledger.Attach(w.table)
+	w := &world{Steps: s, World: sides.New(names, func(f string, args ...any) { s.Check(!strings.HasPrefix(f, "panic"), f, args...) })}
+	w.table = New(conf, names, true, func() time.Duration { return w.Now })
+	w.Ledger.Attach(w.table)
 	return w
 }
 
-// do has the module act.
-func (w *world) do(a logic.Action) {
-	w.module.Next = append(w.module.Next, a)
-	w.ledger.HostsLost() // something to step for
-	w.ledger.Step(w.now)
-}
-
-func (w *world) take(id string) *ledger.Query {
-	q, err := w.ledger.Take(w.now, ledger.Arrival{Call: id, Job: logic.Job{Left: time.Minute}, Asker: w.side})
-	w.Check(err == nil, "%s was refused: %v", id, err)
-	return q
-}
-
-// send sends a job to a worker node by its name, and tells whether it went.
-func (w *world) send(q *ledger.Query, host string) bool {
-	before := len(w.out)
-	list := w.module.Heard[0].(logic.WorkerList).Workers
-	w.do(logic.Send{Job: q.ID, Worker: list[int(host[2]-'0')].ID})
-	return len(w.out) > before
-}
-
-func (w *world) tell(id, host, state string, share float64) {
-	result := "r"
-	_, err := w.ledger.Tell(ledger.Note{ID: id, From: host, State: state, Share: share, Result: &result})
-	w.Check(err == nil, "note refused: %v", err)
-}
-
 func (w *world) find(id string) (a answer, ok bool) {
 	body, ok := w.table.Find(id)
 	if ok && jsoniter.ConfigDefault.Unmarshal(body, &a) != nil {
@@ -102,23 +57,23 @@
 		jobs := map[string]*modelJob{}
 		outcomes := map[string]string{"done": "served", "failed": "error", "returned": "turned away", "lost": "reset"}
 		for n := 0; s.More(); n++ {
-			w.now += time.Duration(s.Pick(100)) * 10 * time.Millisecond
+			w.Now += time.Duration(s.Pick(100)) * 10 * time.Millisecond
 			id := strconv.Itoa(s.Pick(8))
 			host, j := "s-"+strconv.Itoa(s.Pick(2)), jobs[id]
-			end := func(how string) { j.open, j.outcome, j.ended = false, how, w.now }
+			end := func(how string) { j.open, j.outcome, j.ended = false, how, w.Now }
 			switch what := s.Pick(12); {
 			case j == nil || what == 0 && !j.open && len(j.tries) == 0: // an id may come again
-				jobs[id] = &modelJob{q: w.take(id), open: true, tries: map[string]string{}}
+				jobs[id] = &modelJob{q: w.Take(id, 0, 0), open: true, tries: map[string]string{}}
 				s.Did("take " + id)
 			case what < 3:
-				if w.send(j.q, host) {
+				if w.Send(j.q, host) {
 					j.tries[host] = "sent"
 				}
 				s.Did("send " + id + " to " + host)
 			case what < 9:
 				state := []string{"started", "running", "done", "failed", "returned", "lost"}[s.Pick(6)]
 				share := float64(s.Pick(5)) / 4
-				w.tell(id, host, state, share)
+				w.Tell(id, host, state, share)
 				s.Did(fmt.Sprint(host, " tells ", id, " ", state, share))
 				how, ends := outcomes[state]
 				switch {
@@ -137,7 +92,7 @@
 					}
 				}
 			case what == 9:
-				w.do([]logic.Action{logic.Refuse{Job: j.q.ID}, logic.Fail{Job: j.q.ID}}[s.Pick(2)])
+				w.Do([]logic.Action{logic.Refuse{Job: j.q.ID}, logic.Fail{Job: j.q.ID}}[s.Pick(2)])
 				s.Did("give up " + id)
 				switch {
 				case !j.open || j.left:
@@ -149,7 +104,7 @@
 					end(j.outcome)
 				}
 			case what == 10:
-				w.ledger.Gone(j.q)
+				w.Ledger.Gone(j.q)
 				s.Did("the client of " + id + " leaves")
 				if j.left = j.left || j.open; j.open && len(j.tries) == 0 {
 					if end(j.outcome); j.outcome == "" {
@@ -159,7 +114,7 @@
 			}
 			for id, j := range jobs {
 				got, ok := w.find(id)
-				kept := j.open || w.now-j.ended < 20*time.Second
+				kept := j.open || w.Now-j.ended < 20*time.Second
 				s.Check(ok == kept, "%s: found %v, expected %v", id, ok, kept)
 				if !ok {
 					continue
@@ -200,18 +155,18 @@
 			t.Errorf("known: %q, expected %q", got, want)
 		}
 	}
-	a, b := w.take("a"), w.take("b")
-	w.take("c")
-	w.do(logic.Fail{Job: b.ID})
-	w.take("d")
+	a, b := w.Take("a", 0, 0), w.Take("b", 0, 0)
+	w.Take("c", 0, 0)
+	w.Do(logic.Fail{Job: b.ID})
+	w.Take("d", 0, 0)
 	known("a:waiting c:waiting d:waiting ")
-	w.take("e")
+	w.Take("e", 0, 0)
 	known("c:waiting d:waiting e:waiting ")
-	w.do(logic.Fail{Job: a.ID})
+	w.Do(logic.Fail{Job: a.ID})
 	known("c:waiting d:waiting e:waiting ")
-	w.ledger.Refuse(&ledger.Arrival{Call: "c"}, 503) // with an open query's id, at the door
+	w.Ledger.Refuse(&ledger.Arrival{Call: "c"}, 503) // with an open query's id, at the door
 	known("c:waiting d:waiting e:waiting ")
-	w.ledger.Refuse(&ledger.Arrival{Call: "a"}, 503)
+	w.Ledger.Refuse(&ledger.Arrival{Call: "a"}, 503)
 	known("a:endedturned away d:waiting e:waiting ")
 }
 
@@ -219,20 +174,20 @@
 // out says nothing of it.
 func TestIDAgain(t *testing.T) {
 	w := newWorld(&steps.Steps{T: t}, config.Status{Retain: time.Minute, MaxEntries: 3})
-	first := w.take("a")
-	w.send(first, "s-0")
-	w.do(logic.Refuse{Job: first.ID})
+	first := w.Take("a", 0, 0)
+	w.Send(first, "s-0")
+	w.Do(logic.Refuse{Job: first.ID})
 	if a, _ := w.find("a"); a.Outcome != ledger.TimedOut || a.Worker != "s-0" {
 		t.Errorf("answered with an attempt out: %+v", a)
 	}
-	second := w.take("a")
-	w.tell("a", "s-0", "started", 0)
+	second := w.Take("a", 0, 0)
+	w.Tell("a", "s-0", "started", 0)
 	if a, _ := w.find("a"); a.State != "waiting" || a.Worker != "" {
 		t.Errorf("the second query after news of the first: %+v", a)
 	}
-	w.tell("a", "s-0", "done", 0)
-	w.send(second, "s-0")
-	w.tell("a", "s-0", "running", 0.5)
+	w.Tell("a", "s-0", "done", 0)
+	w.Send(second, "s-0")
+	w.Tell("a", "s-0", "running", 0.5)
 	if a, _ := w.find("a"); a.State != "running" || *a.Share != 0.5 {
 		t.Errorf("the second query: %+v", a)
 	}
