--- a/internal/capture/capture_test.go
+++ b/internal/capture/capture_test.go
@@ -3,9 +3,11 @@
 import (
 	"bytes"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"os"
 	"path/filepath"
+	"reflect"
 	"slices"
 	"strconv"
 	"strings"
@@ -306,3 +308,24 @@
 		}
 	})
 }
+
+// Figures come back from a line bit by bit.
+func TestLineExact(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 1))
+	for range 20_000 {
+		x := math.Float64frombits(rng.Uint64())
+		if math.IsNaN(x) || math.IsInf(x, 0) {
+			continue
+		}
+		small := float64(rng.IntN(1e9)) / 1e6
+		was := Line{T: int64(rng.Uint64() >> 1), Share: small, Past: &x, Number: rng.Uint64(), Arrived: &logic.Job{Key: rng.Uint64(), Slots: x, Memory: small}}
+		text, err := json.Marshal(was)
+		var is Line
+		if err == nil {
+			err = json.Unmarshal(text, &is)
+		}
+		if err != nil || !reflect.DeepEqual(was, is) {
+			t.Fatalf("%s: %+v, %v", text, is, err)
+		}
+	}
+}
