--- a/internal/capture/capture_test.go
+++ b/internal/capture/capture_test.go
@@ -16,6 +16,7 @@
 
 	"valvecove/internal/config"
 	"valvecove/internal/ledger"
+	"valvecove/internal/steps/sides"
 	"valvecove/logic"
 )
 
@@ -30,41 +31,33 @@
 
 // play is a scheduler without sockets, whose worker nodes do as a random source says.
 type play struct {
-	t      testing.TB
-	rng    *rand.Rand
-	ledger *ledger.Ledger
-	rec    *Recorder
-	now    time.Duration
-	out    []*ledger.Attempt
-	jobs   int
+	sides.World
+	t    testing.TB
+	rng  *rand.Rand
+	rec  *Recorder
+	jobs int
 }
 
-func (p *play) Serve([]byte)            {}
-func (p *play) Throttle(time.Duration)  {}
-func (p *play) Fail()                   {}
-func (p *play) Carry(a *ledger.Attempt) { p.out = append(p.out, a) }
-func (p *play) GiveUp(*ledger.Attempt)  {}
-func (p *play) Probe(w uint64)          { p.ledger.Probed(w, nil) }
-func (p *play) FreeLinks(uint64)        {}
-func (p *play) Watch(int64)             { p.hosts() }
+func (p *play) Probe(w uint64) { p.Ledger.Probed(w, nil) }
+func (p *play) Watch(int64)    { p.hosts() }
 
 func newPlay(t testing.TB, seed uint64, conf config.Capture) *play {
 	c, err := config.Decode([]byte(platform), func(string) string { return "" })
 	if err != nil {
 		t.Fatal(err)
 	}
-	p := &play{t: t, rng: rand.New(rand.NewPCG(seed, 3)), now: 1718000000123456789}
-	p.rec, err = New(conf, c, func() time.Duration { return p.now }, t.Logf)
+	p := &play{t: t, rng: rand.New(rand.NewPCG(seed, 3)), World: sides.World{Now: 1718000000123456789}}
+	p.rec, err = New(conf, c, func() time.Duration { return p.Now }, t.Logf)
 	if err != nil {
 		t.Fatal(err)
 	}
 	next := c.Seed
-	p.ledger = ledger.New(6, c.Settings.Names, func() ledger.Module {
+	p.Ledger = ledger.New(6, c.Settings.Names, func() ledger.Module {
 		next++
 		return p.rec.Wrap(logic.New(c.Settings.Settings, next))
 	}, ledger.HostGroup{}, p, func(string, ...any) {})
-	p.rec.Host = p.ledger.Host
-	p.ledger.Attach(p.rec)
+	p.rec.Host = p.Ledger.Host
+	p.Ledger.Attach(p.rec)
 	return p
 }
 
@@ -74,45 +67,45 @@
 		h := ledger.Host{ID: "s-" + strconv.Itoa(n), Addr: "127.0.0.1:1", Zone: "z", Kind: "m", Weight: 1,
 			State: []string{"up", "up", "up", "draining"}[p.rng.IntN(4)]}
 		if p.rng.IntN(6) == 0 {
-			h.StartedMs = p.now.Milliseconds() - int64(p.rng.IntN(20000))
+			h.StartedMs = p.Now.Milliseconds() - int64(p.rng.IntN(20000))
 		}
 		g.Hosts = append(g.Hosts, h)
 	}
-	p.ledger.Hosts(g)
+	p.Ledger.Hosts(g)
 }
 
 // run plays so many steps.
 func (p *play) run(steps int) {
 	for range steps {
-		p.now += time.Duration(p.rng.IntN(30_000_000))
+		p.Now += time.Duration(p.rng.IntN(30_000_000))
 		for range p.rng.IntN(3) {
 			p.jobs++
 			class := p.rng.IntN(3)
-			q, err := p.ledger.Take(p.now, ledger.Arrival{Call: fmt.Sprintf("%016x", p.jobs), Asker: p, Job: logic.Job{Class: class,
+			q, err := p.Ledger.Take(p.Now, ledger.Arrival{Call: fmt.Sprintf("%016x", p.jobs), Asker: p, Job: logic.Job{Class: class,
 				Key: uint64(p.rng.IntN(40)), Left: time.Duration(1+p.rng.IntN(5)) * time.Second, Slots: float64(1 + p.rng.IntN(2)),
 				Hint: time.Duration(1 + p.rng.IntN(400_000_000))}, Parcel: ledger.Parcel{Verb: "POST", Path: "/x", Body: []byte("secret")}})
 			if err != nil {
 				p.t.Fatal(err)
 			}
 			if p.rng.IntN(30) == 0 {
-				p.ledger.Gone(q)
+				p.Ledger.Gone(q)
 			}
 		}
 		result := "secret"
-		for i := 0; i < len(p.out); i++ {
+		for i := 0; i < len(p.Out); i++ {
 			state := []string{"started", "started", "running", "done", "done", "failed", "returned", "lost"}[p.rng.IntN(8)]
 			if p.rng.IntN(4) == 0 {
-				a := p.out[i]
-				p.ledger.Tell(ledger.Note{ID: a.Query.Call, From: a.From, State: state, Share: p.rng.Float64(), Result: &result})
+				a := p.Out[i]
+				p.Ledger.Tell(ledger.Note{ID: a.Query.Call, From: a.From, State: state, Share: p.rng.Float64(), Result: &result})
 			}
 		}
-		if len(p.out) > 20 {
-			p.out = p.out[10:] // worker nodes that never say more
+		if len(p.Out) > 20 {
+			p.Out = p.Out[10:] // worker nodes that never say more
 		}
 		if p.rng.IntN(60) == 0 {
 			p.hosts()
 		}
-		p.ledger.Step(p.now)
+		p.Ledger.Step(p.Now)
 	}
 }
 
@@ -205,7 +198,7 @@
 	if p.rec.Lost() == 0 || !p.rec.lost {
 		t.Errorf("%d lost under a closed file", p.rec.Lost())
 	}
-	p.now += retryAfter
+	p.Now += retryAfter
 	p.run(100)
 	p.rec.Close(time.Minute)
 	names, _ := filepath.Glob(dir + "/*")
@@ -257,8 +250,8 @@
 	p := newPlay(t, 1, config.Capture{MemoryKB: 1 << 10})
 	p.run(100)
 	p.rec.edge.Dispatcher = &logic.Dispatcher{} // panics whatever it is told
-	p.ledger.HostsLost()
-	p.ledger.Step(p.now)
+	p.Ledger.HostsLost()
+	p.Ledger.Step(p.Now)
 	p.run(100)
 	text := p.rec.Dump()
 	if !bytes.Contains(text, []byte(`"out":"panic"`)) || !bytes.Contains(text, []byte(whyRestart)) {
--- a/logic/snapshot_test.go
+++ b/logic/snapshot_test.go
@@ -9,7 +9,8 @@
 )
 
 // A dispatcher that is cut and restored at any steps of a random play acts as the one that never was, its snapshot
-// is that of the one it was made from, and it knows nothing of keys but what it is told before their jobs come.
+// is that of the one it was made from, and it knows nothing of keys but what it is told before their jobs come. Taking
+// a snapshot changes nothing.
 func FuzzSnapshot(f *testing.F) {
 	for seed := range uint64(60) {
 		f.Add(seed, seed%5)
@@ -18,7 +19,7 @@
 		rng := rand.New(rand.NewPCG(seed, 2))
 		var copied *Dispatcher
 		step := 0
-		playBeside(seed, 400, func(d *Dispatcher, now time.Duration, events []Event, actions []Action) {
+		_, _, cut := playBeside(seed, 400, func(d *Dispatcher, now time.Duration, events []Event, actions []Action) {
 			if actions != nil {
 				if got := copied.Step(now, events, []Action{}); !reflect.DeepEqual(got, actions) {
 					t.Fatalf("step %d: %v, expected %v", step, got, actions)
@@ -44,6 +45,9 @@
 				}
 			}
 		})
+		if _, _, whole := play(seed, 400); !reflect.DeepEqual(cut, whole) {
+			t.Fatal("one of which snapshots were taken acted otherwise")
+		}
 	})
 }
 
