--- a/internal/capture/capture_test.go
+++ b/internal/capture/capture_test.go
@@ -270,7 +270,7 @@
 	p := newPlay(f, 1, config.Capture{MemoryKB: 1 << 10})
 	p.run(40)
 	text := p.rec.Dump()
-	lines := bytes.SplitAfter(text, []byte("\n"))
+	lines := slices.Collect(bytes.Lines(text))
 	for n := range 60 {
 		f.Add(uint16(n*7), uint16(n*13), []byte(`{"t":1,"in":"job","of":3}`))
 	}
@@ -291,7 +291,7 @@
 			t.Errorf("cut in line %d: %v, %q, %s", n+1, err, warnings, out)
 		}
 		if len(cut) > 0 && len(cut) < len(lines[n])-1 {
-			whole := slices.Concat(before, cut, []byte("\n"), lines[len(lines)-2])
+			whole := slices.Concat(before, cut, []byte("\n"), lines[len(lines)-1])
 			if _, _, _, err := replayed(t, whole, ""); err == nil || !strings.HasPrefix(err.Error(), fmt.Sprintf("line %d: ", n+1)) {
 				t.Errorf("broken in line %d: %v", n+1, err)
 			}
--- a/internal/status/status.go
+++ b/internal/status/status.go
@@ -178,9 +178,10 @@
 	return pick
 }
 
+// far is how far it has come; one of which no progress was told is behind any other.
 func (k *try) far() float64 {
 	if k.share == nil {
-		return 0
+		return -1
 	}
 	return *k.share
 }
