Answer open queries in the order they came when all are ended at once

Finish and the restart after a module panic went through a map, so the order of answers, and of what the module heard, differed from run to run. In virtual time the same play has to be the same bytes. They go by the queries' numbers now; the test fails without the change.

--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -7,6 +7,7 @@
 import (
 	"cmp"
 	"errors"
+	"maps"
 	"slices"
 	"time"
 
@@ -362,7 +363,7 @@
 
 // Finish gives each query that came since then and is still open its final answer now: time is up for this process.
 func (l *Ledger) Finish(since time.Duration) {
-	for _, q := range l.queries {
+	for _, q := range l.inOrder() {
 		if !q.closed && q.Came >= since {
 			l.events = append(l.events, logic.ClientGone{Job: q.ID}) // as far as the module is concerned
 			l.dismiss(q)
@@ -383,8 +384,13 @@
 	l.close(q)
 }
 
+// inOrder is all queries as they came: map order decides nothing.
+func (l *Ledger) inOrder() []*Query {
+	return slices.SortedFunc(maps.Values(l.queries), func(a, b *Query) int { return cmp.Compare(a.ID, b.ID) })
+}
+
 func (l *Ledger) startAnew() {
-	for _, q := range l.queries {
+	for _, q := range l.inOrder() {
 		for _, a := range q.attempts {
 			if !a.ended {
 				l.giveUp(a, Withdrawn)
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -1,6 +1,7 @@
 package ledger
 
 import (
+	"slices"
 	"strconv"
 	"testing"
 	"time"
@@ -229,3 +230,32 @@
 		t.Errorf("%d answers, last heard %+v", asker.all(), o)
 	}
 }
+
+// order is an Asker that notes whom it answered.
+type order struct {
+	to   *[]int
+	name int
+}
+
+func (o order) Serve([]byte)           { *o.to = append(*o.to, o.name) }
+func (o order) Throttle(time.Duration) { o.Serve(nil) }
+func (o order) Fail()                  { o.Serve(nil) }
+
+// Where many queries are answered at once, it is as they came, at every run.
+func TestAnswersKeepTheOrderOfArrival(t *testing.T) {
+	for _, end := range []func(l *Ledger, m *steps.Script){
+		func(l *Ledger, _ *steps.Script) { l.Finish(0) },
+		func(l *Ledger, m *steps.Script) { m.Panic = true; l.Step(2) },
+	} {
+		module, got := &steps.Script{}, []int{}
+		l := New(4, Names{}, func() Module { return module }, HostGroup{}, &carrier{}, func(string, ...any) {})
+		for i := range 50 {
+			if _, err := l.Take(1, Arrival{Call: strconv.Itoa(i), Asker: order{&got, i}}); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if end(l, module); len(got) != 50 || !slices.IsSorted(got) {
+			t.Errorf("answered in the order %v", got)
+		}
+	}
+}
