Read the lab's scenarios from TOML, check them and name each faulty key

A scenario was a type and nothing that reads it. It is now read by a walker over the type's own tags, since the library's decoding names no entry of a list and gives the entries of lists no defaults. Each faulty key is named, as in key "fault[2].what"; targets that match nothing, faults outside the play, shares that don't make 1 and expectations of unknown figures, classes or tenants are refused. Default is a calm play of the deployment as it is; an empty file reads as that. Encode writes what differs from it, and reads back as the same for scenarios drawn at random (100 by rapid).

--- a/internal/lab/scenario/scenario.go
+++ b/internal/lab/scenario/scenario.go
@@ -1,6 +1,3 @@
-// Package scenario is what a play of the lab is drawn from: a fleet, its load, its schedulers, and a timeline of
-// faults, with expectations beside them. It is read from TOML, checked and given defaults here and nowhere else;
-// what is wrong is named by its key.
 package scenario
 
 import "time"
--- /dev/null
+++ b/internal/lab/scenario/scenario_test.go
@@ -0,0 +1,283 @@
+package scenario
+
+import (
+	"fmt"
+	"math"
+	"os"
+	"reflect"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// Every fault of a faulty file is named by its key.
+func TestFaultyKeysAreNamed(t *testing.T) {
+	for _, x := range []struct{ text, key string }{
+		{`lenght = "20s"`, "lenght"},
+		{`length = 20`, "length"},
+		{`length = "20"`, "length"},
+		{`settle = "-1s"`, "settle"},
+		{`drivers = ["virtual", "alive"]`, "drivers[1]"},
+		{`drivers = []`, "drivers"},
+		{`[fleet]
+		nodes = 1.5`, "fleet.nodes"},
+		{`[fleet]
+		nodes = 1001
+		[schedulers]
+		count = 0`, "schedulers.count"},
+		{`drivers = ["live"]
+		[fleet]
+		nodes = 1001`, "drivers"},
+		{`[fleet]
+		zones = ["a", "a"]`, "fleet.zones[1]"},
+		{`[[fleet.kind]]
+		name = "x"
+		[[fleet.kind]]
+		name = "y"
+		colour = "red"`, "fleet.kind[1].colour"},
+		{`[[fleet.kind]]
+		name = "x"
+		share = 0.5`, "fleet.kind"},
+		{`[[fleet.kind]]
+		name = "x"
+		order = "lifo"`, "fleet.kind[0].order"},
+		{`[[class]]
+		name = "x"
+		slots = [0, 0, 0, 1]`, "class[0].slots"},
+		{`[[class]]
+		name = "x"
+		kind = "std"`, "class[0].kind"},
+		{`[[class]]
+		name = "swat-society"`, "tenant[2].name"},
+		{`[[class]]
+		name = "x y"`, "class[0].name"},
+		{`[[tenant]]
+		name = "x"
+		usage = 0`, "tenant"},
+		{`[load]
+		of = 0.5
+		rate = 5`, "load"},
+		{`[load]
+		of = 0`, "load"},
+		{`[load]
+		of = nan`, "load.of"},
+		{`[load]
+		shape = "flat"`, "load.shape"},
+		{`[[bad]]
+		kind = "rude"
+		rate = 1`, "bad[0].kind"},
+		{`drivers = ["virtual"]
+		[[bad]]
+		kind = "flood"
+		rate = 1`, "bad[0]"},
+		{`[schedulers]
+		ops = "[status]\nprt = 1"`, "schedulers.ops"},
+		{`[[fault]]
+		what = "crush"`, "fault[0].what"},
+		{`[[fault]]
+		what = "crash"
+		at = "20s"`, "fault[0].at"},
+		{`[[fault]]
+		what = "crash"
+		at = "15s"
+		spread = "6s"`, "fault[0].spread"},
+		{`[[fault]]
+		what = "gone"
+		for = "6s"`, "fault[0].for"},
+		{`[[fault]]
+		what = "pause"`, "fault[0].for"},
+		{`[[fault]]
+		what = "hang"
+		size = 2`, "fault[0].size"},
+		{`[[fault]]
+		what = "slow"
+		size = 0.5`, "fault[0].size"},
+		{`[[fault]]
+		what = "hang"
+		between = "nodes"`, "fault[0].between"},
+		{`[[fault]]
+		what = "cut"
+		and = "clients"
+		between = "nodes"`, "fault[0].between"},
+		{`[[fault]]
+		what = "disco_slow"`, "fault[0].what"},
+		{`[[fault]]
+		what = "hang"
+		on.names = ["w-9", "w-10"]`, "fault[0].on.names[1]"},
+		{`[[fault]]
+		what = "hang"
+		on.cells = [3]`, "fault[0].on.cells[0]"},
+		{`[[fault]]
+		what = "hang"
+		on.kind = "gpu"`, "fault[0].on.kind"},
+		{`[[fault]]
+		what = "hang"
+		on.zone = "b"`, "fault[0].on.zone"},
+		{`[[fault]]
+		what = "hang"
+		on.share = 1.1`, "fault[0].on.share"},
+		{`[[fault]]
+		what = "hang"
+		on.tenant = "swat-society"`, "fault[0].on.tenant"},
+		{`[[fault]]
+		what = "burst"
+		on.tenant = "north"`, "fault[0].on.tenant"},
+		{`[[fault]]
+		what = "sched_kill"
+		on.schedulers = [1]`, "fault[0].on.schedulers[0]"},
+		{`[[fault]]
+		what = "disco_down"
+		on.names = ["w-1"]`, "fault[0].on.names"},
+		{`expect = ["in_time"]`, "expect[0]"},
+		{`expect = ["in_time[north] >= 0.5"]`, "expect[0]"},
+		{`expect = ["waste[cash-payout] <= 0.5"]`, "expect[0]"},
+		{`expect = ["in_time >= 95"]`, "expect[0]"},
+		{`expect = ["in_time >= 5s"]`, "expect[0]"},
+		{`expect = ["rules_broken <= 0", "luck >= 1"]`, "expect[1]"},
+	} {
+		_, err := Parse("x", []byte(x.text))
+		if err == nil || !strings.Contains(err.Error(), fmt.Sprintf("key %q:", x.key)) {
+			t.Errorf("%s\nwants key %q named, got: %v", x.text, x.key, err)
+		}
+	}
+}
+
+func TestExpectations(t *testing.T) {
+	for text, want := range map[string]Expectation{
+		"in_time >= 0.95":                 {"in_time", "", ">=", 0.95},
+		"in_time[account-credit]>=0.9":    {"in_time", "account-credit", ">=", 0.9},
+		"recovered_within = 5s":           {"recovered_within", "", "<=", 5},
+		"recovered_within<=1m":            {"recovered_within", "", "<=", 60},
+		"p99_ms [swat-society] < 1.5s":    {"p99_ms", "swat-society", "<", 1500},
+		"rules_broken == 0":               {"rules_broken", "", "=", 0},
+		"attempts > 1":                    {"attempts", "", ">", 1},
+		"refused[khyber-society] <= 0.01": {"refused", "khyber-society", "<=", 0.01},
+	} {
+		got, err := ParseExpectation(text)
+		if err != nil || got != want {
+			t.Errorf("%q: got %v, %v", text, got, err)
+		}
+		if again, err := ParseExpectation(got.String()); err != nil || again != got {
+			t.Errorf("%q: written as %q, which reads as %v, %v", text, got.String(), again, err)
+		}
+		over, under := got.Met(got.Bound+1), got.Met(got.Bound-1)
+		if even := got.Met(got.Bound); got.Met(math.NaN()) || even != strings.Contains(got.Op, "=") ||
+			over != strings.Contains(got.Op, ">") || under != strings.Contains(got.Op, "<") {
+			t.Errorf("%q: met by more %v, by as much %v, by less %v", text, over, even, under)
+		}
+	}
+}
+
+// What is written reads back as the same, whatever stands in a scenario.
+func TestEncodeRoundTrip(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := Default()
+		shake(t, "", reflect.ValueOf(s).Elem())
+		s.derive(func(string) bool { return true })
+		text := Encode(s)
+		got, err := read("other", text)
+		if err != nil {
+			t.Fatalf("%v\n%s", err, text)
+		}
+		if !reflect.DeepEqual(got, s) {
+			t.Fatalf("%s\nreads back as %+v\nand was %+v", text, got, s)
+		}
+		if c := s.Clone(); !reflect.DeepEqual(c, s) {
+			t.Fatalf("cloned as %+v\nand was %+v", c, s)
+		}
+	})
+}
+
+// shake changes some of the values. The lists that may not be empty are not.
+func shake(t *rapid.T, key string, v reflect.Value) {
+	least := 0
+	if key == "class" || key == "tenant" || key == "kind" {
+		least = 1
+	}
+	switch {
+	case v.Kind() == reflect.Struct:
+		for i := range v.NumField() {
+			shake(t, v.Type().Field(i).Tag.Get("toml"), v.Field(i))
+		}
+	case !rapid.Bool().Draw(t, key):
+	case v.Kind() == reflect.Slice:
+		n := rapid.IntRange(least, 3).Draw(t, key)
+		if v.SetZero(); n > 0 {
+			v.Set(reflect.MakeSlice(v.Type(), n, n))
+		}
+		for i := range n {
+			shake(t, "", v.Index(i))
+		}
+	case key == "what":
+		v.SetString(rapid.SampledFrom([]string{"crash", "cut", "slow", "x"}).Draw(t, key))
+	case v.Kind() == reflect.String:
+		v.SetString(rapid.String().Draw(t, key))
+	case v.Kind() == reflect.Bool:
+		v.SetBool(!v.Bool())
+	case v.Kind() == reflect.Float64:
+		v.SetFloat(rapid.Float64().Draw(t, key))
+	default:
+		v.SetInt(rapid.Int64().Draw(t, key))
+	}
+}
+
+// A default scenario is sound, and an empty file is one.
+func TestDefault(t *testing.T) {
+	s, err := Parse("calm", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := Default()
+	want.Name = "calm"
+	if !reflect.DeepEqual(s, want) {
+		t.Errorf("an empty file reads as %+v", s)
+	}
+	if text := string(Encode(s)); text != "name = \"calm\"\n" {
+		t.Errorf("written as %q", text)
+	}
+}
+
+func TestSet(t *testing.T) {
+	s, err := Parse("x", []byte("[[fault]]\nwhat = \"slow\"\n"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, x := range []struct{ key, value string }{{"fault[0].size", "3.5"}, {"load.rate", "40"},
+		{"fleet.nodes", "12"}, {"class[2].deadline", `"3s"`}, {"fault[0].on.names", `["w-11"]`}} {
+		if err := s.Set(x.key, x.value); err != nil {
+			t.Error(err)
+		}
+	}
+	load := Load{Rate: 40, Shape: "steady", Swing: 0.3, Hints: "rough", HintFactor: 0.5, OverWorth: 0.1, Quota: 0.8}
+	if s.Faults[0].Size != 3.5 || s.Load != load || s.Fleet.Nodes != 12 || s.Classes[2].Deadline != 3*s1 ||
+		len(s.Faults[0].On.Names) != 1 {
+		t.Errorf("set to %s", Encode(s))
+	}
+	before := s.Clone()
+	for _, x := range []struct{ key, value string }{{"fault[1].size", "3"}, {"fault[0].sise", "3"}, {"load", "3"},
+		{"load.of.x", "3"}, {"fleet.nodes", "none"}, {"fleet.nodes", "0"}, {"fleet.nodes", "1\nx = 2"}, {"", "1"}} {
+		if err := s.Set(x.key, x.value); err == nil || !strings.Contains(err.Error(), "key ") {
+			t.Errorf("%s = %s: got %v", x.key, x.value, err)
+		}
+	}
+	if !reflect.DeepEqual(s, before) {
+		t.Error("a value that was refused left its trace")
+	}
+}
+
+// Each kind of fault has its rule and its line in the package's page.
+func TestFaultKindsAreDescribed(t *testing.T) {
+	page, err := os.ReadFile("doc.go")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for what := range FaultKinds {
+		if _, ok := faultRules[what]; !ok || !strings.Contains(string(page), "\n//\t"+what+" ") {
+			t.Errorf("%s is not described", what)
+		}
+	}
+	if len(faultRules) != len(FaultKinds) {
+		t.Error("a rule is of no kind")
+	}
+}
