--- /dev/null
+++ b/internal/lab/score/check.go
@@ -0,0 +1,115 @@
+package score
+
+import (
+	"encoding/json"
+	"math"
+
+	"valvecove/internal/lab/scenario"
+)
+
+// Met is an expectation and what became of it.
+type Met struct {
+	Expectation scenario.Expectation
+	Got         float64 // NaN: there is no such figure; +Inf: not seen to end
+	OK          bool
+	Note        string // why there is none
+}
+
+// MarshalJSON writes the expectation as a scenario does, and null for a figure that is none.
+func (m Met) MarshalJSON() ([]byte, error) {
+	out := struct {
+		Expectation string   `json:"expectation"`
+		Got         *float64 `json:"got"`
+		OK          bool     `json:"ok"`
+		Note        string   `json:"note,omitempty"`
+	}{Expectation: m.Expectation.String(), OK: m.OK, Note: m.Note}
+	if !math.IsNaN(m.Got) && !math.IsInf(m.Got, 0) {
+		out.Got = &m.Got
+	}
+	return json.Marshal(out)
+}
+
+// Check holds a result to expectations. broken is how often the judge found a rule broken. Shares and latencies of
+// jobs of which none was due or served, as the case may be, meet nothing.
+func Check(expect []scenario.Expectation, r *Result, broken int) []Met {
+	out := make([]Met, len(expect))
+	for i, e := range expect {
+		m := Met{Expectation: e}
+		m.Got, m.Note = r.Figure(e.Figure, e.Of, broken)
+		m.OK = e.Met(m.Got)
+		out[i] = m
+	}
+	return out
+}
+
+// Figure is a figure by the name that expectations know it by, of a class, a tenant (whose worth in time is that
+// within its share) or all. Where it can't be had it is NaN, or +Inf for a disturbance that was not seen to end, and
+// note says why.
+func (r *Result) Figure(figure, of string, broken int) (x float64, note string) {
+	switch figure {
+	case "rules_broken":
+		return float64(broken), ""
+	case "waste":
+		return r.Waste.Share, ""
+	case "attempts":
+		return r.Effort.PerJob, ""
+	case "recovered_within":
+		if !r.Recovery.All {
+			return math.Inf(1), "not back when no more jobs fell due"
+		}
+		return r.Recovery.Seconds, ""
+	}
+	g, tenant := r.group(of)
+	switch {
+	case g == nil:
+		return math.NaN(), "no class or tenant " + of
+	case g.Due == 0:
+		return math.NaN(), "no job was due"
+	}
+	switch figure {
+	case "in_time":
+		if tenant {
+			if g.own.asked <= 0 {
+				return math.NaN(), "no job within its share was due"
+			}
+			return g.Within, ""
+		}
+		return g.Share, ""
+	case "served":
+		return g.Shares.Served, ""
+	case "refused":
+		return g.Shares.Refused, ""
+	case "failed":
+		return g.Shares.Failed, ""
+	case "lost":
+		return g.Shares.Lost, ""
+	case "unanswered":
+		return g.Shares.Unanswered, ""
+	case "p50_ms", "p99_ms":
+		if g.Latency.Count == 0 {
+			return math.NaN(), "no job was served"
+		}
+		if figure == "p50_ms" {
+			return g.Latency.P50, ""
+		}
+		return g.Latency.P99, ""
+	}
+	return math.NaN(), "no figure " + figure
+}
+
+func (r *Result) group(of string) (g *Group, tenant bool) {
+	if of == "" {
+		return &r.Whole, false
+	}
+	for i := range r.Classes {
+		if r.Classes[i].Name == of {
+			return &r.Classes[i], false
+		}
+	}
+	for i := range r.Tenants {
+		if r.Tenants[i].Name == of {
+			return &r.Tenants[i], true
+		}
+	}
+	return nil, false
+}
--- /dev/null
+++ b/internal/lab/score/recover.go
@@ -0,0 +1,165 @@
+package score
+
+import (
+	"cmp"
+	"math"
+	"slices"
+)
+
+// Disturbance is a fault, or several: those that overlap are one, and so is one that begins before the worth earned
+// was back after the last.
+//
+// What it did is read off Earned over Asked by the second in which jobs were due, as a mean over two seconds: that of
+// an instant is of the two seconds that follow the whole second. Before is the share over the 10 s before the
+// disturbance, leaving out seconds that it or the one before it touches; where none is left, it is that of the one
+// before it, and of the first, 1. The share is down where it is under 95% of Before. A dip is looked for from the
+// disturbance's first second until 5 s after its end, or its start if it does not end while jobs fall due. The worth
+// is back at the first whole second after the dip's beginning, and after the disturbance's end, at which the share is
+// not down. A second in which nothing was due says nothing.
+type Disturbance struct {
+	Faults    []string `json:"faults"`
+	From      float64  `json:"from"`
+	To        float64  `json:"to"` // its end; From, if it did not end while jobs fell due
+	Lasting   bool     `json:"lasting"`
+	Before    float64  `json:"before"`
+	Dip       bool     `json:"dip"`        // the share went down at all
+	Low       float64  `json:"low"`        // the least it was, from the dip until it was back
+	FromStart float64  `json:"from_start"` // s until it was first back; 0 without a dip
+	FromEnd   float64  `json:"from_end"`   // s from its end until it was back; 0 if it was by then
+	Recovered bool     `json:"recovered"`  // else FromEnd is how long it was seen not to be back
+}
+
+// Recovery is the worst of the disturbances' FromEnd.
+type Recovery struct {
+	Seconds float64 `json:"seconds"`
+	All     bool    `json:"all"` // each of them was seen to end
+	Count   int     `json:"disturbances"`
+}
+
+const (
+	backAt     = 0.95
+	smoothed   = 2  // seconds
+	beforeSpan = 10 // seconds
+	dipWithin  = 5  // seconds
+)
+
+func disturbances(faults []Fault, asked, earned Series, length float64) []Disturbance {
+	faults = slices.Clone(faults)
+	slices.SortStableFunc(faults, func(a, b Fault) int { return cmp.Compare(a.On, b.On) })
+	seconds := min(len(asked), int(math.Ceil(length)))
+	r := ratios{asked[:seconds], earned[:seconds], length}
+	out := []Disturbance{}
+	for i := 0; i < len(faults); {
+		if faults[i].On >= length {
+			break
+		}
+		d := Disturbance{From: faults[i].On, To: faults[i].On}
+		d.Before = r.before(d.From, out)
+		for next := length; ; next = length {
+			for ; i < len(faults) && (faults[i].On <= d.To || len(d.Faults) == 0); i++ {
+				d.join(faults[i], length)
+			}
+			if i < len(faults) {
+				next = min(next, faults[i].On)
+			}
+			if r.look(&d, next); d.Recovered || i == len(faults) || faults[i].On >= length {
+				break
+			}
+			d.join(faults[i], length) // the last is not over
+			i++
+		}
+		out = append(out, d)
+	}
+	return out
+}
+
+func (d *Disturbance) join(f Fault, length float64) {
+	d.Faults = append(d.Faults, f.Text)
+	if f.Off < 0 || f.Off >= length {
+		d.Lasting = true
+		d.To = max(d.To, f.On)
+	} else {
+		d.To = max(d.To, f.Off)
+	}
+}
+
+// ratios are worth earned and asked for, by the second in which jobs were due.
+type ratios struct {
+	asked, earned Series
+	length        float64
+}
+
+func (r ratios) of(from, to int) (x float64, ok bool) {
+	from, to = max(from, 0), min(to, len(r.asked))
+	if from >= to {
+		return 0, false
+	}
+	a := r.asked[from:to].Sum()
+	return share(r.earned[from:to].Sum(), a), a > 0
+}
+
+func (r ratios) before(at float64, earlier []Disturbance) float64 {
+	from, none := int(at)-beforeSpan, 1.0
+	if n := len(earlier); n > 0 {
+		from = max(from, int(math.Ceil(earlier[n-1].To+earlier[n-1].FromEnd)))
+		none = earlier[n-1].Before
+	}
+	if x, ok := r.of(from, int(at)); ok {
+		return x
+	}
+	return none
+}
+
+// look finds the dip that d made before limit, and when it was over.
+func (r ratios) look(d *Disturbance, limit float64) {
+	end := min(int(limit), len(r.asked))
+	if limit >= r.length {
+		end = len(r.asked)
+	}
+	down := func(t int) (x float64, yes, ok bool) {
+		x, ok = r.of(t, min(t+smoothed, end))
+		return x, ok && x < backAt*d.Before, ok
+	}
+	d.Dip, d.Recovered, d.FromStart, d.FromEnd, d.Low = false, true, 0, 0, 0
+	dip := int(d.From)
+	for ; ; dip++ {
+		if dip >= end || float64(dip) > d.To+dipWithin {
+			return
+		}
+		if _, yes, _ := down(dip); yes {
+			break
+		}
+	}
+	d.Dip, d.Recovered, d.Low = true, false, 1
+	back := false
+	for t := dip; t < end; t++ {
+		x, yes, ok := down(t)
+		if !ok {
+			continue
+		}
+		if yes {
+			d.Low = min(d.Low, x)
+			continue
+		}
+		if !back {
+			back, d.FromStart = true, max(0, float64(t)-d.From)
+		}
+		if float64(t) >= math.Floor(d.To) {
+			d.Recovered, d.FromEnd = true, max(0, float64(t)-d.To)
+			return
+		}
+	}
+	d.FromEnd = max(0, limit-d.To)
+	if !back {
+		d.FromStart = limit - d.From
+	}
+}
+
+func recovery(list []Disturbance) Recovery {
+	out := Recovery{All: true, Count: len(list)}
+	for i := range list {
+		out.Seconds = max(out.Seconds, list[i].FromEnd)
+		out.All = out.All && list[i].Recovered
+	}
+	return out
+}
--- /dev/null
+++ b/internal/lab/score/stats.go
@@ -0,0 +1,151 @@
+package score
+
+import (
+	"fmt"
+	"math"
+	"strconv"
+
+	"gonum.org/v1/gonum/stat"
+	"gonum.org/v1/gonum/stat/distuv"
+)
+
+// Sense says which way a figure is better.
+type Sense int
+
+// Senses.
+const (
+	Higher Sense = iota
+	Lower
+	Neither
+)
+
+// Paired is a comparison of one figure between two sides over the same seeds. Differences are B less A.
+type Paired struct {
+	Figure string  `json:"figure"`
+	A      string  `json:"a"`
+	B      string  `json:"b"`
+	Seeds  int     `json:"seeds"`
+	MeanA  float64 `json:"mean_a"`
+	MeanB  float64 `json:"mean_b"`
+	Mean   float64 `json:"difference"`
+	SD     float64 `json:"sd"` // of the differences
+	Low    float64 `json:"low"`
+	High   float64 `json:"high"` // Low to High holds the true mean difference 95 times in 100
+	P      float64 `json:"p"`    // chance of a mean difference this far from 0 if there were none
+	Seen   bool    `json:"seen"` // the interval leaves 0 out
+	Says   string  `json:"says"`
+}
+
+const confidence = 0.95
+
+// Compare pairs the figures of two sides, a[i] and b[i] being of the same seed. Its interval is Student's, which
+// takes the differences to be spread about normally. Pairs in which either figure is missing (NaN) or endless are
+// left out.
+func Compare(figure, nameA, nameB string, a, b []float64, better Sense) Paired {
+	p := Paired{Figure: figure, A: nameA, B: nameB, P: 1}
+	var as, bs, diffs []float64
+	for i := range min(len(a), len(b)) {
+		if d := b[i] - a[i]; !math.IsNaN(d) && !math.IsInf(d, 0) {
+			as, bs, diffs = append(as, a[i]), append(bs, b[i]), append(diffs, d)
+		}
+	}
+	p.Seeds = len(diffs)
+	if p.Seeds > 0 {
+		p.MeanA, p.MeanB, p.Mean = stat.Mean(as, nil), stat.Mean(bs, nil), stat.Mean(diffs, nil)
+		p.Low, p.High = p.Mean, p.Mean
+	}
+	if p.Seeds > 1 {
+		p.SD = stat.StdDev(diffs, nil)
+		of := distuv.StudentsT{Mu: 0, Sigma: 1, Nu: float64(p.Seeds - 1)}
+		err := stat.StdErr(p.SD, float64(p.Seeds))
+		half := of.Quantile(1-(1-confidence)/2) * err
+		p.Low, p.High = p.Mean-half, p.Mean+half
+		switch {
+		case err > 0:
+			p.P = 2 * of.Survival(math.Abs(p.Mean)/err)
+		case p.Mean != 0:
+			p.P = 0
+		}
+		p.Seen = p.Low > 0 || p.High < 0
+	}
+	p.Says = p.words(better)
+	return p
+}
+
+func (p *Paired) words(better Sense) string {
+	switch {
+	case p.Seeds == 0:
+		return "nothing to compare: no seed has the figure on both sides"
+	case p.Seeds == 1:
+		return fmt.Sprintf("one seed tells nothing of the spread: the difference there was %s", num(p.Mean))
+	case p.SD == 0 && p.Mean == 0:
+		return fmt.Sprintf("no difference: the same in all %d seeds", p.Seeds)
+	case !p.Seen:
+		return fmt.Sprintf("no difference seen: %s, 95%% sure of %s to %s over %d seeds", num(p.Mean), num(p.Low),
+			num(p.High), p.Seeds)
+	}
+	word := "higher"
+	if p.Mean < 0 {
+		word = "lower"
+	}
+	if better != Neither {
+		word = "better"
+		if (p.Mean > 0) != (better == Higher) {
+			word = "worse"
+		}
+	}
+	return fmt.Sprintf("%s is %s: by %s, 95%% sure of %s to %s over %d seeds", p.B, word, num(math.Abs(p.Mean)),
+		num(min(math.Abs(p.Low), math.Abs(p.High))), num(max(math.Abs(p.Low), math.Abs(p.High))), p.Seeds)
+}
+
+func num(x float64) string { return strconv.FormatFloat(x, 'g', 3, 64) }
+
+// Spread is the mean of some figures and the 95% confidence interval of it.
+type Spread struct {
+	N    int     `json:"n"`
+	Mean float64 `json:"mean"`
+	SD   float64 `json:"sd"`
+	Low  float64 `json:"low"`
+	High float64 `json:"high"`
+}
+
+// SpreadOf leaves out figures that are missing (NaN) or endless.
+func SpreadOf(xs []float64) Spread {
+	zero := make([]float64, len(xs))
+	p := Compare("", "", "", zero, xs, Neither)
+	return Spread{p.Seeds, p.Mean, p.SD, p.Low, p.High}
+}
+
+// bentBy is how far, of a curve's height, a knee lies from the straight line.
+const bentBy = 0.1
+
+// Knee finds where a curve bends most. Both axes are brought to 0..1 over the points, which are in order of x; the
+// knee is the point farthest from the chord between the first and the last. A curve that nowhere leaves its chord by
+// a tenth, or has under three points, has none.
+func Knee(xs, ys []float64) (at int, ok bool) {
+	n := min(len(xs), len(ys))
+	if n < 3 || xs[n-1] <= xs[0] {
+		return 0, false
+	}
+	low, high := ys[0], ys[0]
+	for _, y := range ys[:n] {
+		if math.IsNaN(y) || math.IsInf(y, 0) {
+			return 0, false
+		}
+		low, high = min(low, y), max(high, y)
+	}
+	if high <= low {
+		return 0, false
+	}
+	norm := func(i int) (x, y float64) { return (xs[i] - xs[0]) / (xs[n-1] - xs[0]), (ys[i] - low) / (high - low) }
+	_, y0 := norm(0)
+	_, y1 := norm(n - 1)
+	far := 0.0
+	for i := 1; i < n-1; i++ {
+		x, y := norm(i)
+		if d := math.Abs(y-y0-(y1-y0)*x) / math.Hypot(1, y1-y0); d > far {
+			at, far = i, d
+		}
+	}
+	return at, far >= bentBy
+}
