--- /dev/null
+++ b/internal/lab/report/compare.go
@@ -0,0 +1,550 @@
+package report
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"math"
+	"slices"
+	"strconv"
+	"strings"
+
+	"valvecove/internal/lab/score"
+)
+
+// Side is what was played with on one side of a comparison: Plays[i] has the same seed on all sides.
+type Side struct {
+	Name   string
+	Plays  []*score.Result
+	Broken int // rules broken, over all plays
+	Void   int // plays that were no result and are not among Plays
+}
+
+// Comparison is several sides in the same plays. The first is what the others are compared with.
+type Comparison struct {
+	Title    string
+	About    string
+	Sides    []Side
+	Scenario string // its text
+	Build    string
+}
+
+// Pairs are the paired differences of each further side from the first, by every headline.
+func (c *Comparison) Pairs() [][]score.Paired {
+	out := make([][]score.Paired, 0, len(c.Sides))
+	for i := 1; i < len(c.Sides); i++ {
+		a, b := &c.Sides[0], &c.Sides[i]
+		out = append(out, score.CompareAll(a.Name, b.Name, a.Plays, b.Plays))
+	}
+	return out
+}
+
+// chance says what to make of many intervals at once.
+const chance = "Each interval holds the true difference 95 times in 100; of twenty figures without any difference, " +
+	"one will seem to have one."
+
+// means are the spreads of all headlines, by name.
+type means map[string]score.Spread
+
+func spreads(plays []*score.Result) means {
+	out := means{}
+	for _, h := range score.Headlines {
+		out[h.Name] = score.SpreadOf(h.Each(plays))
+	}
+	return out
+}
+
+// MarshalJSON writes spreads, each play's headlines, and paired differences, without the plays' series.
+func (c *Comparison) MarshalJSON() ([]byte, error) {
+	type side struct {
+		Name    string         `json:"name"`
+		Broken  int            `json:"rules_broken"`
+		Void    int            `json:"plays_void"`
+		Figures means          `json:"figures"`
+		Plays   []jsonHeadline `json:"plays"`
+	}
+	out := struct {
+		Title   string           `json:"title"`
+		About   string           `json:"about,omitempty"`
+		Build   string           `json:"build,omitempty"`
+		Sides   []side           `json:"sides"`
+		Pairs   [][]score.Paired `json:"paired"`
+		Reading string           `json:"reading"`
+	}{Title: c.Title, About: c.About, Build: c.Build, Pairs: c.Pairs(), Reading: chance}
+	for _, s := range c.Sides {
+		out.Sides = append(out.Sides, side{s.Name, s.Broken, s.Void, spreads(s.Plays), headlines(s.Plays)})
+	}
+	return json.Marshal(out)
+}
+
+// jsonHeadline is a play's headlines; null where there is none.
+type jsonHeadline struct {
+	Seed    uint64              `json:"seed"`
+	Figures map[string]*float64 `json:"figures"`
+}
+
+func headlines(plays []*score.Result) []jsonHeadline {
+	out := make([]jsonHeadline, len(plays))
+	for i, r := range plays {
+		out[i] = jsonHeadline{r.Seed, map[string]*float64{}}
+		for _, h := range score.Headlines {
+			if x := h.Of(r); bad(x) {
+				out[i].Figures[h.Name] = nil
+			} else {
+				out[i].Figures[h.Name] = &x
+			}
+		}
+	}
+	return out
+}
+
+// shown writes a headline's figure in its unit.
+func shown(name string, x float64) string {
+	switch {
+	case bad(x):
+		return none
+	case strings.HasSuffix(name, "_ms"):
+		return span(x)
+	case name == "recovered_within":
+		return instant(x)
+	case slices.Contains([]string{"served", "refused", "failed", "unanswered", "lost", "waste"}, name):
+		return percent(x)
+	}
+	return strconv.FormatFloat(x, 'f', 3, 64)
+}
+
+// withSpread writes a mean and how far its interval reaches.
+func withSpread(name string, s score.Spread) string {
+	if s.N == 0 {
+		return none
+	}
+	text := shown(name, s.Mean)
+	if s.N > 1 && s.High > s.Low {
+		text += " ± " + shown(name, (s.High-s.Low)/2)
+	}
+	return text
+}
+
+// colour of what a paired difference says.
+func (c *Comparison) class(p *score.Paired) string {
+	switch h, _ := score.HeadlineOf(p.Figure); {
+	case !p.Seen || h.Better == score.Neither:
+		return ""
+	case (p.Mean > 0) == (h.Better == score.Higher):
+		return "good"
+	}
+	return "poor"
+}
+
+// ComparePage writes a comparison for a terminal.
+func ComparePage(w io.Writer, c *Comparison) error {
+	p := &page{colour: colours(w)}
+	p.line(strong, "%s", c.Title)
+	wide := min(20, (pageWidth-18)/max(1, len(c.Sides)))
+	line := fmt.Sprintf("%-18s", "")
+	for _, s := range c.Sides {
+		line += fmt.Sprintf("%*s", wide, clip(s.Name, max(wide-1, 1)))
+	}
+	p.line(faint, "%s", line)
+	all := make([]means, len(c.Sides))
+	for i, s := range c.Sides {
+		all[i] = spreads(s.Plays)
+	}
+	for _, h := range score.Headlines {
+		line := fmt.Sprintf("%-18s", h.Name)
+		for i := range c.Sides {
+			text := withSpread(h.Name, all[i][h.Name])
+			if wide < 18 {
+				text, _, _ = strings.Cut(text, " ±")
+			}
+			line += fmt.Sprintf("%*s", wide, text)
+		}
+		p.line(plain, "%s", line)
+	}
+	line = fmt.Sprintf("%-18s", "rules broken")
+	for _, s := range c.Sides {
+		line += fmt.Sprintf("%*d", wide, s.Broken)
+	}
+	p.line(plain, "%s", line)
+	for i, list := range c.Pairs() {
+		p.line(plain, "")
+		p.line(strong, "%s against %s", c.Sides[i+1].Name, c.Sides[0].Name)
+		for k := range list {
+			x := &list[k]
+			p.line(map[string]string{"good": good, "poor": poor}[c.class(x)], "  %-18s%s", x.Figure, x.Says)
+		}
+	}
+	p.line(faint, "%s", chance[:strings.Index(chance, ";")]+".")
+	_, err := io.WriteString(w, p.b.String())
+	return err
+}
+
+// together is the mean of a series over plays, second by second.
+func together(plays []*score.Result, of func(*score.Seconds) score.Series) score.Series {
+	var sum score.Series
+	var n []float64
+	for _, r := range plays {
+		for k, x := range of(&r.Seconds) {
+			if k == len(sum) {
+				sum, n = append(sum, 0), append(n, 0)
+			}
+			sum[k] += x
+			n[k]++
+		}
+	}
+	for k := range sum {
+		sum[k] /= n[k]
+	}
+	return sum
+}
+
+// WriteCompare writes a comparison as one file of HTML: the sides' figures, their goodput over each other, and the
+// paired differences.
+func WriteCompare(w io.Writer, c *Comparison) error {
+	d := &document{Title: c.Title, About: c.About}
+	if c.Build != "" {
+		d.Gist = append(d.Gist, "Played with "+c.Build)
+	}
+	figures := table{Caption: "Means over the seeds, and how far the 95% interval of each reaches", Head: []string{""}}
+	t := &timeline{}
+	var lines, kept []line
+	all := make([]means, len(c.Sides))
+	broken, void, plays := []string{}, []string{}, []string{}
+	for i, s := range c.Sides {
+		figures.Head = append(figures.Head, s.Name)
+		all[i] = spreads(s.Plays)
+		broken, void = append(broken, count(s.Broken)), append(void, count(s.Void))
+		plays = append(plays, count(len(s.Plays)))
+		length := 0.0
+		for _, r := range s.Plays {
+			length = max(length, r.Length)
+			if t.end = max(t.end, r.Length); len(t.faults) == 0 {
+				for _, f := range r.Faults {
+					f.Text, _, _ = strings.Cut(f.Text, ":") // without whom it strikes
+					t.faults = append(t.faults, f)
+				}
+			}
+		}
+		asked := together(s.Plays, func(s *score.Seconds) score.Series { return s.Asked })
+		earned := together(s.Plays, func(s *score.Seconds) score.Series { return s.Earned })
+		if i == 0 {
+			lines = append(lines, line{name: "asked for", of: asked, area: true})
+		}
+		if len(lines) < 6 {
+			lines = append(lines, line{name: s.Name, of: together(s.Plays,
+				func(s *score.Seconds) score.Series { return s.Goodput })})
+			kept = append(kept, line{name: s.Name, class: fmt.Sprint("s", len(lines)), of: ratio(asked, earned, length)})
+		}
+	}
+	for _, h := range score.Headlines {
+		row := make([]string, len(c.Sides))
+		for i := range c.Sides {
+			row[i] = withSpread(h.Name, all[i][h.Name])
+		}
+		figures.row(h.Name+", "+h.About, row...)
+	}
+	figures.row("rules broken", broken...)
+	figures.row("plays", plays...)
+	figures.row("plays that were void, left out", void...)
+	d.Sections = append(d.Sections, section{ID: "figures", Title: "Side by side", Tables: []table{figures}})
+	over := section{ID: "seconds", Title: "Over time",
+		Text: []string{"Means over the seeds. Faults strike whom the seed draws; their bands are those of the first."}}
+	if t.end > 0 {
+		over.Plots = []*plot{
+			t.plot(overTime{id: "goodput", title: "Goodput", yName: "worth a second", height: 300, text: figure, labels: true,
+				lines: lines}),
+			t.plot(overTime{id: "kept", title: "Share of the worth due in a second that was earned",
+				yName: "mean of two seconds", height: 240, top: 1, text: percent, lines: kept}),
+		}
+		d.Sections = append(d.Sections, over)
+	}
+	for i, list := range c.Pairs() {
+		x := table{Head: []string{"", "difference", "95% interval", "spread (SD)", "p", "in words"}, Words: true}
+		for k := range list {
+			p := &list[k]
+			x.row(p.Figure, figure(p.Mean), figure(p.Low)+" to "+figure(p.High), figure(p.SD), figure(p.P), p.Says)
+			x.mark(strings.TrimSpace("text "+c.class(p)), 5)
+		}
+		s := section{ID: fmt.Sprint("pairs-", i+1), Title: c.Sides[i+1].Name + " against " + c.Sides[0].Name,
+			Tables: []table{x}}
+		s.Text = []string{"Differences are of plays with the same seed. " + chance}
+		d.Sections = append(d.Sections, s)
+	}
+	if c.Scenario != "" {
+		d.Sections = append(d.Sections, scenarioText(c.Scenario))
+	}
+	return d.write(w)
+}
+
+// Sweep is plays over the values of a parameter, and perhaps of a second: a curve for each of those.
+type Sweep struct {
+	Title    string
+	About    string
+	Param    string
+	Second   string // empty: there is but one curve
+	Figure   string // the headline that is drawn; empty: mix
+	Curves   []Curve
+	Scenario string // its text
+	Build    string
+}
+
+// Curve is the plays with one value of the second parameter.
+type Curve struct {
+	Name   string
+	Points []Point // in order of X
+}
+
+// Point is the plays with one value of the parameter, over some seeds.
+type Point struct {
+	X      float64
+	Label  string // of a value that is no number; then X counts them
+	Plays  []*score.Result
+	Broken int
+}
+
+func (s *Sweep) headline() score.Headline {
+	h, ok := score.HeadlineOf(s.Figure)
+	if !ok {
+		return score.Headlines[0]
+	}
+	return h
+}
+
+func (p *Point) label() string {
+	if p.Label != "" {
+		return p.Label
+	}
+	return strconv.FormatFloat(p.X, 'g', 6, 64)
+}
+
+// Knee is the point of a curve where the sweep's figure bends most, as score.Knee finds it; not ok: there is none,
+// as with values that are no numbers.
+func (s *Sweep) Knee(c *Curve) (at int, ok bool) {
+	h := s.headline()
+	var xs, ys []float64
+	for i := range c.Points {
+		if c.Points[i].Label != "" {
+			return 0, false
+		}
+		xs, ys = append(xs, c.Points[i].X), append(ys, score.SpreadOf(h.Each(c.Points[i].Plays)).Mean)
+	}
+	return score.Knee(xs, ys, h.Better)
+}
+
+// knee says it in words.
+func (s *Sweep) knee(c *Curve) string {
+	name := s.Param
+	if c.Name != "" {
+		name += " with " + s.Second + " " + c.Name
+	}
+	at, ok := s.Knee(c)
+	if !ok {
+		return "no knee over " + name
+	}
+	h := s.headline()
+	return fmt.Sprintf("knee over %s at %s, where %s is %s", name, c.Points[at].label(), h.Name,
+		shown(h.Name, score.SpreadOf(h.Each(c.Points[at].Plays)).Mean))
+}
+
+// MarshalJSON writes spreads of all headlines at each point, and the knees.
+func (s *Sweep) MarshalJSON() ([]byte, error) {
+	type point struct {
+		X       float64 `json:"x"`
+		Label   string  `json:"label,omitempty"`
+		Broken  int     `json:"rules_broken"`
+		Figures means   `json:"figures"`
+	}
+	type curve struct {
+		Name   string  `json:"name,omitempty"`
+		Points []point `json:"points"`
+		Knee   *int    `json:"knee"` // null: none
+	}
+	out := struct {
+		Title  string  `json:"title"`
+		About  string  `json:"about,omitempty"`
+		Build  string  `json:"build,omitempty"`
+		Param  string  `json:"parameter"`
+		Second string  `json:"second_parameter,omitempty"`
+		Figure string  `json:"figure"`
+		Curves []curve `json:"curves"`
+	}{Title: s.Title, About: s.About, Build: s.Build, Param: s.Param, Second: s.Second, Figure: s.headline().Name}
+	for i := range s.Curves {
+		c := &s.Curves[i]
+		x := curve{Name: c.Name}
+		if at, ok := s.Knee(c); ok {
+			x.Knee = &at
+		}
+		for _, p := range c.Points {
+			x.Points = append(x.Points, point{p.X, p.Label, p.Broken, spreads(p.Plays)})
+		}
+		out.Curves = append(out.Curves, x)
+	}
+	return json.Marshal(out)
+}
+
+// swept are the headlines that a sweep's table shows beside the one that is drawn.
+var swept = []string{"mix", "in_time", "worst_10s", "refused", "unanswered", "p50_ms", "p99_ms", "attempts", "waste"}
+
+// table is a sweep's, with the knees marked.
+func (s *Sweep) table() table {
+	names := append([]string{}, swept...)
+	if h := s.headline().Name; h != "mix" {
+		names[0] = h
+	}
+	t := table{Caption: "Means over the seeds, and how far the 95% interval of each reaches", Head: []string{s.Param}}
+	t.Head = append(append(t.Head, names...), "rules broken")
+	for i := range s.Curves {
+		c := &s.Curves[i]
+		knee, ok := s.Knee(c)
+		if c.Name != "" {
+			t.row(strings.TrimSpace(s.Second + " " + c.Name))
+		}
+		for k := range c.Points {
+			p := &c.Points[k]
+			all := spreads(p.Plays)
+			var row []string
+			for _, name := range names {
+				row = append(row, withSpread(name, all[name]))
+			}
+			first := p.label()
+			if ok && k == knee {
+				first += " (knee)"
+			}
+			t.row(first, append(row, count(p.Broken))...)
+		}
+	}
+	return t
+}
+
+// SweepPage writes a sweep for a terminal.
+func SweepPage(w io.Writer, s *Sweep) error {
+	p := &page{colour: colours(w)}
+	p.line(strong, "%s", s.Title)
+	t, h := s.table(), s.headline()
+	t.Head[len(t.Head)-1] = "broken"
+	columns := []int{0, 1, 4, 6, 7, 8, 9, len(t.Head) - 1}
+	width := []int{24, 16, 10, 10, 10, 8, 8, 8}
+	cut := func(text string) string { before, _, _ := strings.Cut(text, " ±"); return before }
+	head := ""
+	for i, c := range columns {
+		if i == 0 {
+			width[i] = -width[i] // to the left
+		}
+		head += fmt.Sprintf("%*s", width[i], clip(t.Head[c], max(width[i], -width[i])-1))
+	}
+	p.line(faint, "%s", head)
+	for _, row := range t.Rows {
+		if len(row) == 1 {
+			p.line(strong, "%s", row[0].Text)
+			continue
+		}
+		line := fmt.Sprintf("%*s%*s", width[0], clip(row[0].Text, -width[0]-1), width[1], row[1].Text)
+		for i, c := range columns[2:] {
+			line += fmt.Sprintf("%*s", width[i+2], cut(row[c].Text))
+		}
+		p.line(plain, "%s", line)
+	}
+	for i := range s.Curves {
+		c := &s.Curves[i]
+		var ys score.Series
+		for k := range c.Points {
+			ys = append(ys, score.SpreadOf(h.Each(c.Points[k].Plays)).Mean)
+		}
+		p.line(plain, "%s  %s", spark(ys, ys.Max()), s.knee(c))
+	}
+	_, err := io.WriteString(w, p.b.String())
+	return err
+}
+
+// WriteSweep writes a sweep as one file of HTML: the curves with their knees, and a table.
+func WriteSweep(w io.Writer, s *Sweep) error {
+	h := s.headline()
+	d := &document{Title: s.Title, About: s.About}
+	if s.Build != "" {
+		d.Gist = append(d.Gist, "Played with "+s.Build)
+	}
+	curves := section{ID: "curve", Title: "The curve and its knee", Plots: []*plot{s.plot(h)},
+		Text: []string{"Each point is the mean over the seeds, with its 95% interval. With both axes brought to 0 to 1, " +
+			"the knee is the point farthest from the straight line between the first point and the last, on its better " +
+			"side; a curve that does not leave that line by a tenth there has none."}}
+	for i := range s.Curves {
+		text := s.knee(&s.Curves[i])
+		curves.Text = append(curves.Text, strings.ToUpper(text[:1])+text[1:]+".")
+	}
+	d.Sections = []section{curves, {ID: "figures", Title: "Figures", Tables: []table{s.table()}}}
+	if s.Scenario != "" {
+		d.Sections = append(d.Sections, scenarioText(s.Scenario))
+	}
+	return d.write(w)
+}
+
+func (s *Sweep) plot(h score.Headline) *plot {
+	p := newPlot("sweep", h.Name+" over "+s.Param, s.Param, h.About, 380)
+	x := scale{low: math.Inf(1), high: math.Inf(-1)}
+	y := scale{}
+	labels := map[float64]string{}
+	for _, c := range s.Curves {
+		for _, pt := range c.Points {
+			x.low, x.high = min(x.low, pt.X), max(x.high, pt.X)
+			if pt.Label != "" {
+				labels[pt.X] = pt.Label
+			}
+			if sp := score.SpreadOf(h.Each(pt.Plays)); sp.N > 0 {
+				y.high = max(y.high, sp.High)
+				y.low = min(y.low, sp.Low)
+			}
+		}
+	}
+	if x.low > x.high {
+		x.low, x.high = 0, 1
+	}
+	if len(labels) == 0 && x.low > 0 && x.high/x.low >= 50 {
+		x.log = true // fleets of 10 to 10,000
+	} else if pad := (x.high - x.low) * 0.02; pad > 0 {
+		x.low, x.high = x.low-pad, x.high+pad
+	}
+	if y.high = roundUp(y.high); y.high == 0 {
+		y.high = 1
+	}
+	p.axes(x, y, func(v float64) string { return strconv.FormatFloat(v, 'g', 6, 64) },
+		func(v float64) string { return short(shown(h.Name, v)) })
+	if len(labels) > 0 {
+		p.XTicks = nil
+		for _, c := range s.Curves {
+			for _, pt := range c.Points {
+				if labels[pt.X] != "" {
+					p.XTicks = append(p.XTicks, tick{p.x.at(pt.X), labels[pt.X]})
+					delete(labels, pt.X)
+				}
+			}
+		}
+	}
+	var said []string
+	for i := range s.Curves {
+		c := &s.Curves[i]
+		class := "s" + strconv.Itoa(i%6+1)
+		knee, ok := s.Knee(c)
+		var xs, ys []float64
+		for k := range c.Points {
+			pt := &c.Points[k]
+			sp := score.SpreadOf(h.Each(pt.Plays))
+			xs, ys = append(xs, pt.X), append(ys, sp.Mean)
+			if sp.N == 0 {
+				ys[k] = math.NaN()
+				continue
+			}
+			p.Dots = append(p.Dots, dot{p.x.at(pt.X), p.y.at(sp.Mean), p.y.at(sp.Low), p.y.at(sp.High), class,
+				strings.TrimSpace(c.Name + " " + pt.label() + ": " + withSpread(h.Name, sp)), ok && k == knee})
+		}
+		name := c.Name
+		if name == "" {
+			name = h.Name
+		} else if s.Second != "" {
+			name = s.Second + " " + name
+		}
+		p.add(class, name, xs, ys, false, false)
+		said = append(said, s.knee(c))
+	}
+	p.Desc = strings.Join(said, "; ") + "."
+	return p
+}
--- /dev/null
+++ b/internal/lab/report/plot.go
@@ -0,0 +1,444 @@
+package report
+
+import (
+	"fmt"
+	"math"
+	"strconv"
+	"strings"
+
+	"valvecove/internal/lab/score"
+)
+
+// px is a place in a drawing.
+type px float64
+
+func (x px) String() string {
+	return strings.TrimSuffix(strconv.FormatFloat(float64(x), 'f', 1, 64), ".0")
+}
+
+// scale brings values from Low to High to places.
+type scale struct {
+	low, high float64
+	log       bool
+	from, to  px
+}
+
+func (s *scale) at(v float64) px {
+	low, high := s.low, s.high
+	if s.log {
+		low, high, v = math.Log(low), math.Log(high), math.Log(max(v, s.low))
+	}
+	if high <= low {
+		return s.from
+	}
+	return s.from + px(min(max((v-low)/(high-low), 0), 1))*(s.to-s.from)
+}
+
+type tick struct {
+	At   px
+	Text string
+}
+
+// ticks are at round values, at most about n of them.
+func (s *scale) ticks(n int, text func(float64) string) []tick {
+	var out []tick
+	if s.log {
+		steps := []float64{1, 2, 5}
+		if math.Log10(s.high/s.low) > float64(n)/2 {
+			steps = steps[:1]
+		}
+		for power := math.Pow(10, math.Floor(math.Log10(s.low))); power <= s.high*1.001; power *= 10 {
+			for _, step := range steps {
+				if v := power * step; v >= s.low*0.999 && v <= s.high*1.001 {
+					out = append(out, tick{s.at(v), text(v)})
+				}
+			}
+		}
+		return out
+	}
+	step := roundUp((s.high - s.low) / float64(n))
+	if step <= 0 {
+		return []tick{{s.at(s.low), text(s.low)}}
+	}
+	for i := int(math.Ceil(s.low/step - 1e-9)); float64(i)*step <= s.high+step*1e-9; i++ {
+		v := float64(i) * step
+		out = append(out, tick{s.at(v), text(v)})
+	}
+	return out
+}
+
+// roundUp is the next of 1, 2, 5, 10 and so on.
+func roundUp(x float64) float64 {
+	if x <= 0 || bad(x) {
+		return 0
+	}
+	power := math.Pow(10, math.Floor(math.Log10(x)))
+	for _, step := range []float64{1, 2, 5} {
+		if x <= power*step*(1+1e-9) {
+			return power * step
+		}
+	}
+	return power * 10
+}
+
+// plot is a drawing that the template writes as SVG.
+type plot struct {
+	ID, Title, Desc, YName, XName string
+	W, H                          px
+	L, R, T, B                    px // borders of the area
+	XTicks, YTicks                []tick
+	Bands                         []band
+	Marks                         []markLine
+	Curves                        []curve
+	Dots                          []dot
+	Hovers                        []hover
+	x, y                          scale
+}
+
+type band struct {
+	X, W   px
+	Text   string // on hovering
+	Label  string
+	LabelX px
+	LabelY px
+	End    bool // the label ends at LabelX, since it would not fit to the right of it
+}
+
+type markLine struct {
+	X    px
+	Text string
+}
+
+type curve struct {
+	Class  string // s1 to s6
+	Name   string // empty: not in the legend
+	D      string
+	Area   bool
+	Strong bool
+}
+
+type dot struct {
+	X, Y, Low, High px
+	Class, Text     string
+	Knee            bool
+}
+
+type hover struct {
+	X, W px
+	Text string
+}
+
+const (
+	plotW   = 1000
+	seriesN = 500 // points of a curve at most; each may stand for several seconds
+)
+
+func newPlot(id, title, xName, yName string, height px) *plot {
+	return &plot{ID: id, Title: title, XName: xName, YName: yName, W: plotW, H: height, L: 62, R: plotW - 12, T: 24,
+		B: height - 34}
+}
+
+// axes sets the scales and their ticks. The area must have its borders by then.
+func (p *plot) axes(x, y scale, xText, yText func(float64) string) {
+	x.from, x.to, y.from, y.to = p.L, p.R, p.B, p.T
+	p.x, p.y = x, y
+	p.XTicks, p.YTicks = x.ticks(12, xText), y.ticks(5, yText)
+}
+
+// path draws through the values that there are; places where there is none stay open.
+func (p *plot) path(xs, ys []float64, area bool) string {
+	var b strings.Builder
+	b.Grow(12 * len(xs))
+	down := false // the pen
+	var last px
+	for i, y := range ys {
+		if bad(y) {
+			if down && area {
+				fmt.Fprintf(&b, "V%sZ", p.B)
+			}
+			down = false
+			continue
+		}
+		x, y := p.x.at(xs[i]), p.y.at(y)
+		switch {
+		case down:
+			fmt.Fprintf(&b, "L%s %s", x, y)
+		case area:
+			fmt.Fprintf(&b, "M%s %sV%s", x, p.B, y)
+		case i+1 == len(ys) || bad(ys[i+1]): // alone, it shows as a short line
+			fmt.Fprintf(&b, "M%s %sh1.5", x, y)
+		default:
+			fmt.Fprintf(&b, "M%s %s", x, y)
+		}
+		down, last = true, x
+	}
+	if down && area {
+		fmt.Fprintf(&b, "H%sV%sZ", last, p.B)
+	}
+	return b.String()
+}
+
+func (p *plot) add(class, name string, xs, ys []float64, area, strong bool) {
+	p.Curves = append(p.Curves, curve{class, name, p.path(xs, ys, area), area, strong})
+}
+
+// line is a curve of a plot over time, before it is drawn.
+type line struct {
+	name   string
+	class  string // empty: by its place among the lines
+	of     score.Series
+	area   bool
+	strong bool
+	gaps   bool // 0 is no value
+	how    func(score.Series) float64
+}
+
+// overTime is a plot of series by the second with the play's faults. top 0: as high as the values are.
+type overTime struct {
+	id, title, yName string
+	height           px
+	lines            []line
+	top              float64
+	log              bool
+	text             func(float64) string // of values
+	labels           bool                 // faults are named, not just numbered
+}
+
+// timeline is what all plots of a play have in common.
+type timeline struct {
+	end    float64
+	faults []score.Fault
+	marks  []score.Mark
+}
+
+func (t *timeline) plot(o overTime) *plot {
+	p := newPlot(o.id, o.title, "seconds since the play's start", o.yName, o.height)
+	lanes := t.bands(p, o.labels)
+	n := 0
+	for i := range o.lines {
+		n = max(n, len(o.lines[i].of))
+	}
+	n = min(n, int(math.Ceil(t.end)))
+	for i := range o.lines { // all as long as the plot
+		of := o.lines[i].of
+		o.lines[i].of = append(of[:min(n, len(of)):min(n, len(of))], make(score.Series, n-min(n, len(of)))...)
+	}
+	p.T += px(14 * max(0, lanes-1))
+	p.H += px(14 * max(0, lanes-1))
+	p.B = p.H - 34
+	y := scale{high: o.top, log: o.log}
+	for i := range o.lines {
+		l := &o.lines[i]
+		if o.top == 0 {
+			y.high = max(y.high, most(l.of))
+		}
+		if o.log {
+			for _, v := range l.of {
+				if v > 0 && (y.low == 0 || v < y.low) {
+					y.low = v
+				}
+			}
+		}
+	}
+	if o.log {
+		y.low, y.high = max(y.low, 0.1), max(y.high, 1)
+		y.low = math.Pow(10, math.Floor(math.Log10(min(y.low, y.high/2))))
+	} else if y.high = y.high * 1.04; y.high == 0 {
+		y.high = 1
+	}
+	seconds := func(v float64) string { return strconv.FormatFloat(v, 'g', 6, 64) }
+	p.axes(scale{high: max(t.end, 1)}, y, seconds, func(v float64) string { return short(o.text(v)) })
+	said := make([]string, 0, len(o.lines))
+	var texts []string // of the hovers
+	each := 1
+	for i := range o.lines {
+		l := &o.lines[i]
+		how := l.how
+		if how == nil {
+			how = mean
+		}
+		var of score.Series
+		of, each = thin(l.of, seriesN, how)
+		xs, ys := make([]float64, len(of)), make([]float64, len(of))
+		for k, v := range of {
+			xs[k] = min((float64(k)+0.5)*float64(each), t.end)
+			if ys[k] = v; l.gaps && v == 0 || o.log && v <= 0 {
+				ys[k] = math.NaN()
+			}
+			if len(texts) <= k {
+				texts = append(texts, fmt.Sprintf("%d s", k*each))
+			}
+			texts[k] += " · " + l.name + " " + o.text(v)
+		}
+		class := l.class
+		if class == "" {
+			class = "s" + strconv.Itoa(i%6+1)
+		}
+		p.add(class, l.name, xs, ys, l.area, l.strong)
+		said = append(said, fmt.Sprintf("%s: mean %s, greatest %s", l.name, o.text(mean(l.of)), o.text(most(l.of))))
+	}
+	for k, text := range texts {
+		for i, f := range t.faults[:min(len(t.faults), mostBands)] {
+			if f.On < float64((k+1)*each) && (f.Off < 0 || f.Off > float64(k*each)) {
+				text += fmt.Sprintf(" · fault %d", i+1)
+			}
+		}
+		from, to := p.x.at(float64(k*each)), p.x.at(float64((k+1)*each))
+		p.Hovers = append(p.Hovers, hover{from, to - from, text})
+	}
+	p.Desc = strings.Join(said, "; ") + "."
+	if len(t.faults) > 0 {
+		p.Desc += fmt.Sprintf(" %s shown as bands.", plural(len(t.faults), "fault is", "faults are"))
+	}
+	return p
+}
+
+// Bands are labelled as far as there is room for it.
+const (
+	mostBands = 400
+	lanes     = 4
+	perRune   = 6.0 // width of a character, on the safe side
+)
+
+// bands marks faults and marks, and tells how many lanes of labels they take.
+func (t *timeline) bands(p *plot, named bool) (used int) {
+	x := scale{high: max(t.end, 1), from: p.L, to: p.R}
+	ends := make([]px, lanes) // of the labels in each lane
+	if !named {
+		ends = ends[:1]
+	}
+	for i := range ends {
+		ends[i] = p.L - 100
+	}
+	for i, f := range t.faults[:min(len(t.faults), mostBands)] {
+		off := f.Off
+		if off < 0 {
+			off = t.end
+		}
+		from, to := x.at(f.On), x.at(off)
+		b := band{X: from, W: max(to-from, 1.5), Text: fmt.Sprintf("%d. %s, from %s", i+1, f.Text, instant(f.On))}
+		if f.Off >= 0 {
+			b.Text += " to " + instant(f.Off)
+		}
+		labels := []string{strconv.Itoa(i + 1)}
+		if named {
+			labels = []string{clip(fmt.Sprintf("%d %s", i+1, f.Text), 34), labels[0]}
+		}
+	fit:
+		for _, text := range labels {
+			wide := px(perRune * float64(len([]rune(text))))
+			for lane := range ends {
+				at, end := from, from+wide
+				if end > p.R {
+					at, end = p.R-wide, p.R
+				}
+				if at < ends[lane]+4 {
+					continue
+				}
+				b.Label, b.LabelX, b.LabelY, ends[lane] = text, at, px(18+14*lane), end
+				used = max(used, lane+1)
+				break fit
+			}
+		}
+		p.Bands = append(p.Bands, b)
+	}
+	for _, m := range t.marks[:min(len(t.marks), mostBands)] {
+		p.Marks = append(p.Marks, markLine{x.at(m.At), instant(m.At) + " " + m.Text})
+	}
+	return used
+}
+
+// strip is the occupancy of worker nodes over time: a line for each, or for some that lie side by side.
+type strip struct {
+	ID, Title, Desc string
+	Note            string
+	W, H, L, T      px
+	ScaleX, ScaleY  string
+	Levels          []level
+	XTicks, YTicks  []tick
+	Bands           []band
+	AreaW, AreaH    px
+}
+
+// level is all cells of one shade, drawn as one path in units of cells.
+type level struct {
+	Class, D, Name string
+}
+
+const (
+	stripCells = 240 // columns at most
+	shades     = 8
+)
+
+func (t *timeline) strip(o *score.Occupancy) *strip {
+	lines := o.Strip
+	columns := 0
+	for i := range lines {
+		columns = max(columns, len(lines[i].Use))
+	}
+	each := max(1, (columns+stripCells-1)/stripCells)
+	columns = (columns + each - 1) / each
+	if columns == 0 || len(lines) == 0 {
+		return nil
+	}
+	high := px(min(max(8, 320/len(lines)), 22))
+	if len(lines) > 100 {
+		high = 3
+	}
+	s := &strip{ID: "strip", Title: "Occupancy of worker nodes over time", W: plotW, L: 62, T: 8, AreaW: plotW - 74,
+		AreaH: high * px(len(lines))}
+	s.H = s.T + s.AreaH + 34
+	cell := o.CellSpan * float64(each)
+	wide := s.AreaW / px(columns)
+	s.ScaleX, s.ScaleY = strconv.FormatFloat(float64(wide), 'f', 4, 64), high.String()
+	paths := make([]strings.Builder, shades+1) // the last: none was up
+	for row := range lines {
+		use := lines[row].Use
+		shade := func(c int) int {
+			sum, n := 0.0, 0
+			for _, x := range use[min(c*each, len(use)):min((c+1)*each, len(use))] {
+				if x >= 0 {
+					sum, n = sum+x, n+1
+				}
+			}
+			if n == 0 {
+				return shades
+			}
+			return min(int(sum/float64(n)*shades), shades-1)
+		}
+		for c := 0; c < columns; {
+			level, from := shade(c), c
+			for c < columns && shade(c) == level {
+				c++
+			}
+			if level > 0 { // idle is the ground that all is drawn on
+				fmt.Fprintf(&paths[level], "M%d %dh%dv1h-%dz", from, row, c-from, c-from)
+			}
+		}
+	}
+	for i := range paths {
+		name := fmt.Sprintf("%d to %d%%", i*100/shades, (i+1)*100/shades)
+		if i == shades {
+			name = "not up"
+		}
+		s.Levels = append(s.Levels, level{"h" + strconv.Itoa(i), paths[i].String(), name})
+	}
+	x := scale{high: cell * float64(columns), from: s.L, to: s.L + s.AreaW}
+	s.XTicks = x.ticks(12, func(v float64) string { return strconv.FormatFloat(v, 'g', 6, 64) })
+	every := max(1, (len(lines)*14+int(s.AreaH)-1)/int(s.AreaH))
+	for row := 0; row < len(lines); row += every {
+		text := fmt.Sprint("w-", lines[row].First)
+		s.YTicks = append(s.YTicks, tick{s.T + (px(row)+0.5)*high, text})
+	}
+	for i, f := range t.faults[:min(len(t.faults), mostBands)] {
+		from := x.at(f.On)
+		s.Bands = append(s.Bands, band{X: from, Text: fmt.Sprintf("%d. %s", i+1, f.Text)})
+	}
+	if each := (len(o.Nodes) + len(lines) - 1) / len(lines); each > 1 {
+		s.Note = fmt.Sprintf("each line up to %d worker nodes side by side", each)
+	}
+	s.Desc = fmt.Sprintf("%s in %s, each cell %s. The fleet's occupancy is %s; the busiest, w-%d, has %s.",
+		plural(len(o.Nodes), "worker node", "worker nodes"), plural(len(lines), "line", "lines"), instant(cell),
+		percent(o.Whole), o.BusiestNode, percent(o.Busiest))
+	return s
+}
--- /dev/null
+++ b/internal/lab/report/terminal.go
@@ -0,0 +1,364 @@
+package report
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"slices"
+	"strings"
+	"time"
+	"unicode/utf8"
+
+	"golang.org/x/sys/unix"
+
+	"valvecove/internal/lab/score"
+)
+
+// A page is for a terminal of this size.
+const (
+	pageWidth = 100
+	pageLines = 60
+)
+
+// tty tells whether w is a terminal.
+func tty(w io.Writer) bool {
+	f, ok := w.(*os.File)
+	if !ok {
+		return false
+	}
+	_, err := unix.IoctlGetTermios(int(f.Fd()), unix.TCGETS)
+	return err == nil
+}
+
+func colours(w io.Writer) bool {
+	return os.Getenv("NO_COLOR") == "" && os.Getenv("TERM") != "dumb" && tty(w)
+}
+
+// Progress writes how a play stands while it runs: on a terminal one line that changes, elsewhere a line for each
+// second of the play, and after a minute for every ten.
+type Progress struct {
+	w     io.Writer
+	tty   bool
+	last  score.Tally
+	shown bool
+	wide  int // of the line that stands there
+}
+
+// NewProgress writes to w.
+func NewProgress(w io.Writer) *Progress { return &Progress{w: w, tty: tty(w)} }
+
+// Show takes in how a play stands, and writes a line if it is time for one. It may be called as often as one likes.
+func (p *Progress) Show(t *score.Tally) {
+	every := time.Second
+	if !p.tty && t.At > time.Minute {
+		every = 10 * time.Second
+	}
+	since := t.At - p.last.At
+	if t.At/every == p.last.At/every || since <= 0 {
+		return
+	}
+	line := p.line(t, since)
+	p.last = *t
+	p.last.Faults = nil // the caller keeps that
+	p.shown = true
+	if !p.tty {
+		fmt.Fprintln(p.w, line)
+		return
+	}
+	wide := utf8.RuneCountInString(line)
+	fmt.Fprint(p.w, "\r", line, strings.Repeat(" ", max(0, p.wide-wide)))
+	p.wide = wide
+}
+
+func (p *Progress) line(t *score.Tally, since time.Duration) string {
+	rate := func(now, before int) string { return figure(float64(now-before) / since.Seconds()) }
+	line := fmt.Sprintf("%6s  asked %4s/s  in time %4s/s  refused %4s/s  in flight %5s  nodes %d/%d",
+		fmt.Sprint(int(t.At.Seconds()), " s"), rate(t.Due, p.last.Due), rate(t.InTime, p.last.InTime),
+		rate(t.Refused, p.last.Refused), count(t.InFlight), t.NodesUp, t.Nodes)
+	for i, f := range t.Faults {
+		f, _, _ = strings.Cut(f, ":") // what, without whom it strikes
+		line += [2]string{", ", "  ! "}[max(0, 1-i)] + f
+	}
+	return clip(line, pageWidth-1)
+}
+
+// Done leaves the line as it is and begins a new one.
+func (p *Progress) Done() {
+	if p.tty && p.shown {
+		fmt.Fprintln(p.w)
+	}
+}
+
+// clip cuts a line to so many characters, and takes out what a terminal would act on.
+func clip(line string, wide int) string {
+	line = strings.Map(func(r rune) rune {
+		if r < ' ' || r >= 0x7f && r < 0xa0 {
+			return ' '
+		}
+		return r
+	}, line)
+	if utf8.RuneCountInString(line) <= wide {
+		return line
+	}
+	runes := []rune(line)
+	return string(runes[:wide-1]) + "…"
+}
+
+// page gathers lines.
+type page struct {
+	b      strings.Builder
+	colour bool
+}
+
+// Styles of a line: what it begins with stands out.
+const (
+	plain  = ""
+	strong = "\x1b[1m"
+	good   = "\x1b[32m"
+	poor   = "\x1b[31m"
+	faint  = "\x1b[2m"
+)
+
+func (p *page) line(style, format string, args ...any) {
+	text := clip(strings.TrimRight(fmt.Sprintf(format, args...), " "), pageWidth)
+	if p.colour && style != plain && text != "" {
+		text = style + text + "\x1b[0m"
+	}
+	p.b.WriteString(text + "\n")
+}
+
+// some writes at most n lines of a list, the last of which may say how many more there are.
+func some[T any](p *page, list []T, n int, what string, write func(x *T)) {
+	for i := range list {
+		if i == n-1 && len(list) > n {
+			p.line(faint, "  … and %d more %s", len(list)-i, what)
+			return
+		}
+		write(&list[i])
+	}
+}
+
+// Page writes the page of figures that ends a play: at most 60 lines of 100 columns, with colours only where w is a
+// terminal and NO_COLOR is not set. v may be nil: not judged.
+func Page(w io.Writer, r *score.Result, v *Verdict, met []score.Met) error {
+	p := &page{colour: colours(w)}
+	p.write(r, v, met)
+	_, err := io.WriteString(w, p.b.String())
+	return err
+}
+
+func (p *page) write(r *score.Result, v *Verdict, met []score.Met) {
+	p.line(strong, "%s", r.Name)
+	p.line(faint, "%s", gist(r))
+	style := good
+	if v == nil || v.Void != "" {
+		style = strong
+	}
+	if v.Total() > 0 {
+		style = poor
+	}
+	p.line(style, "%s", strings.ToUpper(v.String()[:1])+v.String()[1:])
+	if v != nil {
+		some(p, v.Broken, 4, "breaches", func(b *Breach) {
+			p.line(poor, "  %s at %s: %s", b.Rule, instant(b.At.Seconds()), b.Text)
+		})
+		some(p, v.LeftOut, 2, "things left out", func(what *string) { p.line(faint, "  left out: %s", *what) })
+	}
+	p.line(plain, "")
+	p.worth(r)
+	p.table(r)
+	p.seconds(r)
+	p.effort(r)
+	p.troubles(r)
+	some(p, met, 6, "expectations", func(m *score.Met) {
+		word, style := "met    ", good
+		if !m.OK {
+			word, style = "NOT MET", poor
+		}
+		note := ""
+		if m.Note != "" {
+			note = " (" + m.Note + ")"
+		}
+		p.line(style, "%s  %s: %s%s", word, m.Expectation, got(m), note)
+	})
+}
+
+func (p *page) worth(r *score.Result) {
+	w := &r.Worth
+	p.line(strong, "worth answered in time over worth asked for  %.3f  %s", w.Mix, bar(w.Mix, 40))
+	p.line(plain, "  whole play %.3f; worst 10 s %.3f, from %.0f s on", w.Whole, w.Worst10, w.Worst10At)
+	p.line(plain, "  worst class %.3f, %s; worst tenant %.3f, %s", w.WorstClass.Value, clip(w.WorstClass.Name, 24),
+		w.WorstTenant.Value, clip(w.WorstTenant.Name, 24))
+	p.line(plain, "")
+}
+
+func (p *page) table(r *score.Result) {
+	p.line(faint, "%-18s%7s%8s%7s%8s%7s%9s%6s  %8s%8s%8s", "", "jobs", "in time", "late", "refused", "failed", "unansw.",
+		"lost", "p50", "p99", "max")
+	row := func(g *score.Group) {
+		of := func(o score.Outcome) string { return percent(float64(g.Outcomes[o]) / float64(max(1, g.Due))) }
+		p.line(plain, "%-18s%7d%8s%7s%8s%7s%9s%6s  %8s%8s%8s", clip(g.Name, 17), g.Due, of(score.InTime), of(score.Late),
+			of(score.Refused), of(score.Failed), of(score.Unanswered), of(score.Lost), span(g.Latency.P50),
+			span(g.Latency.P99), span(g.Latency.Max))
+	}
+	row(&r.Whole)
+	some(p, r.Classes, 6, "classes", row)
+	some(p, worstFirst(r.Tenants, 5), 5, "tenants", row)
+	p.line(plain, "")
+}
+
+// worstFirst leaves a short list as it is, and puts the worst of a long one first.
+func worstFirst(list []score.Group, n int) []score.Group {
+	if len(list) <= n {
+		return list
+	}
+	list = slices.Clone(list)
+	slices.SortStableFunc(list, func(a, b score.Group) int {
+		switch {
+		case a.Within < b.Within:
+			return -1
+		case a.Within > b.Within:
+			return 1
+		}
+		return 0
+	})
+	return list
+}
+
+func (p *page) seconds(r *score.Result) {
+	s := &r.Seconds
+	end := len(s.Asked)
+	for end > 1 && s.Asked[end-1] == 0 && s.InFlight[end-1] == 0 && s.GoodputJobs[end-1] == 0 {
+		end-- // nothing went on any more
+	}
+	const wide = 72
+	_, each := thin(s.Asked[:end], wide, mean)
+	p.line(faint, "%-12s0 to %d s, each mark %d s", "by second", end, each)
+	line := func(name string, of score.Series, how func(score.Series) float64, top float64, unit func(float64) string) {
+		of, _ = thin(of[:min(end, len(of))], wide, how)
+		if top == 0 {
+			top = of.Max()
+		}
+		p.line(plain, "%-12s%-*s  max %s", name, wide, spark(of, top), unit(of.Max()))
+	}
+	top := max(s.AskedJobs.Max(), s.GoodputJobs.Max())
+	line("asked/s", s.AskedJobs, mean, top, figure)
+	line("in time/s", s.GoodputJobs, mean, top, figure)
+	line("refused/s", s.Refused, mean, 0, figure)
+	line("in flight", s.InFlight, mean, 0, figure)
+	line("p99", s.P99, most, 0, span)
+	line("occupancy", s.Occupancy, mean, 1, percent)
+	if len(r.Faults) > 0 {
+		on := make([]byte, min(wide, (end+each-1)/each))
+		for i := range on {
+			on[i] = ' '
+			for k := range r.Faults {
+				if f := &r.Faults[k]; f.On < float64((i+1)*each) && (f.Off < 0 || f.Off >= float64(i*each)) {
+					on[i] = '!'
+				}
+			}
+		}
+		p.line(poor, "%-12s%s", "faults", on)
+	}
+	p.line(plain, "")
+}
+
+func (p *page) effort(r *score.Result) {
+	e, w := &r.Effort, &r.Waste
+	p.line(plain, "attempts    %.3f a job, %d at most; second copies %s; turned away %s, handed back %s, withdrawn %s",
+		e.PerJob, e.MostAttempts, count(e.SecondCopies), count(e.Turned), count(e.Returned), count(e.Withdrawn))
+	p.line(plain, "waste       %s of work asked, in s: repeated %s, too late %s, died or failed %s; after aim %s",
+		percent(w.Share), figure(w.Repeated), figure(w.TooLate+w.Left+w.Unused), figure(w.Killed+w.Errors),
+		figure(e.AfterAim))
+	p.line(plain, "clients     tries %s, retries %s, refused %s; probes %s, links %s, notes %s", count(e.Tries),
+		count(e.Retries), count(e.Refused), count(e.Probes), count(e.Links), count(e.Notes))
+	p.line(plain, "fleet       occupancy %s; busiest w-%d %s, %s times the mean; pushed over %d", percent(r.Fleet.Whole),
+		r.Fleet.BusiestNode, percent(r.Fleet.Busiest), figure(r.Fleet.OverMean), e.Falls)
+	if len(r.Bad) > 0 {
+		var all score.BadFigures
+		for _, b := range r.Bad {
+			all.Connected += b.Connected
+			all.Errors += b.Errors
+			all.Closed += b.Closed
+			all.Served += b.Served
+			all.Open += b.Open
+		}
+		p.line(plain, "bad clients %s: errors %s, closed %s, served %s, left waiting %s", count(all.Connected),
+			count(all.Errors), count(all.Closed), count(all.Served), count(all.Open))
+	}
+	var used []score.Process
+	for _, proc := range r.Procs {
+		if proc.Memory > 0 || proc.CPU > 0 {
+			used = append(used, proc)
+		}
+	}
+	some(p, used, 3, "processes", func(x *score.Process) {
+		p.line(plain, "%-12s%s cores; peak memory %s, descriptors %s", procName(x.Sched), figure(x.Cores),
+			size(float64(x.Memory)), count(x.Files))
+	})
+	if l := r.Lateness; l.Count > 0 {
+		p.line(plain, "lab late    %s; p99.9 %s, max %s", plural(l.Count, "time", "times"), span(l.P999), span(l.Max))
+	}
+	p.line(plain, "")
+}
+
+func procName(sched int) string {
+	if sched < 0 {
+		return "lab"
+	}
+	return fmt.Sprint("scheduler ", sched)
+}
+
+func (p *page) troubles(r *score.Result) {
+	some(p, r.Troubles, 6, "disturbances", func(d *score.Disturbance) {
+		style := plain
+		if !d.Recovered {
+			style = poor
+		}
+		p.line(style, "%s to %s  %s  %s", instant(d.From), instant(d.To), after(d), strings.Join(d.Faults, ", "))
+	})
+	if len(r.Troubles) > 0 {
+		p.line(plain, "")
+	}
+}
+
+// after says how a disturbance went by.
+func after(d *score.Disturbance) string {
+	switch {
+	case !d.Dip:
+		return "no dip;"
+	case !d.Recovered:
+		return fmt.Sprintf("down to %s of %s, NOT back in %s;", percent(d.Low), percent(d.Before), instant(d.FromEnd))
+	case d.FromEnd == 0:
+		return fmt.Sprintf("down to %s of %s, back before its end;", percent(d.Low), percent(d.Before))
+	}
+	return fmt.Sprintf("down to %s of %s, back %s after its end;", percent(d.Low), percent(d.Before), instant(d.FromEnd))
+}
+
+var eighths = []rune(" ▏▎▍▌▋▊▉█")
+
+// bar draws a share as so many characters.
+func bar(x float64, wide int) string {
+	n := int(min(max(x, 0), 1)*float64(8*wide) + 0.5)
+	var b strings.Builder
+	for range wide {
+		b.WriteRune(eighths[min(n, 8)])
+		n -= min(n, 8)
+	}
+	return strings.TrimRight(b.String(), " ")
+}
+
+var heights = []rune(" ▁▂▃▄▅▆▇█")
+
+// spark draws a series, a character for each value; what is above nothing shows.
+func spark(s score.Series, top float64) string {
+	var b strings.Builder
+	for _, x := range s {
+		i := 0
+		if top > 0 && x > 0 {
+			i = 1 + min(int(x/top*float64(len(heights)-1)), len(heights)-2)
+		}
+		b.WriteRune(heights[i])
+	}
+	return b.String()
+}
--- a/internal/lab/score/result.go
+++ b/internal/lab/score/result.go
@@ -86,19 +86,20 @@
 
 // Group is all jobs, or those of a class or a tenant. Due is the sum of Outcomes and Open.
 type Group struct {
-	Name     string        `json:"name"`
-	Asked    float64       `json:"worth_asked"`
-	Earned   float64       `json:"worth_earned"`
-	Share    float64       `json:"in_time"`        // Earned over Asked
-	Within   float64       `json:"in_time_within"` // the same of jobs within their tenant's share
-	Due      int           `json:"due"`
-	Open     int           `json:"open"` // not settled when the play ended
-	Outcomes [outcomes]int `json:"outcomes"`
-	Shares   OutcomeShares `json:"shares"`
-	Attempts float64       `json:"attempts"` // for each settled job, of those that reached a worker node
-	Latency  Latency       `json:"latency"`  // of those served, from when they were due
-	own      worth         // within the share
-	of       *hdrhistogram.Histogram
+	Name         string        `json:"name"`
+	Asked        float64       `json:"worth_asked"`
+	Earned       float64       `json:"worth_earned"`
+	Share        float64       `json:"in_time"`            // Earned over Asked
+	AskedWithin  float64       `json:"worth_asked_within"` // of jobs within their tenant's share
+	EarnedWithin float64       `json:"worth_earned_within"`
+	Within       float64       `json:"in_time_within"` // EarnedWithin over AskedWithin
+	Due          int           `json:"due"`
+	Open         int           `json:"open"` // not settled when the play ended
+	Outcomes     [outcomes]int `json:"outcomes"`
+	Shares       OutcomeShares `json:"shares"`
+	Attempts     float64       `json:"attempts"` // for each settled job, of those that reached a worker node
+	Latency      Latency       `json:"latency"`  // of those served, from when they were due
+	of           *hdrhistogram.Histogram
 }
 
 // OutcomeShares are shares of the jobs due.
@@ -125,10 +126,11 @@
 // Effort is what was done to serve, counted at clients and worker nodes.
 type Effort struct {
 	Tries        int     `json:"tries"`
-	Retries      int     `json:"retries"`       // tries after a job's first
-	Resent       int     `json:"resent"`        // the same query once more on a new connection
-	Served       int     `json:"tries_served"`  // answers, by tries
-	Refused      int     `json:"tries_refused"` // by schedulers
+	Retries      int     `json:"retries"`         // tries after a job's first
+	Unreached    int     `json:"tries_unreached"` // found no scheduler; not among Tries
+	Resent       int     `json:"resent"`          // the same query once more on a new connection
+	Served       int     `json:"tries_served"`    // answers, by tries
+	Refused      int     `json:"tries_refused"`   // by schedulers
 	Failed       int     `json:"tries_failed"`
 	Attempts     int     `json:"attempts"` // that reached worker nodes
 	PerJob       float64 `json:"attempts_per_job"`
@@ -339,7 +341,7 @@
 
 func (g *group) result(name string) Group {
 	out := Group{Name: name, Asked: g.worth.asked, Earned: g.worth.earned, Due: g.due, Outcomes: g.outcomes,
-		Latency: latency(g.hist), own: g.within, of: g.hist}
+		Latency: latency(g.hist), AskedWithin: g.within.asked, EarnedWithin: g.within.earned, of: g.hist}
 	out.finish(g.attempts)
 	return out
 }
@@ -350,7 +352,7 @@
 		settled += n
 	}
 	g.Open = g.Due - settled
-	g.Share, g.Within = share(g.Earned, g.Asked), g.own.share()
+	g.Share, g.Within = share(g.Earned, g.Asked), share(g.EarnedWithin, g.AskedWithin)
 	of := func(n int) float64 { return share(float64(n), float64(g.Due)) }
 	o := &g.Outcomes
 	g.Shares = OutcomeShares{of(o[InTime] + o[Late]), of(o[InTime]), of(o[Refused]), of(o[Failed]), of(o[Unanswered]),
@@ -360,13 +362,13 @@
 
 func (s *Score) whole(classes []Group) Group {
 	all := Group{Name: "all"}
-	hist, attempts := newHistogram(), 0
+	hist, attempts := newHistogram(fine), 0
 	for i := range classes {
 		c := &classes[i]
 		all.Asked += c.Asked
 		all.Earned += c.Earned
-		all.own.asked += c.own.asked
-		all.own.earned += c.own.earned
+		all.AskedWithin += c.AskedWithin
+		all.EarnedWithin += c.EarnedWithin
 		all.Due += c.Due
 		for k, n := range c.Outcomes {
 			all.Outcomes[k] += n
@@ -389,7 +391,7 @@
 	w := Worth{Asked: r.Whole.Asked, Earned: r.Whole.Earned, Whole: r.Whole.Share}
 	w.Worst10, w.Worst10At = worstOf(r.Seconds.Asked, r.Seconds.Earned, int(math.Ceil(r.Length)))
 	w.WorstClass = worstGroup(r.Classes, w.Whole, func(g *Group) (float64, float64) { return g.Asked, g.Share })
-	w.WorstTenant = worstGroup(r.Tenants, w.Whole, func(g *Group) (float64, float64) { return g.own.asked, g.Within })
+	w.WorstTenant = worstGroup(r.Tenants, w.Whole, func(g *Group) (float64, float64) { return g.AskedWithin, g.Within })
 	w.Mix = ofWhole*w.Whole + ofWorst10*w.Worst10 + ofWorstClass*w.WorstClass.Value + ofWorstTenant*w.WorstTenant.Value
 	return w
 }
