--- a/internal/lab/edge/edge.go
+++ b/internal/lab/edge/edge.go
@@ -52,6 +52,7 @@
 	Told                        // a worker node's note, a call of its own: Note, NoteID; expects Acked
 	Listed                      // news on the watch of discovery: List
 	Unlisted                    // the watch ended, or a call to discovery failed
+	Quiet                       // an empty line on the watch: nothing has changed. One comes every 2 s; it is for the scheduler's side to notice that none does, or that a call stays without an answer
 )
 
 // What concerns a live driver only, as there a kernel connects and accepts; in virtual time it means nothing.
@@ -133,6 +134,7 @@
 	Delete                 // DELETE /jobs/Call reached worker node Node over Conn
 	Acked                  // it answers the note NoteID of Node with Status; 0: the call failed
 	Watch                  // it asks discovery for the watch from generation After on
+	Unmet                  // live only: the client's connection Conn never came up, so nothing was asked over it
 )
 
 // Out is something that comes from scheduler Sched.
--- a/internal/lab/scenario/check.go
+++ b/internal/lab/scenario/check.go
@@ -66,6 +66,9 @@
 func (s *Scenario) Check() error {
 	c := &checker{}
 	c.name("name", s.Name)
+	if s.Seed < 0 {
+		c.fault("seed", "expected 0 or more, got %d", s.Seed)
+	}
 	c.spanIn("length", s.Length, 100*ms, maxLength)
 	c.spanIn("settle", s.Settle, 0, maxLength)
 	if len(s.Drivers) == 0 {
@@ -313,6 +316,8 @@
 		c.fault(key+".at", "%v is outside the play, which is %v long", f.At, s.Length)
 	} else if f.Spread < 0 || f.At+f.Spread > s.Length {
 		c.fault(key+".spread", "%v reaches outside the play, which is %v long", f.Spread, s.Length)
+	} else if f.Spread > 0 && (to != "node" && to != "sched" || f.What == "half_open") {
+		c.fault(key+".spread", "%s strikes all at once", f.What)
 	}
 	c.spanIn(key+".for", f.For, 0, maxSpan)
 	switch {
@@ -383,8 +388,9 @@
 		!slices.ContainsFunc(s.Fleet.Kinds, func(k Kind) bool { return k.Name == t.Kind && k.Share > 0 }) {
 		c.fault(key+".kind", "%q matches nothing: there is no worker node of that kind", t.Kind)
 	}
-	if may("zone", t.Zone != "", nodes) && !slices.Contains(s.Fleet.Zones, t.Zone) {
-		c.fault(key+".zone", "%q matches nothing: zones are %s", t.Zone, strings.Join(s.Fleet.Zones, ", "))
+	zones := s.Fleet.Zones[:min(len(s.Fleet.Zones), max(0, s.Fleet.Nodes))] // dealt out in turn
+	if may("zone", t.Zone != "", nodes) && !slices.Contains(zones, t.Zone) {
+		c.fault(key+".zone", "%q matches nothing: zones are %s", t.Zone, strings.Join(zones, ", "))
 	}
 	if may("share", t.Share != 0, nodes || scheds) {
 		c.in(key+".share", t.Share, 0, 1)
--- a/internal/lab/scenario/doc.go
+++ b/internal/lab/scenario/doc.go
@@ -10,9 +10,10 @@
 // # Faults
 //
 // A fault strikes at At. Its targets are all that match everything in On; Share leaves so much of them, drawn by the
-// play's seed, one at least. With Spread they are struck in turn, evenly over so long. Faults may overlap: what one
-// of them does ends with it, and what the others do stays. Two that slow the same worker node multiply, two that
-// have it hang end with the later one.
+// play's seed, one at least. With Spread worker nodes and schedulers are struck in turn, evenly over so long; all
+// other faults, and half_open, strike at once. Faults may overlap: what one of them does ends with it, and what the
+// others do stays. Two that slow the same worker node multiply, of two that make it err the larger share holds, of two
+// that reset its connections the later; two that have it hang end with the later one.
 //
 // Worker nodes (On: names, cells, kind, zone, share). For is how long it holds; 0 is for good.
 //
--- a/internal/lab/scenario/scenario.go
+++ b/internal/lab/scenario/scenario.go
@@ -18,6 +18,7 @@
 type Scenario struct {
 	Name       string     `toml:"name"`    // defaults to the file's
 	About      string     `toml:"about"`   // one sentence
+	Seed       int        `toml:"seed"`    // of the play that it is kept for; 0: of none
 	Length     Span       `toml:"length"`  // jobs fall due for so long
 	Settle     Span       `toml:"settle"`  // and the play goes on for at most so long; default: the longest deadline and 2 s
 	Drivers    []string   `toml:"drivers"` // default both
@@ -155,7 +156,7 @@
 	SilentNotice Span    `toml:"silent_notice"` // of a worker node that vanished or is cut off
 	Add          Span    `toml:"add"`           // of a start
 	Period       Span    `toml:"period"`        // between looks at its own list
-	Capacity     float64 `toml:"capacity"`      // lists a second; calls wait in turn and fail after timeout; 0: no limit
+	Capacity     float64 `toml:"capacity"`      // lines of lists a second; calls wait in turn and fail after timeout; 0: no limit
 	Timeout      Span    `toml:"timeout"`
 }
 
