Model the lab's worker nodes and network

Need: the lab's world has to hold worker nodes that fail in every way of the incident record, and a network between any two parties, the same for both drivers.

A worker node shares its cores among the slots in use, has a bounded waiting room (fifo or backfill), warms up by time or by work, falls over when pushed while cold, remembers transfer keys with its group, tells notes by calls of their own that are tried ten times, and can be put through each fault of the timeline. The network's delays are drawn from the instant and the two parties, so what one party does shifts no draw of another's. Cuts hold connections' traffic up until they heal; idle connections may be forgotten unseen.

The same seed gives the same sights.

--- /dev/null
+++ b/internal/lab/world/network_test.go
@@ -0,0 +1,141 @@
+package world
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"testing"
+	"time"
+
+	"valvecove/internal/lab/edge"
+	"valvecove/internal/lab/scenario"
+	"valvecove/internal/steps"
+)
+
+func TestDelays(t *testing.T) {
+	spec, _ := plain(4)
+	spec.Fleet.Zones = []string{"a", "b"}
+	spec.Net = scenario.Net{Delay: scenario.Span(ms), Cross: scenario.Span(10 * ms), Client: scenario.Span(2 * ms), Jitter: 0.5}
+	r := newRig(t, spec, 1)
+	check := func(from, to party, want, cv float64) {
+		t.Helper()
+		const n = 20_000
+		sum, squares := 0.0, 0.0
+		for i := range n {
+			r.w.now = time.Duration(i) * time.Microsecond
+			at, _ := r.w.net.arrival(from, to)
+			d := (at - r.w.now).Seconds() * 1000
+			sum, squares = sum+d, squares+d*d
+		}
+		mean := sum / n
+		got := math.Sqrt(squares/n-mean*mean) / mean
+		if math.Abs(mean-want) > 0.05*want || math.Abs(got-cv) > 0.05*cv {
+			t.Errorf("%v to %v takes %v ms, give or take %v; want %v and %v", from, to, mean, got, want, cv)
+		}
+	}
+	sched, near, far := party{aSched, 0}, party{aNode, 2}, party{aNode, 3}
+	check(sched, near, 1, 0.5)
+	check(far, sched, 10, 0.5)
+	check(party{aClient, 7}, sched, 2, 0.5)
+	check(party{theDisco, 0}, far, 1, 0.5)
+	undo := r.w.net.lag(crowd{kind: aNode, only: map[int]bool{2: true}}, crowd{kind: aSched}, 20*ms)
+	check(sched, near, 21, math.Sqrt(400./3+0.25)/21)
+	check(sched, far, 10, 0.5)
+	undo()
+	undo()
+	check(near, sched, 1, 0.5)
+}
+
+// end is a far end that remembers.
+type end struct{ over bool }
+
+func (e *end) party() party  { return party{aNode, 0} }
+func (e *end) ended(c *conn) { e.over = true }
+
+// FuzzConn puts a connection through random sendings and cuts: what arrives is what was sent, in order, and once all
+// cuts have healed nothing is missing.
+func FuzzConn(f *testing.F) {
+	steps.Fuzz(f, func(s *steps.Steps) {
+		spec, _ := plain(1)
+		spec.Net = scenario.Net{Delay: scenario.Span(5 * ms), Jitter: 1}
+		r, far := newRig(s.T, spec, uint64(s.Pick(256))), &end{}
+		c := r.w.open(&conn{id: edge.LinkConn(0, 1), far: far, up: true})
+		send := []func(*conn, func()){r.w.toSched, r.w.toFar}
+		var sent, got [2][]int
+		var undo []func()
+		closed, cuts := -1, []bool{} // by which side; of those in force, which are one way
+		for i := 0; s.More(); i++ {
+			pick := s.Pick(16)
+			s.Did(fmt.Sprint(pick))
+			switch side := pick % 2; {
+			case pick < 8 && closed != 1-side:
+				sent[side] = append(sent[side], i)
+				send[side](c, func() { got[side] = append(got[side], i) })
+			case pick >= 8 && pick < 10:
+				undo = append(undo, r.w.net.cut(crowd{kind: aSched}, crowd{kind: aNode}, side == 1))
+				cuts = append(cuts, side == 1)
+			case pick < 12 && len(undo) > 0:
+				k := s.Pick(len(undo))
+				undo[k]()
+				undo, cuts = slices.Delete(undo, k, k+1), slices.Delete(cuts, k, k+1)
+			case pick == 12 && closed < 0 && i > 20:
+				closed = s.Pick(2)
+				r.w.shut(c, closed)
+			default:
+				r.pass(time.Duration(s.Pick(20)) * ms)
+			}
+			for side := range got {
+				s.Check(len(got[side]) <= len(sent[side]) && slices.Equal(got[side], sent[side][:len(got[side])]),
+					"side %d: sent %v, got %v", side, sent[side], got[side])
+			}
+			_, back := r.w.net.arrival(party{aNode, 0}, party{aSched, 0})
+			_, _, up := r.w.net.reach(party{aSched, 0}, party{aNode, 0})
+			s.Check(back == !slices.Contains(cuts, false) && up == (len(cuts) == 0), "cuts %v: back %v, up %v", cuts, back, up)
+		}
+		for _, heal := range undo {
+			heal()
+		}
+		r.pass(time.Minute)
+		for side := range got { // what comes after a close is for nobody
+			s.Check(closed == side || len(got[side]) == len(sent[side]), "side %d: sent %v, got %v", side, sent[side], got[side])
+		}
+		s.Check(len(r.w.conns) == 1 == (closed < 0) && far.over == (closed == schedSide),
+			"closed by %d, %d connections are left, the far end knows of it %v", closed, len(r.w.conns), far.over)
+	})
+}
+
+func TestIdleConnectionsAreForgotten(t *testing.T) {
+	spec, k := plain(1)
+	k.Idle, spec.Net.DropsIdle = 0, scenario.Span(time.Second)
+	r := newRig(t, spec, 1)
+	n, a, b := r.w.nodes[0], r.ask(0, "a", safeClass, 0.1, 1), r.dial(0, 0)
+	r.pass(900 * ms)
+	r.out(a, edge.Sent, "a")
+	r.pass(300 * ms)
+	r.last(a, edge.Answered)
+	r.out(b, edge.Sent, "a")
+	r.pass(ms)
+	if in := r.last(b, edge.LinkDown); !in.Reset || n.seq != 2 || len(n.links) != 2 {
+		t.Fatalf("too late it was answered by %+v, and %d came", in, n.seq)
+	}
+	// The worker node still has it; what it says there finds nobody.
+	n.hangUp(r.w.conns[b].part.(*nodeLink))
+	if r.pass(ms); r.w.conns[b] != nil {
+		t.Fatal("closed at both ends, it is still there")
+	}
+}
+
+func TestSendWaitsForACut(t *testing.T) {
+	spec, _ := plain(1)
+	r, came := newRig(t, spec, 1), time.Duration(-1)
+	scheds, disco := crowd{kind: aSched}, crowd{kind: theDisco}
+	back, there := r.w.net.cut(disco, scheds, true), r.w.net.cut(scheds, disco, true)
+	r.w.net.send(party{aSched, 0}, party{theDisco, 0}, func() { came = r.w.now })
+	r.pass(time.Second)
+	back()
+	r.pass(time.Second)
+	there()
+	if r.pass(time.Second); came != 2*time.Second {
+		t.Fatalf("arrived at %v", came)
+	}
+}
--- /dev/null
+++ b/internal/lab/world/nodes_test.go
@@ -0,0 +1,527 @@
+package world
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"valvecove/internal/lab/edge"
+	"valvecove/internal/lab/scenario"
+	"valvecove/internal/lab/seen"
+	"valvecove/internal/steps"
+)
+
+// nodeModel keeps the simplest books there are of one worker node: what may happen to an attempt, and in which order.
+type nodeModel struct {
+	s     *steps.Steps
+	kind  *scenario.Kind
+	slots map[string]float64
+	in    []string        // reached, and not at an end, in order
+	begun map[string]bool // of those
+	again string          // reached a second time: it can but be turned away
+	last  string          // that began just now
+	stops string          // that was given up just now, and is to end by that
+	used  float64
+	hung  bool // since its start
+}
+
+func (m *nodeModel) saw(x *seen.Sight) {
+	check := func(ok bool, what string) { m.s.Check(ok, "%v: %s of %q", x.At, what, x.Call) }
+	// An error at the door takes no slot: there it has ended by now.
+	if atDoor := x.What == seen.Finished && x.Call == m.last; m.last != "" && !atDoor {
+		check(m.used <= float64(m.kind.Slots), "run in a slot that there is not, by "+m.last)
+		for i := 0; m.kind.Order == "fifo" && m.in[i] != m.last; i++ {
+			check(m.begun[m.in[i]], "run out of turn, by "+m.last)
+		}
+	}
+	check(m.stops == "" || x.What == seen.Died && x.Call == m.stops && x.Text == "cancelled", "run on of what is cancelled")
+	m.last, m.stops = "", ""
+	at := slices.Index(m.in, x.Call)
+	switch x.What {
+	case seen.Withdrawn:
+		if m.kind.CancelStops && at >= 0 {
+			m.stops = x.Call
+		}
+	case seen.Reached:
+		if at >= 0 {
+			m.again = x.Call
+			return
+		}
+		m.in = append(m.in, x.Call)
+	case seen.Began:
+		check(at >= 0 && !m.begun[x.Call], "second run")
+		m.begun[x.Call], m.last = true, x.Call
+		m.used += m.slots[x.Call]
+	case seen.Rejected, seen.Returned, seen.Died, seen.Finished:
+		if m.again == x.Call {
+			check(x.What == seen.Rejected && x.Status == 503, "second attempt taken")
+			m.again = ""
+			return
+		}
+		check(at >= 0 && (x.Text != "cancelled" || m.kind.CancelStops), "second end, or one by a cancel that stops nothing")
+		check(x.What == seen.Died || m.begun[x.Call] == (x.What == seen.Finished), "wrong end")
+		if m.begun[x.Call] {
+			m.used -= m.slots[x.Call]
+		}
+		m.in = slices.Delete(m.in, at, at+1)
+		delete(m.begun, x.Call)
+	case seen.NodeHang, seen.NodeUp:
+		m.hung = x.What == seen.NodeHang
+	}
+	room := m.kind.Queue + 1 // that one is on its way from reached to its fate
+	if m.hung {
+		room += m.kind.Slots
+	}
+	check(len(m.in)-len(m.begun) <= room, "room that there is not")
+}
+
+// FuzzNode puts a worker node and the model through random queries and faults.
+func FuzzNode(f *testing.F) {
+	steps.Fuzz(f, func(s *steps.Steps) {
+		spec, k := plain(1)
+		k.Cores, k.Slots, k.Queue = float64(1+s.Pick(4)), 2+s.Pick(5), s.Pick(6)
+		k.Order = []string{"fifo", "backfill"}[s.Pick(2)]
+		k.Expired = []string{"run", "drop"}[s.Pick(2)]
+		k.CancelStops, k.HandsBack, k.StartMute = s.Pick(2) == 0, s.Pick(2) == 0, s.Pick(4) == 0
+		k.WarmBy = []string{"time", "work"}[s.Pick(2)]
+		k.Accept, k.Handshake = scenario.Span(s.Pick(3))*scenario.Span(ms), scenario.Span(s.Pick(3))*scenario.Span(ms)
+		k.ErrorRate, k.NoteEarly, k.NoteLost, k.NoteTwice = 0.1, 0.2, 0.1, 0.1
+		k.NoteLate, k.Progress = scenario.Span(ms), scenario.Span(50*ms)
+		spec.Net = scenario.Net{Delay: scenario.Span(ms), Jitter: 0.5}
+		spec.Classes[unsafeClass].Noise = 0.5
+		r := newRig(s.T, spec, uint64(s.Pick(256)))
+		m := &nodeModel{s: s, kind: k, slots: map[string]float64{}, begun: map[string]bool{}}
+		r.see = m.saw
+		r.ack = func(in *edge.In) (int, bool) { return []int{204, 200, 503, 0}[s.Pick(4)], s.Pick(8) > 0 }
+		n, conns, calls := r.w.nodes[0], []edge.Conn{r.dial(0, 0)}, []string{"unknown"}
+		for i := 0; s.More(); i++ {
+			pick, c, call := s.Pick(32), conns[s.Pick(len(conns))], calls[s.Pick(len(calls))]
+			s.Did(fmt.Sprintf("%v:%d", r.w.now, pick))
+			switch {
+			case pick < 3:
+				conns = append(conns, r.dial(0, 0))
+			case pick < 15:
+				call = fmt.Sprint("call-", i)
+				m.slots[call] = float64(int(1) << s.Pick(3))
+				r.query(call, unsafeClass, float64(1+s.Pick(100))/1000, m.slots[call])
+				calls = append(calls, call)
+				r.out(c, edge.Sent, call)
+			case pick < 19:
+				kinds := []edge.OutKind{edge.Sent, edge.Hangup, edge.Delete, edge.Probe}
+				r.out(c, kinds[pick-15], call)
+			case pick == 19:
+				n.hang(s.Pick(2) == 0)
+			case pick == 20:
+				n.pause(time.Duration(s.Pick(50)) * ms)
+			case pick == 21:
+				n.slow(float64(1 + s.Pick(3)))
+			case pick == 22:
+				ends := []func(time.Duration){n.crash, n.vanish, n.restart, n.replace, n.dieAtAccept}
+				ends[s.Pick(len(ends))](time.Duration(1+s.Pick(50)) * ms)
+			case pick == 23:
+				[]func(){n.drain, n.handBack}[s.Pick(2)]()
+			case pick == 24:
+				[]func(bool){n.full, n.mute, n.slowRead}[s.Pick(3)](s.Pick(2) == 0)
+			default:
+				r.pass(time.Duration(s.Pick(40)) * ms)
+			}
+		}
+		n.hang(false)
+		r.pass(5 * time.Minute)
+		s.Check(len(m.in) == 0 && m.used == 0, "%v has no end, %v slots are in use", m.in, m.used)
+		s.Check(len(n.all)+len(n.hand)+len(n.wait)+len(n.running)+n.post.owed+len(n.post.notes) == 0 && n.used == 0,
+			"left over: %+v", n)
+		t := r.w.Truth(0)
+		s.Check(n.state != nodeUp || t.Free == t.Slots && t.Backlog < 1e-6 && t.Speed > 0, "at rest it is %+v", t)
+	})
+}
+
+func TestCoresAreShared(t *testing.T) {
+	spec, k := plain(1)
+	k.Cores, k.Slots = 2, 4
+	r := newRig(t, spec, 1)
+	r.ask(0, "a", safeClass, 1, 2)
+	r.pass(500 * ms)
+	r.ask(0, "b", safeClass, 0.5, 2) // 4 slots on 2 cores: half speed each, until a is done
+	r.ask(0, "c", safeClass, 0.25, 4)
+	r.ask(0, "d", safeClass, 0.25, 1) // would fit once a is done, but c is before it
+	if truth := r.w.Truth(0); truth.Free != 0 || truth.Waiting != 2 || truth.Backlog != 0.5*2+0.5*2+0.25*4+0.25 {
+		t.Fatalf("the truth is %+v", truth)
+	}
+	r.pass(10 * time.Second)
+	r.must(seen.Began, "b", 500*ms)
+	r.must(seen.Finished, "b", r.must(seen.Finished, "a", 1500*ms).At)
+	r.must(seen.Finished, "c", r.must(seen.Began, "c", 1500*ms).At+500*ms)
+	if s := r.must(seen.Finished, "d", 2250*ms); s.Text != "d w-0/1#4" || s.Status != 200 {
+		t.Fatalf("its result is %q", s.Text)
+	}
+	r.notes("a", "started", "done")
+	if in := r.ins[len(r.ins)-1]; in.Note.From != "w-0" || *in.Note.Result != "d w-0/1#4" {
+		t.Fatalf("told %+v", in.Note)
+	}
+}
+
+func TestWarmsUp(t *testing.T) {
+	for _, by := range []string{"time", "work"} {
+		spec, k := plain(1)
+		k.WarmBy, k.ColdFrom, k.Cold, k.Queue = by, 0.25, scenario.Span(8*time.Second), 100
+		r := newRig(t, spec, 1)
+		n := r.w.nodes[0]
+		n.crash(time.Second)
+		r.run(time.Second)
+		for i := range 10 {
+			r.ask(0, fmt.Sprint(i), safeClass, 10, 4)
+		}
+		for at := time.Duration(0); at <= 8*time.Second; at += 250 * ms {
+			r.run(time.Second + at)
+			even, got := 0.25+0.75*at.Seconds()/8, r.w.Truth(0).Speed
+			if got < even-1e-9 || at == 0 && got > 0.28 {
+				t.Fatalf("by %s it is at %v after %v, %v would be even", by, got, at, even)
+			}
+		}
+		// The work done is the integral of the speed: from 0.25 to 1 evenly over 8 s is 5 s, and each step gives a little.
+		if done := n.v; by == "time" && (done < 5 || done > 5.06) || by == "work" && (done < 6 || done > 8) {
+			t.Fatalf("by %s it did %v s in 8 s", by, done)
+		}
+	}
+}
+
+func TestFallsOver(t *testing.T) {
+	// Capacity 4 x 0.25 when cold, budget 3 x 1 x 2 s, slack 1.25 mean jobs.
+	spec, k := plain(1)
+	k.ColdFrom, k.Cold, k.Queue, spec.Rules.FallFactor = 0.25, scenario.Span(time.Hour), 1, 3
+	budget := 6 + 1.25*spec.MeanCost()
+	var r *rig
+	play := func(each time.Duration, work float64, told bool) time.Duration {
+		r = newRig(t, spec, 1)
+		r.told = told
+		r.w.nodes[0].crash(time.Second)
+		r.run(time.Second)
+		for i := range 200 {
+			r.ask(0, fmt.Sprint(i), safeClass, work, 1)
+			r.pass(each)
+		}
+		s, ok := r.first(seen.Fell, "")
+		if ok && s.Share != map[bool]float64{true: 1}[told] {
+			t.Fatalf("share of those told is %v, told %v", s.Share, told)
+		}
+		return s.At - time.Second
+	}
+	if fell := play(100*ms, 0.29, true); fell > 0 {
+		t.Fatalf("fell after %v at 2.9 times its capacity", fell)
+	}
+	fell := play(100*ms, 0.5, false) // most of it is turned away, and presses all the same
+	if least := time.Duration(budget/0.5) * 100 * ms; fell != least {
+		t.Fatalf("fell after %v at 5 times its capacity, want %v", fell, least)
+	}
+	r.last(r.ask(0, "later", safeClass, 1, 1), edge.LinkDown)
+	r.w.nodes[0].crash(time.Second)
+	if r.pass(time.Hour); r.w.nodes[0].state == nodeUp {
+		t.Fatal("it is back after its fall")
+	}
+	if fell = play(10*ms, 1, true); fell != time.Duration(budget)*10*ms {
+		t.Fatalf("fell after %v in a burst", fell)
+	}
+}
+
+func TestNotes(t *testing.T) {
+	spec, k := plain(1)
+	r := newRig(t, spec, 1)
+	var answers []int // to what is told of ends, -1 being none; 204 once they are used up
+	r.ack = func(in *edge.In) (int, bool) {
+		if in.Note.State != "done" || len(answers) == 0 {
+			return 204, true
+		}
+		x := answers[0]
+		answers = answers[1:]
+		return x, x >= 0
+	}
+	ask := func(call string, work float64, d time.Duration) {
+		r.ask(0, call, safeClass, work, 1)
+		r.pass(d)
+	}
+	answers = []int{500, 0, -1, 200}
+	ask("a", 0.1, time.Minute)
+	r.notes("a", "started", "done", "done", "done", "done")
+	answers = slices.Repeat([]int{503, -1}, 9)
+	ask("b", 0.1, time.Minute)
+	if s, _ := r.first(seen.NoteLost, "b"); s.Text != "done" || len(answers) != 8 {
+		t.Fatalf("%q was given up with %d answers left", s.Text, len(answers))
+	}
+	answers = nil
+	// To a scheduler that is gone there is no answer; the one that runs there later gets the note.
+	r.w.scheds[0].alive = false
+	ask("c", 0.1, 5*time.Second)
+	r.w.scheds[0].alive = true
+	r.pass(5 * time.Second)
+	r.notes("c", "started", "done")
+	// What is not told while it is mute stays untold; what a hang holds up is told after that.
+	n := r.w.nodes[0]
+	n.mute(true)
+	ask("d", 0.1, time.Second)
+	n.mute(false)
+	ask("e", 1, 500*ms)
+	n.hang(true)
+	r.pass(time.Minute)
+	r.notes("d")
+	r.notes("e", "started")
+	if in := r.last(r.ask(0, "f", safeClass, 1, 1), edge.Answered); in.Status != 202 {
+		t.Fatalf("a hung one answers %+v", in)
+	}
+	n.hang(false)
+	r.pass(time.Minute)
+	r.notes("e", "started", "done")
+	r.notes("f", "started", "done")
+	// They wait for the 202, but for some.
+	early := 0
+	k.Accept, k.NoteEarly, k.NoteTwice = scenario.Span(50*ms), 0.5, 1
+	for i := range 40 {
+		call, at := fmt.Sprint(i), r.w.now
+		ask(call, 0.01, time.Second)
+		r.must(seen.Accepted, call, at+50*ms)
+		r.notes(call, "started", "done", "started", "done")
+		if s, _ := r.first(seen.Noted, call); s.At < at+50*ms {
+			early++
+		}
+	}
+	if early < 10 || early > 30 {
+		t.Fatalf("%d of 40 were told before their 202", early)
+	}
+}
+
+func TestKeysAreRemembered(t *testing.T) {
+	spec, _ := plain(8)
+	spec.Fleet.CellSize = 4
+	r := newRig(t, spec, 1)
+	ask := func(node int, call string) {
+		r.query(call, keyedClass, 1, 1)
+		r.tries[call].key = "key"
+		r.ask(node, call, keyedClass, 1, 1)
+	}
+	// ends checks when a call's run ended, and whether it was a run of its own.
+	ends := func(call string, at time.Duration, first string) {
+		t.Helper()
+		s, began := r.must(seen.Finished, call, at), seen.Sight{}
+		began, _ = r.first(seen.Began, call)
+		if !strings.HasPrefix(s.Text, first+" w-") || (began.Text == "repeat") != (first != call) {
+			t.Fatalf("%q ended with %q, want the result of %q", call, s.Text, first)
+		}
+	}
+	ask(0, "a")
+	r.pass(500 * ms)
+	ask(1, "b")
+	ask(4, "c") // in the other cell
+	r.run(19 * time.Second)
+	ask(2, "d")
+	r.run(21 * time.Second)
+	ask(2, "e") // after its window
+	ask(3, "f")
+	ask(1, "g")
+	r.pass(500 * ms)
+	r.w.nodes[2].crash(0) // the repeat that waits for it takes its place; the next one waits for that
+	r.pass(5 * time.Second)
+	ends("a", time.Second, "a")
+	ends("b", time.Second, "a")
+	ends("c", 1500*ms, "c")
+	ends("d", 19*time.Second, "a")
+	r.must(seen.Died, "e", 21500*ms)
+	if s := r.must(seen.Finished, "f", 22500*ms); s.Text != r.must(seen.Finished, "g", 22500*ms).Text {
+		t.Fatal("the repeat has another result than what ran in the place of the first")
+	}
+	r.notes("b", "done")
+	r.notes("f", "started", "done")
+	// Under another key than the client's it is no query of that client.
+	c := r.dial(0, 0)
+	r.step(r.w.now)
+	r.outs = append(r.outs, edge.Out{Kind: edge.Sent, Conn: c, Call: "a", Key: "other"})
+	r.step(r.w.now)
+	if s := r.must(seen.Rejected, "a", r.w.now); s.Status != 400 || r.last(c, edge.Answered).Status != 400 {
+		t.Fatalf("answered %d", s.Status)
+	}
+}
+
+func TestLinks(t *testing.T) {
+	spec, k := plain(1)
+	k.Conns, k.Idle, k.Handshake = 2, scenario.Span(time.Second), scenario.Span(20*ms)
+	r := newRig(t, spec, 1)
+	n, ask := r.w.nodes[0], func(call string) edge.Conn { return r.ask(0, call, safeClass, 0.01, 1) }
+	a, b, c := ask("a"), ask("b"), ask("above the cap")
+	if r.last(b, edge.LinkUp); r.last(c, edge.LinkDown).Reset {
+		t.Fatal("one that did not come up looks like one that was reset")
+	}
+	r.pass(1010 * ms)
+	r.must(seen.Reached, "a", 20*ms)
+	r.last(a, edge.Answered)
+	if r.pass(10 * ms); !r.last(b, edge.LinkDown).Reset {
+		t.Fatal("the idle one does not look like one that was reset")
+	}
+	r.do(func() { n.refuse(true) })
+	r.last(ask("refused"), edge.LinkDown)
+	r.do(func() { n.refuse(false) })
+	r.do(func() { n.neverUp(true) })
+	r.last(ask("silent"), 0)
+	r.do(func() { n.neverUp(false) })
+	n.resetAt(8)
+	if in := r.last(ask("reset while it is read"), edge.LinkUp); in.Bytes != 8 {
+		t.Fatalf("%+v", in)
+	}
+	n.resetAt(-9)
+	c = ask("reset in its answer")
+	r.pass(100 * ms)
+	r.last(c, edge.LinkDown)
+	if i := slices.IndexFunc(r.ins, func(in edge.In) bool { return in.Bytes == 9 }); r.ins[i].Kind != edge.Answered {
+		t.Fatalf("%+v", r.ins[i])
+	}
+	n.slowRead(true)
+	r.pass(2 * time.Second)
+	at := r.w.now
+	ask("slow")
+	r.pass(2 * time.Second)
+	r.must(seen.Reached, "slow", at+1020*ms)
+	if r.ins = slices.DeleteFunc(r.ins, func(in edge.In) bool { return in.Kind != edge.Hear }); len(r.ins) != 4 ||
+		r.ins[0].Mode != edge.Refuse || r.ins[1].Mode != edge.Open || r.ins[2].Mode != edge.NeverUp {
+		t.Fatalf("modes of accepting were %+v", r.ins)
+	}
+}
+
+func TestDeaths(t *testing.T) {
+	spec, k := plain(4)
+	k.Accept, k.HandsBack = scenario.Span(ms), true
+	r := newRig(t, spec, 1)
+	// A machine that vanishes says nothing. Once it is back it resets what is said to a process that it has forgotten.
+	v, idle, busy := r.w.nodes[0], r.dial(0, 0), r.ask(0, "v", safeClass, 10, 1)
+	r.pass(10 * ms)
+	v.vanish(time.Second)
+	r.query("v2", safeClass, 1, 1)
+	r.out(busy, edge.Sent, "v2")
+	r.pass(900 * ms)
+	r.last(busy, edge.Answered)
+	r.must(seen.Died, "v", 10*ms)
+	r.notes("v", "started")
+	r.pass(200 * ms)
+	r.last(busy, edge.LinkDown)
+	if r.last(idle, edge.LinkUp); v.startedMs() != 1010 {
+		t.Fatalf("back at %v", v.startedMs())
+	}
+	r.out(idle, edge.Sent, "v2")
+	r.pass(ms)
+	if r.last(idle, edge.LinkDown); v.seq != 1 {
+		t.Fatal("it took what came over a connection of before")
+	}
+	// It answers 202 and dies at that instant.
+	r.w.nodes[1].dieAtAccept(0)
+	c := r.ask(1, "d", safeClass, 1, 1)
+	r.pass(time.Second)
+	r.last(c, edge.LinkDown)
+	r.must(seen.Accepted, "d", r.must(seen.Died, "d", 1112*ms).At)
+	// A planned restart finishes what runs and hands back what waits.
+	p, at := r.w.nodes[2], r.w.now
+	r.ask(2, "p0", safeClass, 1.9, 4)
+	r.ask(2, "p1", safeClass, 2, 1)
+	r.pass(100 * ms)
+	p.restart(time.Second)
+	r.pass(10 * ms)
+	r.must(seen.Returned, "p1", at+100*ms)
+	r.notes("p1", "returned")
+	if in := r.last(r.ask(2, "p2", safeClass, 1, 1), edge.Answered); in.Status != 503 || !in.Rejected {
+		t.Fatalf("while it drains it said %+v", in)
+	}
+	r.pass(2 * time.Second)
+	r.must(seen.Finished, "p0", at+1900*ms)
+	if r.notes("p0", "started", "done"); p.state != nodeDead {
+		t.Fatal("it runs on with nothing left")
+	}
+	if r.pass(time.Second); p.state != nodeUp || p.boot != 2 || p.id != "w-2" {
+		t.Fatalf("%+v", p)
+	}
+	// Another machine takes its place. Who has not been told of it knows the old address only.
+	x := r.w.nodes[3]
+	r.told, r.life = false, nil
+	x.replace(time.Second)
+	r.pass(2 * time.Second)
+	old := r.dial(0, 3)
+	r.pass(time.Second)
+	r.last(old, 0)
+	r.told = true
+	fresh := r.dial(0, 3)
+	r.pass(time.Second)
+	r.last(fresh, edge.LinkUp)
+	x.remove()
+	x.crash(time.Second)
+	r.pass(time.Minute)
+	want := []lifeEvent{lifeSilent, lifeGone, lifeUp, lifeDrain, lifeGone, lifeDown}
+	if x.id != "w-3.1" || x.state == nodeUp || !slices.Equal(r.life, want) {
+		t.Fatalf("%s is in state %d, and discovery was told %v", x.id, x.state, r.life)
+	}
+}
+
+// load sends so many queries to random worker nodes, and has some of these crash.
+func (r *rig) load(queries int, each, crashes time.Duration) {
+	rng, conns := r.w.rng("load", 0), make([]edge.Conn, len(r.w.nodes))
+	calls := make([]string, 1<<16)
+	for i := range calls {
+		calls[i] = fmt.Sprintf("%016x", i)
+		r.query(calls[i], i%4, 0.1*rng.ExpFloat64(), float64(1+i%2))
+	}
+	down := crashes
+	for i := range queries {
+		n := rng.IntN(len(conns))
+		if r.w.conns[conns[n]] == nil {
+			conns[n] = r.dial(n%len(r.w.scheds), n)
+		}
+		if r.pass(each); crashes > 0 && r.w.now > down {
+			r.w.nodes[n].crash(time.Second)
+			down += crashes
+		}
+		if r.out(conns[n], edge.Sent, calls[i%len(calls)]); len(r.ins) > 1<<16 {
+			r.ins = r.ins[:0]
+		}
+	}
+}
+
+func TestSameSeedSamePlay(t *testing.T) {
+	play := func(seed uint64) []seen.Sight {
+		spec := scenario.Default()
+		spec.Fleet.Zones, spec.Schedulers.Count = []string{"a", "b"}, 2
+		spec.Fleet.Kinds[0].PauseEvery, spec.Fleet.Kinds[0].Pause = scenario.Span(time.Second), scenario.Span(10*ms)
+		r := newRig(t, spec, seed)
+		r.load(2000, 3*ms, 300*ms)
+		r.pass(time.Minute)
+		return r.sights
+	}
+	a, b, c := play(1), play(1), play(2)
+	if !slices.Equal(a, b) || slices.Equal(a, c) || len(a) < 5000 {
+		t.Fatalf("%d and %d sights with the same seed, %d with another", len(a), len(b), len(c))
+	}
+}
+
+func TestFleet(t *testing.T) {
+	spec := scenario.Default()
+	spec.Fleet.Nodes, spec.Fleet.Zones = 1000, []string{"a", "b", "c"}
+	r := newRig(t, spec, 1)
+	kinds, cells, addrs, size := map[string]int{}, map[[2]int]bool{}, map[string]bool{}, 0.0
+	for i, n := range r.w.nodes {
+		kinds[n.kind.Name]++
+		cells[[2]int{n.cell, n.zone}], addrs[r.w.NodeAddr(i)] = true, true
+		size += n.size() / spec.Capacity()
+	}
+	// 250 cells, of which two lie where one zone ends and the next begins.
+	if kinds["std-4c"] != 510 || len(cells) != 252 || len(addrs) != 1000 || size < 0.99 || size > 1.01 {
+		t.Fatalf("kinds %v, %d cells, %d addresses, %v of its capacity", kinds, len(cells), len(addrs), size)
+	}
+}
+
+func BenchmarkNodes(b *testing.B) {
+	for _, nodes := range []int{100, 10_000} {
+		b.Run(fmt.Sprint(nodes), func(b *testing.B) {
+			spec := scenario.Default()
+			spec.Fleet.Nodes = nodes
+			r := newRig(b, spec, 1)
+			r.w.watch = func(*seen.Sight) {}
+			b.ReportAllocs()
+			r.load(b.N, 50*ms/time.Duration(nodes), 0) // 20 jobs a second for each
+		})
+	}
+}
--- a/internal/lab/world/world.go
+++ b/internal/lab/world/world.go
@@ -25,6 +25,9 @@
 	Spec  *scenario.Scenario
 	Epoch time.Duration // Unix time of the play's start
 
+	// Addrs gives worker nodes other addresses than NodeAddr's own; nil: it doesn't.
+	Addrs func(node int) string
+
 	seed  uint64
 	now   time.Duration
 	queue agenda
@@ -108,7 +111,7 @@
 	switch o.Kind {
 	case edge.Ready, edge.Unready, edge.Exited:
 		w.scheds[o.Sched].did(o)
-	case edge.Replied, edge.Cut:
+	case edge.Replied, edge.Cut, edge.Unmet:
 		w.clients.did(o)
 	case edge.Watch:
 		w.disco.did(o)
