--- /dev/null
+++ b/internal/lab/yardstick/yardstick.go
@@ -0,0 +1,80 @@
+// Package yardstick has reference policies that any module can be held against in the same world: each is a
+// ledger.Module that keeps the rules a scheduler must keep, and differs from the others in its choice of worker
+// alone. Random choice is the floor, the one that sees the true state of all worker nodes is the top.
+//
+// What they have in common (base): a query is sent where its class may go and to no worker node that drains or is
+// gone; a cold one is passed over as often as it lacks capacity; an attempt that proves never to have run is
+// followed by another elsewhere, one that may have run only as far as the class permits; what can't be sent any
+// more is refused where that is harmless, and failed elsewhere. They are the same play for the same seed.
+package yardstick
+
+import (
+	"slices"
+
+	"valvecove/internal/lab/world"
+	"valvecove/internal/ledger"
+	"valvecove/logic"
+)
+
+// Oracle is what only a yardstick in the lab may know.
+type Oracle interface {
+	// Node is the world's number of the worker node that a module knows as worker; not ok: there is none.
+	Node(worker uint64) (node int, ok bool)
+	// View is a worker node's true state, and what passes between it and the scheduler.
+	View(node int) world.View
+	// Work is the true work of a job that arrived in the present step: seconds on a standard core, and slots. Runs
+	// vary about it by the noise of the job's class.
+	Work(job uint64) (work, slots float64, ok bool)
+}
+
+// Maker makes a module that knows nothing.
+type Maker func(set logic.Settings, seed uint64, o Oracle) ledger.Module
+
+// Policy is one yardstick.
+type Policy struct {
+	Name  string
+	About string // one sentence
+	// ForPlay gives the maker of one play's modules. Those of one play may share what is true at an instant.
+	ForPlay func() Maker
+}
+
+// All are the yardsticks, from the floor to the top.
+func All() []Policy {
+	return []Policy{
+		{"random", "any worker node, each as likely", simple(func(b *base) chooser { return random{b} })},
+		{"round-robin", "the worker nodes in turn", simple(func(b *base) chooser { return &roundRobin{base: b} })},
+		{"two-choices", "the one with fewer queries of the scheduler's own out, of two drawn at random",
+			simple(func(b *base) chooser { return twoChoices{b} })},
+		{"least-outstanding", "the one with the fewest queries of the scheduler's own out",
+			simple(func(b *base) chooser { return &leastOutstanding{base: b} })},
+		{"all-seeing", "the query first whose start can wait least, to a worker node that truly can start it now and" +
+			" be in time; what can't be in time is refused", func() Maker {
+			flight := &inFlight{}
+			return func(set logic.Settings, seed uint64, o Oracle) ledger.Module {
+				b := newBase(set, seed)
+				b.policy = newSeeing(b, o, flight)
+				return b
+			}
+		}},
+	}
+}
+
+// Find finds a yardstick by its name.
+func Find(name string) (Policy, bool) {
+	all := All()
+	i := slices.IndexFunc(all, func(p Policy) bool { return p.Name == name })
+	if i < 0 {
+		return Policy{}, false
+	}
+	return all[i], true
+}
+
+func simple(choose func(b *base) chooser) func() Maker {
+	return func() Maker {
+		return func(set logic.Settings, seed uint64, _ Oracle) ledger.Module {
+			b := newBase(set, seed)
+			b.policy = &atOnce{base: b, chooser: choose(b)}
+			return b
+		}
+	}
+}
--- /dev/null
+++ b/internal/lab/yardstick/yardstick_test.go
@@ -0,0 +1,333 @@
+package yardstick
+
+import (
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"valvecove/internal/lab/world"
+	"valvecove/internal/ledger"
+	"valvecove/logic"
+)
+
+// glass is an Oracle over worker nodes that a test sets: worker n+1 is node n.
+type glass struct {
+	truth []world.View
+	work  func(job uint64) float64
+}
+
+func (g *glass) Node(worker uint64) (int, bool) {
+	return int(worker) - 1, worker <= uint64(len(g.truth))
+}
+func (g *glass) View(node int) world.View                { return g.truth[node] }
+func (g *glass) Work(job uint64) (w, s float64, ok bool) { return g.work(job), 0, true }
+
+func clear4() world.View {
+	return world.View{Truth: world.Truth{Up: true, Cores: 4, Speed: 1, Slots: 4, Free: 4}, Met: true, Knocks: true}
+}
+
+func newGlass(nodes int) *glass {
+	g := &glass{work: func(uint64) float64 { return 0.1 }}
+	for range nodes {
+		g.truth = append(g.truth, clear4())
+	}
+	return g
+}
+
+var plain = logic.Settings{Replicas: 1, TryLimit: 4, SecondCopies: true, Cold: 10 * time.Second, ColdFrom: 0.25,
+	MaxRetryAfter: time.Second, Classes: []logic.Class{{Aim: time.Second, GiveUp: 5 * time.Second, Effect: logic.Safe}}}
+
+func listOf(n int) logic.WorkerList {
+	l := logic.WorkerList{Kind: logic.ListFull}
+	for i := range n {
+		l.Workers = append(l.Workers, logic.Worker{ID: uint64(i + 1), Ready: true, Cell: i / 4, Kind: i % 2, Zone: i % 2})
+	}
+	return l
+}
+
+func jobs(from, n int) (all []logic.Event) {
+	for i := range n {
+		all = append(all, logic.Job{ID: uint64(from + i), Left: 5 * time.Second, Slots: 1})
+	}
+	return all
+}
+
+// sends is where a step sent what.
+func sends(actions []logic.Action) (all []logic.Send) {
+	for _, a := range actions {
+		if s, ok := a.(logic.Send); ok {
+			all = append(all, s)
+		}
+	}
+	return all
+}
+
+func module(t *testing.T, name string, set logic.Settings, o Oracle) ledger.Module {
+	t.Helper()
+	p, ok := Find(name)
+	if !ok {
+		t.Fatalf("no yardstick %s", name)
+	}
+	return p.ForPlay()(set, 1, o)
+}
+
+func TestChoices(t *testing.T) {
+	const nodes, each = 8, 50
+	for _, c := range []struct {
+		name        string
+		least, most int // jobs at one of the nodes
+	}{{"random", 25, 80}, {"round-robin", each, each}, {"two-choices", each - 4, each + 4}, {"least-outstanding", each, each}} {
+		m, at := module(t, c.name, plain, nil), map[uint64]int{}
+		m.Step(1, []logic.Event{listOf(nodes)}, nil)
+		for _, s := range sends(m.Step(2, jobs(1, nodes*each), nil)) {
+			at[s.Worker]++
+		}
+		for w := range uint64(nodes) {
+			if at[w+1] < c.least || at[w+1] > c.most {
+				t.Errorf("%s: %d jobs at worker %d, expected %d to %d", c.name, at[w+1], w+1, c.least, c.most)
+			}
+		}
+	}
+}
+
+// A cold worker gets less, and one that has ended its jobs is the next of the least outstanding.
+func TestColdAndIdleWorkers(t *testing.T) {
+	m := module(t, "random", plain, nil)
+	list := listOf(2)
+	list.Workers[0].BootAt = time.Second
+	m.Step(time.Second, []logic.Event{list}, nil)
+	cold := 0
+	for _, s := range sends(m.Step(time.Second+1, jobs(1, 1000), nil)) {
+		if s.Worker == 1 {
+			cold++
+		}
+	}
+	if cold < 120 || cold > 280 { // a quarter as likely: 200 of 1,000
+		t.Errorf("%d of 1000 jobs at a worker with a quarter of its capacity", cold)
+	}
+	m = module(t, "least-outstanding", plain, nil)
+	m.Step(1, []logic.Event{listOf(3)}, nil)
+	first := sends(m.Step(2, jobs(1, 3), nil))[1]
+	m.Step(3, []logic.Event{logic.Outcome{Job: first.Job, Worker: first.Worker, Closed: true}}, nil)
+	if next := sends(m.Step(4, jobs(4, 1), nil)); next[0].Worker != first.Worker {
+		t.Errorf("sent to %d, though %d has nothing out", next[0].Worker, first.Worker)
+	}
+}
+
+func TestAllSeeing(t *testing.T) {
+	g := newGlass(3)
+	g.truth[0].Up = false
+	g.truth[1].Waiting = 1
+	g.work = func(job uint64) float64 { return 1 / float64(job) } // a later one can wait longer
+	maker := All()[4].ForPlay()
+	a, b := maker(plain, 1, g), maker(plain, 2, g)
+	a.Step(1, []logic.Event{listOf(3)}, nil)
+	b.Step(1, []logic.Event{listOf(3)}, nil)
+	// Four slots are free at one node, so the four that can wait least go there; the next are held.
+	got := sends(a.Step(2, jobs(2, 6), nil))
+	if len(got) != 4 || slices.ContainsFunc(got, func(s logic.Send) bool { return s.Worker != 3 }) || got[0].Job != 2 || got[3].Job != 5 {
+		t.Fatalf("sent %+v", got)
+	}
+	// What is on its way counts, whoever sent it; and goes on counting until it has begun.
+	if other := sends(b.Step(3, jobs(8, 1), nil)); len(other) > 0 {
+		t.Errorf("another scheduler sent %+v", other)
+	}
+	g.truth[2].Free = 0
+	for _, s := range got {
+		a.Step(4, []logic.Event{logic.Started{Job: s.Job, Worker: s.Worker}}, nil)
+	}
+	g.truth[2].Free = 1
+	later := 3*time.Millisecond + 5
+	if next := sends(a.Step(later, []logic.Event{logic.TimerFired{}}, nil)); len(next) != 1 || next[0].Job != 6 {
+		t.Errorf("with one slot free: %+v", next)
+	}
+	// Job 7 has a seventh of a second of work, and a second from its arrival: then it is refused.
+	g.truth[2].Free = 0
+	acts := a.Step(900*time.Millisecond, []logic.Event{logic.TimerFired{}}, nil)
+	if !slices.ContainsFunc(acts, func(a logic.Action) bool { r, ok := a.(logic.Refuse); return ok && r.Job == 7 }) {
+		t.Errorf("a job that can't be in time is held on: %v", acts)
+	}
+}
+
+// One large job among many small ones has a worker node kept free for it.
+func TestAllSeeingKeepsRoom(t *testing.T) {
+	g := newGlass(2)
+	g.truth[0].Free, g.truth[0].Backlog, g.truth[1].Free, g.truth[1].Backlog = 2, 0.1, 1, 0.3
+	m := module(t, "all-seeing", plain, g)
+	m.Step(1, []logic.Event{listOf(2)}, nil)
+	m.Step(2, []logic.Event{logic.Job{ID: 1, Left: 5 * time.Second, Slots: 3}}, nil)
+	now := 850 * time.Millisecond // most of its slack is gone
+	m.Step(now, []logic.Event{logic.TimerFired{}}, nil)
+	small := sends(m.Step(now+5*time.Millisecond, jobs(2, 2), nil))
+	if len(small) != 1 || small[0].Worker != 2 {
+		t.Errorf("small jobs went to %+v", small)
+	}
+	g.truth[0].Free = 3
+	if got := sends(m.Step(now+10*time.Millisecond, []logic.Event{logic.TimerFired{}}, nil)); len(got) != 1 || got[0].Job != 1 {
+		t.Errorf("with room for the large one: %+v", got)
+	}
+}
+
+// A job at a worker node that has stopped answering goes elsewhere too, if it may run twice.
+func TestAllSeeingRescues(t *testing.T) {
+	for effect, want := range map[logic.Effect]int{logic.Safe: 1, logic.Unsafe: 0} {
+		g, set := newGlass(2), plain
+		set.Classes = []logic.Class{{Aim: time.Second, GiveUp: 5 * time.Second, Effect: effect}}
+		m := module(t, "all-seeing", set, g)
+		m.Step(1, []logic.Event{listOf(2)}, nil)
+		first := sends(m.Step(2, jobs(1, 1), nil))[0]
+		g.truth[first.Worker-1].Up = false
+		again := sends(m.Step(100*time.Millisecond, []logic.Event{logic.TimerFired{}}, nil))
+		if len(again) != want || want == 1 && again[0].Worker == first.Worker {
+			t.Errorf("effect %d: sent %+v after %+v", effect, again, first)
+		}
+	}
+}
+
+// ---- The rules, for all of them, against random events ----
+
+type ruled struct {
+	logic.Job
+	deadline time.Duration
+	over     bool
+	tries    []try
+}
+
+type try struct {
+	w      logic.Worker
+	sent   time.Duration
+	ended  bool
+	result logic.Result
+}
+
+func (x try) risky() bool {
+	return !x.ended || x.result != logic.Full && x.result != logic.NoConnect && x.result != logic.NotSent
+}
+
+func TestRules(t *testing.T) {
+	for _, p := range All() {
+		for seed := range uint64(60) {
+			checkRules(t, p, seed)
+		}
+	}
+}
+
+func checkRules(t *testing.T, p Policy, seed uint64) {
+	rng := rand.New(rand.NewPCG(seed, 9))
+	set := plain
+	set.SecondCopies, set.MustSubscribe, set.AskEvery = seed%2 == 0, seed%3 == 0, time.Second
+	set.Classes = nil
+	for _, e := range []logic.Effect{logic.Safe, logic.Keyed, logic.Unsafe} {
+		c := logic.Class{Aim: 300 * time.Millisecond, Stretch: 1, GiveUp: 2 * time.Second, Effect: e,
+			Group: logic.Group(seed % 3), Window: time.Second}
+		if seed%5 == 0 {
+			c.Kinds = []int{0}
+		}
+		set.Classes = append(set.Classes, c)
+	}
+	const nodes = 6
+	g := newGlass(nodes)
+	m := p.ForPlay()(set, seed, g)
+	now, all, ready := time.Second, map[uint64]*ruled{}, map[uint64]logic.Worker{}
+	list := listOf(nodes)
+	var ids []uint64
+	wrong := func(format string, args ...any) {
+		t.Helper()
+		t.Fatalf("%s, seed %d, at %v: "+format, append([]any{p.Name, seed, now}, args...)...)
+	}
+	step := func(events ...logic.Event) {
+		for _, a := range m.Step(now, events, nil) {
+			switch a := a.(type) {
+			case logic.Send:
+				j, w := all[a.Job], ready[a.Worker]
+				if j.over || w.ID == 0 || len(j.tries) >= set.TryLimit || now >= j.deadline {
+					wrong("job %+v sent to worker %+v", j, w)
+				}
+				c := set.Classes[j.Class]
+				if c.Kinds != nil && !slices.Contains(c.Kinds, w.Kind) {
+					wrong("a job sent to a kind that its class may not go to")
+				}
+				for _, x := range j.tries {
+					if !x.ended && (!set.SecondCopies || x.w.ID == w.ID) {
+						wrong("a second copy")
+					}
+					same := c.Group == logic.GroupAll || c.Group == logic.GroupZone && x.w.Zone == w.Zone ||
+						c.Group == logic.GroupCell && x.w.Cell == w.Cell
+					if x.risky() && (c.Effect == logic.Unsafe || c.Effect == logic.Keyed && (!same || now-x.sent > c.Window)) {
+						wrong("class %d sent again though it may have run", j.Class)
+					}
+				}
+				j.tries = append(j.tries, try{w: w, sent: now})
+			case logic.Refuse:
+				j := all[a.Job]
+				c := set.Classes[j.Class]
+				if j.over || c.Effect != logic.Safe && (c.Effect != logic.Keyed || c.Group != logic.GroupAll) &&
+					slices.ContainsFunc(j.tries, try.risky) {
+					wrong("job %+v refused", j)
+				}
+				j.over = true
+			case logic.Fail:
+				if all[a.Job].over {
+					wrong("job %d answered twice", a.Job)
+				}
+				all[a.Job].over = true
+			case logic.SetTimer:
+				if a.After <= 0 {
+					wrong("timer of %v", a.After)
+				}
+			}
+		}
+		for _, id := range ids {
+			if j := all[id]; !j.over && now >= j.deadline {
+				wrong("job %d is open at its deadline", id)
+			}
+		}
+	}
+	tell := func(n int, state bool) {
+		list.Workers[n].Ready = state
+		if delete(ready, uint64(n+1)); state {
+			ready[uint64(n+1)] = list.Workers[n]
+		}
+	}
+	for n := range nodes {
+		tell(n, true)
+	}
+	step(list)
+	for range 400 {
+		now += time.Duration(rng.IntN(40)) * time.Millisecond
+		switch rng.IntN(6) {
+		case 0:
+			n := rng.IntN(nodes)
+			g.truth[n].Up = rng.IntN(4) > 0
+			tell(n, rng.IntN(3) > 0)
+			step(list)
+		case 1:
+			step(logic.WorkerList{Kind: logic.ListLost})
+		case 2, 3:
+			id := uint64(len(ids) + 1)
+			j := &ruled{Job: logic.Job{ID: id, Class: rng.IntN(3), Left: 2 * time.Second, Slots: float64(1 + rng.IntN(2))}}
+			j.deadline = now + j.Left
+			all[id], ids = j, append(ids, id)
+			step(j.Job)
+		default:
+			if len(ids) == 0 {
+				continue
+			}
+			j := all[ids[max(0, len(ids)-1-rng.IntN(12))]]
+			i := slices.IndexFunc(j.tries, func(x try) bool { return !x.ended })
+			if i < 0 {
+				step(logic.TimerFired{})
+				continue
+			}
+			x := &j.tries[i]
+			x.ended, x.result = true, logic.Result(rng.IntN(int(logic.NotSent)+1))
+			j.over = j.over || x.result == logic.OK
+			step(logic.Outcome{Job: j.ID, Attempt: i, Worker: x.w.ID, Result: x.result, Closed: j.over})
+		}
+	}
+	for range 100 { // all deadlines pass
+		now += 30 * time.Millisecond
+		step(logic.TimerFired{})
+	}
+}
