--- a/internal/capture/capture_test.go
+++ b/internal/capture/capture_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"log/slog"
 	"math"
 	"math/rand/v2"
 	"os"
@@ -47,7 +48,7 @@
 		t.Fatal(err)
 	}
 	p := &play{t: t, rng: rand.New(rand.NewPCG(seed, 3)), World: sides.World{Now: 1718000000123456789}}
-	p.rec, err = New(conf, c, func() time.Duration { return p.Now }, t.Logf)
+	p.rec, err = New(conf, c, func() time.Duration { return p.Now }, slog.New(slog.DiscardHandler))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -55,7 +56,7 @@
 	p.Ledger = ledger.New(6, c.Settings.Names, func() ledger.Module {
 		next++
 		return p.rec.Wrap(logic.New(c.Settings.Settings, next))
-	}, ledger.HostGroup{}, p, func(string, ...any) {})
+	}, ledger.HostGroup{}, p, slog.New(slog.DiscardHandler))
 	p.rec.Host = p.Ledger.Host
 	p.Ledger.Attach(p.rec)
 	return p
--- a/internal/capture/recorder.go
+++ b/internal/capture/recorder.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"log/slog"
+	"runtime/debug"
 	"strconv"
 	"time"
 
@@ -28,7 +30,7 @@
 	sink     sink
 	names    ledger.Names
 	now      func() time.Duration
-	report   func(format string, args ...any)
+	log      *slog.Logger
 	Host     func(worker uint64) ledger.Host // to be set once there is a ledger
 	seed     uint64
 	settings jsoniter.RawMessage
@@ -48,8 +50,8 @@
 }
 
 // New returns a recorder; seed and settings are those of the scheduler's start.
-func New(conf config.Capture, c config.Config, now func() time.Duration, report func(string, ...any)) (*Recorder, error) {
-	r := &Recorder{names: c.Settings.Names, now: now, report: report, seed: c.Seed, calls: map[uint64]string{},
+func New(conf config.Capture, c config.Config, now func() time.Duration, log *slog.Logger) (*Recorder, error) {
+	r := &Recorder{names: c.Settings.Names, now: now, log: log, seed: c.Seed, calls: map[uint64]string{},
 		named: map[uint64]bool{}, flood: floodBurst}
 	var tree any
 	err := jsoniter.Config{UseNumber: true, SortMapKeys: true}.Froze().Unmarshal(c.Platform, &tree)
@@ -111,7 +113,7 @@
 	defer func() {
 		if p := recover(); p != nil {
 			r.off = true
-			r.report("panic in the capture, which ends: %v", p)
+			r.log.Error("panic in the capture, which ends", "panic", fmt.Sprint(p), "stack", string(debug.Stack()))
 		}
 	}()
 	if !r.off {
--- a/internal/capture/replay.go
+++ b/internal/capture/replay.go
@@ -58,6 +58,9 @@
 
 func (p *player) warn(format string, args ...any) { fmt.Fprintf(p.warnings, format+"\n", args...) }
 
+// logLine begins each line of a log in JSON; no line of a capture has such a field.
+var logLine = []byte(`{"time":`)
+
 // read takes the capture line by line. A last line that is broken was cut off; any other is a fault.
 func (p *player) read(from *bufio.Reader) error {
 	var broken *LineError
@@ -72,7 +75,7 @@
 			if broken != nil {
 				return broken
 			}
-			if text[0] == '{' { // else it is a line of the log
+			if text[0] == '{' && !bytes.HasPrefix(text, logLine) { // else it is a line of the log
 				var l Line
 				if err := json.Unmarshal(text, &l); err != nil {
 					broken = &LineError{p.line, err}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -45,19 +45,25 @@
 // Load reads the file that PROXY_CONFIG names; PROXY_NAME, PROXY_LISTEN and PROXY_DISCOVERY stand in for keys
 // that it lacks.
 func Load(env func(string) string) (Config, error) {
+	c, faults := Read(env)
+	if len(faults) > 0 {
+		return Config{}, faults[0]
+	}
+	return c, nil
+}
+
+// Read is Load with all that is wrong, in the order in which it was found, in place of the first of it.
+func Read(env func(string) string) (Config, []error) {
 	path := env("PROXY_CONFIG")
 	if path == "" {
-		return Config{}, errors.New("PROXY_CONFIG: not set; it names the configuration file")
+		return Config{}, []error{errors.New("PROXY_CONFIG: not set; it names the configuration file")}
 	}
 	text, err := os.ReadFile(path)
 	if err != nil {
-		return Config{}, fmt.Errorf("PROXY_CONFIG: %w", err)
+		return Config{}, []error{fmt.Errorf("PROXY_CONFIG: %w", err)}
 	}
-	c, err := Decode(text, env)
-	if err != nil {
-		return Config{}, fmt.Errorf("%s: %w", path, err)
-	}
-	return c, nil
+	c, all := decode(text, env)
+	return c, all.in(path)
 }
 
 // Reload reads the file again for a scheduler that runs by c. What can't change under way stays as it is in c;
@@ -83,6 +89,11 @@
 
 // Decode reads a configuration from its text.
 func Decode(text []byte, env func(string) string) (Config, error) {
+	c, all := decode(text, env)
+	return c, all.first()
+}
+
+func decode(text []byte, env func(string) string) (Config, faults) {
 	c := Config{Limits: defaultLimits}
 	d := decoder{walker: walker{it: jsoniter.ParseBytes(jsoniter.ConfigDefault, text)}}
 	listen, discovery, seed, settings := "", "", "", false
@@ -120,88 +131,82 @@
 			d.skip()
 		}
 	})
-	if d.err == nil {
-		d.end()
-	}
-	if d.err != nil {
-		return c, d.err
+	d.end()
+	if d.broken {
+		return c, d.faults // what is missing may stand in the part that can't be read
 	}
 	c.Settings, c.Platform = d.set, []byte(jsoniter.Get(text, "settings").ToString())
 	var err error
 	if c.Name == "" {
 		c.Name = env("PROXY_NAME")
 	}
-	if c.Listen, err = address("listen", "PROXY_LISTEN", listen, env); err != nil {
-		return c, err
-	}
-	if c.Discovery, err = address("discovery", "PROXY_DISCOVERY", discovery, env); err != nil {
-		return c, err
-	}
+	c.Listen = address("listen", "PROXY_LISTEN", listen, env, d.faults.add)
+	c.Discovery = address("discovery", "PROXY_DISCOVERY", discovery, env, d.faults.add)
 	if c.Seed, err = strconv.ParseUint(seed, 16, 64); err != nil {
 		h := fnv.New64a() // any text will do for a seed
 		h.Write([]byte(seed + c.Name))
 		c.Seed = h.Sum64()
 	}
 	if !settings {
-		return c, keyError([]string{"settings"}, "missing")
+		d.faults.add(keyError([]string{"settings"}, "missing"))
 	}
-	if err := c.check(); err != nil {
-		return c, err
-	}
-	return c, c.Settings.check("settings")
+	c.check(d.faults.add)
+	c.Settings.check(d.faults.add, "settings")
+	return c, d.faults
 }
 
-func address(key, variable, value string, env func(string) string) (netip.AddrPort, error) {
+func address(key, variable, value string, env func(string) string, fault func(*Fault)) netip.AddrPort {
 	if value == "" {
 		value = env(variable)
 	}
 	if value == "" {
-		return netip.AddrPort{}, keyError([]string{key}, "missing, and %s is not set", variable)
+		fault(keyError([]string{key}, "missing, and %s is not set", variable))
+		return netip.AddrPort{}
 	}
 	a, err := netip.ParseAddrPort(value)
 	if err != nil {
-		return a, keyError([]string{key}, "expected an address and port, got %q", value)
+		fault(keyError([]string{key}, "expected an address and port, got %q", value))
 	}
-	return a, nil
+	return a
 }
 
 // check refuses what a scheduler could not work by.
-func (c *Config) check() error {
-	switch {
-	case c.Limits.Cores <= 0:
-		return keyError([]string{"limits", "cores"}, "expected more than 0, got %v", c.Limits.Cores)
-	case c.Limits.MemoryMB < 16:
-		return keyError([]string{"limits", "memory_mb"}, "expected 16 at least, got %d", c.Limits.MemoryMB)
-	case c.Limits.Sockets < fewestSockets:
-		return keyError([]string{"limits", "sockets"}, "expected %d at least, got %d", fewestSockets, c.Limits.Sockets)
-	}
-	return nil
+func (c *Config) check(fault func(*Fault)) {
+	if c.Limits.Cores <= 0 {
+		fault(keyError([]string{"limits", "cores"}, "expected more than 0, got %v", c.Limits.Cores))
+	}
+	if c.Limits.MemoryMB < 16 {
+		fault(keyError([]string{"limits", "memory_mb"}, "expected 16 at least, got %d", c.Limits.MemoryMB))
+	}
+	if c.Limits.Sockets < fewestSockets {
+		fault(keyError([]string{"limits", "sockets"}, "expected %d at least, got %d", fewestSockets, c.Limits.Sockets))
+	}
 }
 
 // check refuses settings that a scheduler could not work by. under is where they stand.
-func (s *Settings) check(under ...string) error {
+func (s *Settings) check(fault func(*Fault), under ...string) {
 	key := func(path ...string) []string { return append(slices.Clone(under), path...) }
-	switch {
-	case len(s.Classes) == 0:
-		return keyError(key("classes"), "expected one class at least")
-	case s.TryLimit < 1:
-		return keyError(key("bounds", "try_limit"), "expected 1 at least, got %d", s.TryLimit)
-	case s.ConnectTimeout <= 0:
-		return keyError(key("bounds", "connect_timeout"), "expected more than 0, got %v", s.ConnectTimeout)
+	if len(s.Classes) == 0 {
+		fault(keyError(key("classes"), "expected one class at least"))
+	}
+	if s.TryLimit < 1 {
+		fault(keyError(key("bounds", "try_limit"), "expected 1 at least, got %d", s.TryLimit))
+	}
+	if s.ConnectTimeout <= 0 {
+		fault(keyError(key("bounds", "connect_timeout"), "expected more than 0, got %v", s.ConnectTimeout))
 	}
 	for i, class := range s.Classes {
 		at := strconv.Itoa(i)
 		if s.Names.Classes[i] == "" {
-			return keyError(key("classes", at, "name"), "missing")
+			fault(keyError(key("classes", at, "name"), "missing"))
 		}
 		if class.GiveUp <= 0 {
-			return keyError(key("classes", at, "give_up"), "expected more than 0, got %v", class.GiveUp)
+			fault(keyError(key("classes", at, "give_up"), "expected more than 0, got %v", class.GiveUp))
 		}
 	}
 	for i, name := range s.Names.Tenants {
 		if name == "" {
-			return keyError(key("tenants", strconv.Itoa(i), "name"), "missing")
+			fault(keyError(key("tenants", strconv.Itoa(i), "name"), "missing"))
 		}
 	}
-	return nil
 }
--- a/internal/config/ops.go
+++ b/internal/config/ops.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"log/slog"
 	"maps"
 	"net/netip"
 	"os"
@@ -15,8 +16,10 @@
 	jsoniter "github.com/json-iterator/go"
 )
 
-// Ops is the operators' own file: the features that are on. One whose section is absent is nil, and off.
+// Ops is the operators' own file: how the log is written, and the features that are on. One whose section is absent
+// is nil, and off.
 type Ops struct {
+	Log       Log
 	Status    *Status
 	Capture   *Capture
 	Figures   *Figures
@@ -24,6 +27,12 @@
 	Replay    *Replay
 }
 
+// Log says how the log is written. Its zero value is what holds without the section: text, and no lines for debugging.
+type Log struct {
+	JSON  bool
+	Level slog.Level // lines below it are not written
+}
+
 // Status is the status call on a side port.
 type Status struct {
 	Port       uint16
@@ -62,28 +71,64 @@
 
 // LoadOps reads the operators' file; without a name all features are off.
 func LoadOps(path string) (Ops, error) {
-	if path == "" {
-		return Ops{}, nil
+	o, all, err := readOps(path)
+	if faults := all.in(path); err == nil && len(faults) > 0 {
+		err = faults[0]
 	}
-	text, err := os.ReadFile(path)
 	if err != nil {
-		return Ops{}, fmt.Errorf("--config: %w", err)
+		return Ops{}, err
 	}
-	o, err := DecodeOps(string(text))
+	return o, nil
+}
+
+// ReadAll reads both files, and checks them together if the platform's is sound. It gives all that is wrong with
+// either, in the order in which it was found; what was read is whole only if nothing is.
+func ReadAll(env func(string) string, ops string) (Config, Ops, []error) {
+	c, faults := Read(env)
+	o, all, err := readOps(ops)
 	if err != nil {
-		return Ops{}, fmt.Errorf("%s: %w", path, err)
+		return c, o, append(faults, err)
 	}
-	return o, nil
+	if len(faults) == 0 {
+		for _, f := range o.check(c) {
+			all.add(f)
+		}
+	}
+	return c, o, append(faults, all.in(ops)...)
+}
+
+// readOps tells faults in the file apart from a file that can't be read.
+func readOps(path string) (Ops, faults, error) {
+	if path == "" {
+		return Ops{}, nil, nil
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return Ops{}, nil, fmt.Errorf("--config: %w", err)
+	}
+	o, all := decodeOps(string(text))
+	return o, all, nil
 }
 
 // DecodeOps reads the operators' file from its text.
 func DecodeOps(text string) (Ops, error) {
+	o, all := decodeOps(text)
+	return o, all.first()
+}
+
+func decodeOps(text string) (Ops, faults) {
 	var tree map[string]any
 	if _, err := toml.Decode(text, &tree); err != nil {
-		return Ops{}, fmt.Errorf("not TOML: %w", err)
+		return Ops{}, faults{{What: fmt.Sprintf("not TOML: %v", err)}}
 	}
 	var o Ops
-	top := &table{keys: tree}
+	var all faults
+	top := &table{keys: tree, faults: &all}
+	if t := top.table("log"); t != nil {
+		o.Log.JSON = t.choice("format", "text", "text", "json") == "json"
+		o.Log.Level = levels[t.choice("level", "info", "debug", "info", "warn", "error")]
+		t.end()
+	}
 	if t := top.table("status"); t != nil {
 		o.Status = &Status{Port: uint16(t.must("listen_port").whole("listen_port", 0, 1, 65535)),
 			Retain:     time.Duration(t.number("retain_s", 600, 0, 1e7) * float64(time.Second)),
@@ -96,13 +141,9 @@
 		t.end()
 	}
 	if t := top.table("figures"); t != nil {
-		o.Figures = &Figures{Format: t.text("format"), Every: time.Duration(t.whole("flush_ms", 10_000, 10, 3_600_000)) * time.Millisecond,
-			To: t.target("udp_target"), File: t.text("file"), MaxBatch: t.whole("max_batch_bytes", 1400, 1, 65_000)}
-		if f := o.Figures; f.Format == "" {
-			f.Format = "statsd"
-		} else if f.Format != "statsd" && f.Format != "influx" {
-			t.fail("format", `expected "statsd" or "influx", got %q`, f.Format)
-		}
+		o.Figures = &Figures{Format: t.choice("format", "statsd", "statsd", "influx"),
+			Every: time.Duration(t.whole("flush_ms", 10_000, 10, 3_600_000)) * time.Millisecond,
+			To:    t.target("udp_target"), File: t.text("file"), MaxBatch: t.whole("max_batch_bytes", 1400, 1, 65_000)}
 		t.end()
 	}
 	if t := top.table("addresses"); t != nil {
@@ -117,20 +158,25 @@
 		t.end()
 	}
 	top.end()
-	return o, top.fault()
+	return o, all
 }
 
+var levels = map[string]slog.Level{"debug": slog.LevelDebug, "info": slog.LevelInfo, "warn": slog.LevelWarn,
+	"error": slog.LevelError}
+
 // Check refuses what does not go together with the platform's configuration.
-func (o Ops) Check(c Config) error {
+func (o Ops) Check(c Config) error { return o.check(c).first() }
+
+func (o Ops) check(c Config) (all faults) {
 	if o.Status != nil && o.Status.Port == c.Listen.Port() {
-		return keyError([]string{"status", "listen_port"}, "%d is the port of PROXY_LISTEN", o.Status.Port)
+		all.add(keyError([]string{"status", "listen_port"}, "%d is the port of PROXY_LISTEN", o.Status.Port))
 	}
 	// The ring may be there twice, while a copy of it is written out.
 	if most := c.Limits.MemoryMB << 10 / 8; o.Capture != nil && o.Capture.Dir == "" && o.Capture.MemoryKB > most {
-		return keyError([]string{"capture", "memory_kb"}, "expected %d at most where limits.memory_mb is %d, got %d", most,
-			c.Limits.MemoryMB, o.Capture.MemoryKB)
+		all.add(keyError([]string{"capture", "memory_kb"}, "expected %d at most where limits.memory_mb is %d, got %d", most,
+			c.Limits.MemoryMB, o.Capture.MemoryKB))
 	}
-	return nil
+	return all
 }
 
 // Override gives the platform's settings in a recorded text, with those of [replay.settings] in place of its own.
@@ -153,7 +199,9 @@
 	if err != nil {
 		return Settings{}, err
 	}
-	return s, s.check(at...)
+	var all faults
+	s.check(all.add, at...)
+	return s, all.first()
 }
 
 // exact keeps numbers as they are written.
@@ -199,25 +247,13 @@
 
 // table is one table of the file. What has been read is taken out, so that what is left at the end is not known.
 type table struct {
-	path []string
-	keys map[string]any
-	err  *error // the first fault, shared with the tables within
+	path   []string
+	keys   map[string]any
+	faults *faults // shared with the tables within
 }
 
 func (t *table) fail(key, format string, args ...any) {
-	if t.err == nil {
-		t.err = new(error)
-	}
-	if *t.err == nil {
-		*t.err = keyError(append(slices.Clone(t.path), strings.Split(key, ".")...), format, args...)
-	}
-}
-
-func (t *table) fault() error {
-	if t.err == nil {
-		return nil
-	}
-	return *t.err
+	t.faults.add(keyError(append(slices.Clone(t.path), strings.Split(key, ".")...), format, args...))
 }
 
 func (t *table) take(key string) (value any, ok bool) {
@@ -237,10 +273,7 @@
 		t.fail(key, "expected a table")
 		return nil
 	}
-	if t.err == nil {
-		t.err = new(error)
-	}
-	return &table{path: append(slices.Clone(t.path), key), keys: keys, err: t.err}
+	return &table{path: append(slices.Clone(t.path), key), keys: keys, faults: t.faults}
 }
 
 // must is the table itself; without the key it has a fault.
@@ -279,6 +312,18 @@
 	return text
 }
 
+// choice reads one of some words; without the key it is without.
+func (t *table) choice(key, without string, words ...string) string {
+	text := t.text(key)
+	if text == "" {
+		return without
+	}
+	if !slices.Contains(words, text) {
+		t.fail(key, `expected "%s", got %q`, strings.Join(words, `" or "`), text)
+	}
+	return text
+}
+
 // ranges reads a list of CIDR ranges. IPv4 written as IPv6 is taken as IPv4, as the addresses of links are.
 func (t *table) ranges(key string) (list []netip.Prefix) {
 	value, ok := t.take(key)
@@ -339,7 +384,7 @@
 
 // end refuses what has not been read.
 func (t *table) end() {
-	if len(t.keys) > 0 {
-		t.fail(slices.Sorted(maps.Keys(t.keys))[0], "not known")
+	for _, key := range slices.Sorted(maps.Keys(t.keys)) {
+		t.fail(key, "not known")
 	}
 }
--- a/internal/config/ops_test.go
+++ b/internal/config/ops_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"log/slog"
 	"os"
 	"strings"
 	"testing"
@@ -39,6 +40,10 @@
 		"[replay]\nsetting = 1":                        `key "replay.setting": not known`,
 		"[replay]\nsettings = 1":                       `key "replay.settings": expected a table`,
 		"[stats]\n":                                    `key "stats": not known`,
+		"[log]\nformat = 'xml'":                        `key "log.format": expected "text" or "json", got "xml"`,
+		"[log]\nlevel = 'INFO'":                        `key "log.level": expected "debug" or "info" or "warn" or "error", got "INFO"`,
+		"[log]\nlevel = 3":                             `key "log.level": expected text`,
+		"[log]\nfile = 'x'":                            `key "log.file": not known`,
 		"listen_port = 80":                             `key "listen_port": not known`,
 		"[status":                                      "not TOML",
 		"[status]\n[status]":                           "not TOML",
@@ -58,7 +63,14 @@
 	if o, err := DecodeOps("# nothing"); err != nil || o.Status != nil || o.Capture != nil || o.Replay != nil {
 		t.Errorf("an empty file: %+v, %v", o, err)
 	}
-	o, err := DecodeOps("[capture]\n")
+	o, err := DecodeOps("[log]\n")
+	if err != nil || o.Log != (Log{}) || o.Log.Level != slog.LevelInfo {
+		t.Errorf("defaults: %+v, %v", o.Log, err)
+	}
+	if o, err = DecodeOps("[log]\nformat = 'json'\nlevel = 'debug'"); err != nil || o.Log != (Log{true, slog.LevelDebug}) {
+		t.Errorf("log: %+v, %v", o.Log, err)
+	}
+	o, err = DecodeOps("[capture]\n")
 	if err != nil || *o.Capture != (Capture{MemoryKB: 512, FileMB: 8, Files: 4}) || o.Check(c) != nil {
 		t.Errorf("defaults: %+v, %v", o.Capture, err)
 	}
@@ -91,3 +103,55 @@
 		t.Errorf("%+v, %v", o.Status, err)
 	}
 }
+
+// All that is wrong with both files is told, in its order and with the file, and a start names the first; what follows
+// from a fault is not told beside it.
+func TestAllFaults(t *testing.T) {
+	dir := t.TempDir()
+	put := func(name, text string) string {
+		if err := os.WriteFile(dir+name, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		return dir + name
+	}
+	many := "[replay]\n"
+	for n := range 2 * mostFaults {
+		many += fmt.Sprintf("k%d = 1\n", n)
+	}
+	for _, c := range []struct {
+		platform []string // what is replaced, by what
+		ops      string
+		want     string
+	}{
+		{[]string{`"listen":"127.0.0.1:9000"`, `"listen":"here"`, `"memory_mb":192`, `"memory_mb":"all"`, `"sockets":1024`, `"sockets":7`,
+			`"give_up":5000000`, `"give_up":0`, `"name":"b"`, `"nom":"b"`, `"try_limit":6`, `"try_limit":"x"`}, "[no]",
+			`c: key "limits.memory_mb": expected a number; c: key "settings.bounds.try_limit": expected a number; ` +
+				`c: key "listen": expected an address and port, got "here"; c: key "limits.sockets": expected 64 at least, got 7; ` +
+				`c: key "settings.classes[0].give_up": expected more than 0, got 0s; c: key "settings.classes[1].name": missing; o: key "no": not known`},
+		{[]string{`"settings":{`, `"settings":[],"x":{`, `:8500"`, `"`}, "[status]\nlisten_port = 9000",
+			`c: key "settings": expected an object; c: key "discovery": expected an address and port, got "127.0.0.1"`},
+		{[]string{`"listen":"127.0.0.1:9000"`, `"listen":9`, `"seed":"8c1f"`, `"seed":`}, "",
+			`c: key "listen": expected text; c: key "seed": expected text`},
+		{nil, "[status]\nlisten_port = 9000\n[log]\nlevel = 1\n[capture]\nmemory_kb = 1048577\nmore = 1\nless = 1",
+			`o: key "log.level": expected text; o: key "capture.memory_kb": expected 64 to 1048576, got 1048577; ` +
+				`o: key "capture.less": not known; o: key "capture.more": not known; o: key "status.listen_port": 9000 is the port of PROXY_LISTEN`},
+		{nil, many, strings.Repeat("o; ", mostFaults-1) + "o"},
+	} {
+		path, ops := put("c", strings.NewReplacer(c.platform...).Replace(sound)), put("o", c.ops)
+		env := func(string) string { return path }
+		_, _, faults := ReadAll(env, ops)
+		var told []string
+		for _, f := range faults {
+			told = append(told, strings.TrimPrefix(f.Error(), dir))
+			if c.ops == many {
+				told[len(told)-1] = "o"
+			}
+		}
+		if got := strings.Join(told, "; "); got != c.want {
+			t.Errorf("%s,\nexpected %s", got, c.want)
+		}
+		if _, err := Load(env); len(c.platform) > 0 && (err == nil || err.Error() != faults[0].Error()) {
+			t.Errorf("a start says %v, expected %v", err, faults[0])
+		}
+	}
+}
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -25,10 +25,8 @@
 func decodeSettings(object []byte, under ...string) (Settings, error) {
 	d := decoder{walker: walker{it: jsoniter.ParseBytes(jsoniter.ConfigDefault, object), path: under}}
 	d.settings()
-	if d.err == nil {
-		d.end()
-	}
-	return d.set, d.err
+	d.end()
+	return d.set, d.faults.first()
 }
 
 // decoder walks the object and puts each figure where it belongs. What two keys decide together waits in the
--- a/internal/config/walker.go
+++ b/internal/config/walker.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math"
 	"strconv"
+	"strings"
 	"time"
 
 	jsoniter "github.com/json-iterator/go"
@@ -11,9 +12,10 @@
 
 // walker reads a JSON object key by key and knows, for messages, where it stands.
 type walker struct {
-	it   *jsoniter.Iterator
-	path []string
-	err  error // the first fault
+	it     *jsoniter.Iterator
+	path   []string
+	faults faults
+	broken bool // the text itself is: nothing after that can be read
 }
 
 // object calls field for each key, which must read or skip the value.
@@ -26,7 +28,7 @@
 		field(key)
 		w.check()
 		w.path = w.path[:len(w.path)-1]
-		return w.err == nil
+		return !w.broken
 	})
 	w.check()
 }
@@ -43,18 +45,65 @@
 		w.check()
 		w.path = w.path[:len(w.path)-1]
 		i++
-		return w.err == nil
+		return !w.broken
 	})
 	w.check()
 }
 
-func (w *walker) fail(format string, args ...any) {
-	if w.err == nil {
-		w.err = keyError(w.path, format, args...)
+func (w *walker) fail(format string, args ...any) { w.faults.add(keyError(w.path, format, args...)) }
+
+// Fault is one thing that is wrong with a file. Key is where; none: the text as a whole.
+type Fault struct{ Key, What string }
+
+func (f *Fault) Error() string {
+	if f.Key == "" {
+		return f.What
+	}
+	return fmt.Sprintf("key %q: %s", f.Key, f.What)
+}
+
+// mostFaults is how many faults of a file are told.
+const mostFaults = 100
+
+// faults are what is wrong with one file, in the order in which it was found.
+type faults []*Fault
+
+// add takes in a fault. One at or under a key that has one already follows from that, and is not told.
+func (all *faults) add(next *Fault) {
+	if len(*all) == mostFaults {
+		return
+	}
+	for _, f := range *all {
+		rest, under := strings.CutPrefix(next.Key, f.Key)
+		if under && (rest == "" || f.Key == "" || rest[0] == '.' || rest[0] == '[') {
+			return
+		}
 	}
+	*all = append(*all, next)
 }
 
-func keyError(path []string, format string, args ...any) error {
+// first is what ends a start; nil if there is none.
+func (all faults) first() error {
+	if len(all) == 0 {
+		return nil
+	}
+	return all[0]
+}
+
+// in gives the faults as errors that name the file; without a name, as they are.
+func (all faults) in(file string) []error {
+	var list []error
+	for _, f := range all {
+		if file == "" {
+			list = append(list, f)
+		} else {
+			list = append(list, fmt.Errorf("%s: %w", file, f))
+		}
+	}
+	return list
+}
+
+func keyError(path []string, format string, args ...any) *Fault {
 	name := ""
 	for _, p := range path {
 		if _, err := strconv.Atoi(p); err == nil {
@@ -65,16 +114,14 @@
 			name = p
 		}
 	}
-	if name == "" {
-		return fmt.Errorf(format, args...)
-	}
-	return fmt.Errorf("key %q: "+format, append([]any{name}, args...)...)
+	return &Fault{name, fmt.Sprintf(format, args...)}
 }
 
 // check turns a fault of the text itself into one that names the place.
 func (w *walker) check() {
-	if w.it.Error != nil && w.err == nil {
+	if w.it.Error != nil && !w.broken {
 		w.fail("not JSON: %v", w.it.Error)
+		w.broken = true
 	}
 }
 
@@ -84,7 +131,7 @@
 // is tells whether the next value is of a kind; null is skipped, any other kind is a fault.
 func (w *walker) is(kind jsoniter.ValueType, want string) bool {
 	switch next := w.it.WhatIsNext(); {
-	case w.err != nil:
+	case w.broken:
 		return false
 	case next == kind:
 		return true
@@ -152,7 +199,7 @@
 
 // end checks that nothing follows.
 func (w *walker) end() {
-	if w.it.WhatIsNext() != jsoniter.InvalidValue {
+	if !w.broken && w.it.WhatIsNext() != jsoniter.InvalidValue {
 		w.fail("expected nothing after the object")
 	}
 }
--- a/internal/figures/figures_test.go
+++ b/internal/figures/figures_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"log/slog"
 	"maps"
 	"strconv"
 	"strings"
@@ -42,7 +43,7 @@
 }
 
 func newWorld(conf config.Figures, names ledger.Names) *world {
-	w := &world{World: sides.New(names, func(string, ...any) {}), target: &target{}}
+	w := &world{World: sides.New(names, slog.New(slog.DiscardHandler)), target: &target{}}
 	w.figures = New(conf, names, func() time.Duration { return w.Now }, w.target)
 	w.Ledger.Attach(w.figures)
 	return w
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -7,7 +7,10 @@
 import (
 	"cmp"
 	"errors"
+	"fmt"
+	"log/slog"
 	"maps"
+	"runtime/debug"
 	"slices"
 	"time"
 
@@ -89,7 +92,8 @@
 	start   func() Module
 	module  Module
 	carrier Carrier
-	report  func(format string, args ...any)
+	log     *slog.Logger
+	changes hostChanges
 
 	observers []Observer
 
@@ -109,10 +113,10 @@
 	ready      map[uint64]logic.Worker // the list as the module holds it
 }
 
-// New returns a ledger that knows the host group as it was once seen. start makes a module that knows nothing.
-func New(tries int, names Names, start func() Module, known HostGroup, carrier Carrier,
-	report func(format string, args ...any)) *Ledger {
-	l := &Ledger{tries: tries, names: names, start: start, module: start(), carrier: carrier, report: report,
+// New returns a ledger that knows the host group as it was once seen. start makes a module that knows nothing. What
+// the module says, and what becomes of the host group, goes to the log.
+func New(tries int, names Names, start func() Module, known HostGroup, carrier Carrier, log *slog.Logger) *Ledger {
+	l := &Ledger{tries: tries, names: names, start: start, module: start(), carrier: carrier, log: log,
 		queries: map[uint64]*Query{}, calls: map[string]*Query{}, live: map[attemptKey]*Attempt{},
 		table: hostTable{map[string]uint64{}, map[uint64]Host{}}, ready: map[uint64]logic.Worker{}}
 	known.Reset = true
@@ -259,12 +263,8 @@
 
 func (l *Ledger) hosts(g HostGroup, kind logic.ListKind) {
 	l.generation = g.Generation
-	for _, h := range g.Hosts {
-		if _, known := l.table.numbers[h.ID]; !known && h.ID != "" {
-			l.report("worker %d is host %s at %s", l.table.number(h.ID), h.ID, h.Addr) // the module logs numbers
-		}
-	}
 	list := l.table.take(g, l.names)
+	l.note(list, kind != logic.ListDelta)
 	if kind != logic.ListDelta {
 		clear(l.ready)
 	}
@@ -324,6 +324,9 @@
 // Step hands the module all that was gathered and carries out what it wants, in order. What the actions bring
 // about at once (a refused connection, say) waits for the next Step.
 func (l *Ledger) Step(now time.Duration) {
+	if l.changes.any() {
+		l.tellChanges(now)
+	}
 	for l.expiries.Len() > 0 && l.expiries.First().At <= now {
 		l.giveUp(l.expiries.First(), Expired)
 	}
@@ -354,7 +357,8 @@
 func (l *Ledger) decide(now time.Duration, events []logic.Event) (actions []logic.Action, ok bool) {
 	defer func() {
 		if p := recover(); p != nil {
-			l.report("module panic, starting it anew with %d queries failed: %v", len(l.calls), p)
+			l.log.Error("module panic: it is started anew", "panic", fmt.Sprint(p), "failed", len(l.calls),
+				"stack", string(debug.Stack()))
 			l.startAnew()
 		}
 	}()
@@ -438,7 +442,7 @@
 	case logic.Subscribe:
 		l.carrier.Watch(l.generation)
 	case logic.Log:
-		l.report("%s", a.Text)
+		l.tellLog(a.Text)
 	}
 }
 
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -1,6 +1,7 @@
 package ledger
 
 import (
+	"log/slog"
 	"slices"
 	"strconv"
 	"testing"
@@ -53,7 +54,7 @@
 	module, carried := &steps.Script{}, &carrier{given: map[*Attempt]bool{}}
 	l := New(4, Names{Classes: []string{"a"}}, func() Module { return module }, HostGroup{Hosts: []Host{
 		{ID: "s-0", Addr: "127.0.0.1:1", State: "up"}, {ID: "s-1", Addr: "127.0.0.1:2", State: "up"}}}, carried,
-		func(string, ...any) {})
+		slog.New(slog.DiscardHandler))
 	now := time.Hour
 	var qs []*modelQuery
 	result := "r"
@@ -212,7 +213,7 @@
 func TestFirstCopyServes(t *testing.T) {
 	module, asker := &steps.Script{}, &ends{}
 	l := New(4, Names{}, func() Module { return module }, HostGroup{Hosts: []Host{{ID: "s-0", State: "up"}, {ID: "s-1", State: "up"}}},
-		&carrier{}, func(string, ...any) {})
+		&carrier{}, slog.New(slog.DiscardHandler))
 	q, err := l.Take(0, Arrival{Call: "c", Job: logic.Job{Left: time.Second}, Asker: asker})
 	if err != nil {
 		t.Fatal(err)
@@ -248,7 +249,7 @@
 		func(l *Ledger, m *steps.Script) { m.Panic = true; l.Step(2) },
 	} {
 		module, got := &steps.Script{}, []int{}
-		l := New(4, Names{}, func() Module { return module }, HostGroup{}, &carrier{}, func(string, ...any) {})
+		l := New(4, Names{}, func() Module { return module }, HostGroup{}, &carrier{}, slog.New(slog.DiscardHandler))
 		for i := range 50 {
 			if _, err := l.Take(1, Arrival{Call: strconv.Itoa(i), Asker: order{&got, i}}); err != nil {
 				t.Fatal(err)
--- a/internal/ledger/observer.go
+++ b/internal/ledger/observer.go
@@ -1,5 +1,10 @@
 package ledger
 
+import (
+	"fmt"
+	"runtime/debug"
+)
+
 // Outcome is how an attempt or a query ended, in the protocol's words.
 type Outcome string
 
@@ -96,7 +101,8 @@
 func (l *Ledger) observe(o Observer, n News) (ok bool) {
 	defer func() {
 		if p := recover(); p != nil {
-			l.report("panic in an observer (%T), which is left out from now on: %v", o, p)
+			l.log.Error("panic in an observer: it is left out from now on", "observer", fmt.Sprintf("%T", o),
+				"panic", fmt.Sprint(p), "stack", string(debug.Stack()))
 		}
 	}()
 	o.Observe(n)
--- a/internal/link/addresses.go
+++ b/internal/link/addresses.go
@@ -1,8 +1,9 @@
 package link
 
 import (
+	"context"
 	"errors"
-	"fmt"
+	"log/slog"
 	"net/netip"
 
 	"golang.org/x/sys/unix"
@@ -31,7 +32,10 @@
 		return true
 	}
 	_ = unix.Close(fd)
-	l.linkLogf(" client="+from.String(), "refused, %s", why)
+	if l.linkLog.Enabled(context.Background(), slog.LevelWarn) {
+		l.linkLog.LogAttrs(context.Background(), slog.LevelWarn, "connection refused", slog.String("why", why),
+			slog.String("client", from.String()))
+	}
 	return false
 }
 
@@ -53,7 +57,9 @@
 			if k.via.IsValid() {
 				err = errors.New("more than one PROXY header")
 			}
-			k.logf("closed: %v", err)
+			if k.tells(slog.LevelWarn) {
+				k.tell(slog.LevelWarn, "link closed", slog.String("why", err.Error()))
+			}
 			k.end()
 			return false
 		default:
@@ -70,26 +76,24 @@
 }
 
 // whose says whom a line of the log is about.
-func (k *clientLink) whose() string {
-	switch {
-	case k.loop == nil || k.loop.lists == nil:
-		return ""
-	case k.via.IsValid():
-		return fmt.Sprintf(" client=%v via=%v", k.client, k.via)
+func (k *clientLink) whose() []slog.Attr {
+	if k.loop == nil || k.loop.lists == nil {
+		return nil
+	}
+	attrs := []slog.Attr{slog.String("client", k.client.String())}
+	if k.via.IsValid() {
+		attrs = append(attrs, slog.String("via", k.via.String()))
 	}
-	return fmt.Sprintf(" client=%v", k.client)
+	return attrs
 }
 
-// logf writes a line about the link or its query, where addresses are of interest.
-func (k *clientLink) logf(format string, args ...any) {
-	if k.loop != nil && k.loop.lists != nil {
-		k.loop.linkLogf(k.whose(), format, args...)
-	}
+// tells is whether a line about the link or its query is to be written: where addresses are of interest, unless the
+// level is off or too many have been written lately. What the line is made of is worth making only then.
+func (k *clientLink) tells(level slog.Level) bool {
+	return k.loop != nil && k.loop.lists != nil && k.loop.linkLog.Enabled(context.Background(), level)
 }
 
-// linkLogf keeps lines about client links apart from the others, which they must not crowd out.
-func (l *Loop) linkLogf(whose, format string, args ...any) {
-	if l.linkLogs.may(l.clock()) {
-		fmt.Fprintf(l.log, format+"%s\n", append(args, whose)...)
-	}
+// tell writes such a line.
+func (k *clientLink) tell(level slog.Level, event string, attrs ...slog.Attr) {
+	k.loop.linkLog.LogAttrs(context.Background(), level, event, append(attrs, k.whose()...)...)
 }
--- a/internal/link/addresses_test.go
+++ b/internal/link/addresses_test.go
@@ -10,6 +10,7 @@
 
 	"valvecove/internal/address"
 	"valvecove/internal/config"
+	"valvecove/internal/oplog"
 	"valvecove/internal/steps"
 )
 
@@ -40,7 +41,8 @@
 	steps.Fuzz(f, func(s *steps.Steps) {
 		w := newWorld(s)
 		var log bytes.Buffer
-		w.loop.log = &log
+		w.loop.linkLog = oplog.New(config.Log{}, "n0", &log).Kind()
+		w.loop.log = w.loop.linkLog
 		w.loop.lists = address.New(config.Addresses{Fronts: []netip.Prefix{netip.MustParsePrefix("10.20.0.0/24")}})
 		start := starts[s.Pick(len(starts))]
 		from, trusted := frontAddr, s.Pick(3) > 0
--- a/internal/link/clients.go
+++ b/internal/link/clients.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"hash/fnv"
+	"log/slog"
 	"net/netip"
 	"strconv"
 	"time"
@@ -67,12 +68,15 @@
 
 // limit sets how many links are held, and how many bytes. Where there are more links, idle ones make room.
 func (c *clientLinks) limit(most, budget int) {
-	c.most, c.queries, c.budget = most, most-max(8, most/10), budget
+	c.most, c.queries, c.budget = most, mostQueries(most), budget
 	for len(c.links) > c.most && c.evict() {
 	}
 	c.resume()
 }
 
+// mostQueries leaves links for what ends queries.
+func mostQueries(links int) int { return links - max(8, links/10) }
+
 // listen opens a socket whose connections owner accepts.
 func (l *Loop) listen(at netip.AddrPort, owner handler) (int, error) {
 	fd, sa, err := socket(at)
@@ -114,7 +118,7 @@
 		case errors.Is(err, unix.EAGAIN):
 			return
 		case err != nil: // EMFILE, ENFILE, ENOMEM
-			c.loop.Logf("accepting: %v", err)
+			c.loop.log.Error("accepting failed", "error", err)
 			c.evict()
 			c.pause()
 			return
@@ -130,7 +134,7 @@
 	k := &clientLink{home: c, since: c.loop.now, client: from, introduced: c.loop.lists == nil}
 	var err error
 	if k.stream, err = c.loop.stream(fd, streamEvents, k); err != nil {
-		c.loop.Logf("accepting: %v", err)
+		c.loop.log.Error("accepting failed", "error", err)
 		_ = unix.Close(fd)
 		return
 	}
@@ -318,7 +322,9 @@
 	delete(k.home.links, k)
 	for _, t := range k.turns {
 		if q := t.query; q != nil {
-			k.logf("query %s left by its client", q.Call)
+			if k.tells(slog.LevelInfo) {
+				k.tell(slog.LevelInfo, "query left by its client", slog.String("query", q.Call))
+			}
 			t.query = nil
 			k.loop.Ledger.Gone(q)
 		}
@@ -419,8 +425,8 @@
 			break
 		}
 		k.busy()
-		if !k.spoke {
-			k.logf("client link open")
+		if !k.spoke && k.tells(slog.LevelInfo) {
+			k.tell(slog.LevelInfo, "client link open")
 		}
 		k.continued, k.spoke, k.since = false, true, k.loop.now
 		k.request(m, k.add(m.KeepAlive))
@@ -495,8 +501,8 @@
 // settle answers a turn. Answers leave in the order in which the requests came.
 func (t *turn) settle(status int, body []byte, retry time.Duration) {
 	k := t.link
-	if t.query != nil {
-		k.logf("query %s answered with %d", t.query.Call, status)
+	if t.query != nil && k.tells(slog.LevelInfo) {
+		k.tell(slog.LevelInfo, "query answered", slog.String("query", t.query.Call), slog.Int("status", status))
 	}
 	if t.query = nil; t.done || k.closed {
 		return
--- a/internal/link/loop.go
+++ b/internal/link/loop.go
@@ -4,9 +4,10 @@
 package link
 
 import (
+	"context"
 	"errors"
 	"fmt"
-	"io"
+	"log/slog"
 	"net/netip"
 	"runtime/debug"
 	"time"
@@ -42,9 +43,8 @@
 	writing  []byte
 	message  Message
 	Ledger   *ledger.Ledger
-	log      io.Writer
-	logs     budget // of lines
-	linkLogs budget // and of those about client links
+	log      *slog.Logger
+	linkLog  *slog.Logger // on client links, whose lines must not crowd out the others
 	onWake   func()
 	clients  *clientLinks
 	servers  *serverLinks
@@ -56,20 +56,13 @@
 	lists    *address.Lists    // nil: off
 }
 
-// Logs are kept quiet: so many lines at once, and so many a second after that.
-const (
-	logBurst = 200
-	logRate  = 5
-)
-
 // newLoop returns a loop that counts time from the Unix epoch, so that any start time that discovery tells is
 // positive; from here on it follows the monotonic clock.
-func newLoop(log io.Writer) (*Loop, error) {
+func newLoop(log, linkLog *slog.Logger) (*Loop, error) {
 	origin := time.Now()
-	l := &Loop{scratch: make([]byte, 64<<10), log: log, dial: connect,
+	l := &Loop{scratch: make([]byte, 64<<10), log: log, linkLog: linkLog, dial: connect,
 		clock: func() time.Duration { return time.Duration(origin.UnixNano()) + time.Since(origin) }}
 	l.now = l.clock()
-	l.logs, l.linkLogs = budget{logBurst, l.now}, budget{logBurst, l.now}
 	var err error
 	if l.epoll, err = unix.EpollCreate1(unix.EPOLL_CLOEXEC); err != nil {
 		return nil, fmt.Errorf("epoll: %w", err)
@@ -80,28 +73,6 @@
 	return l, l.add(l.wakeFD, unix.EPOLLIN, (*waker)(l))
 }
 
-// Logf writes a line, unless too many have been written lately.
-func (l *Loop) Logf(format string, args ...any) {
-	if l.logs.may(l.clock()) {
-		fmt.Fprintf(l.log, format+"\n", args...)
-	}
-}
-
-// budget keeps a kind of lines few.
-type budget struct {
-	left float64
-	at   time.Duration
-}
-
-func (b *budget) may(now time.Duration) bool {
-	b.left = min(logBurst, b.left+logRate*max(0, (now-b.at).Seconds()))
-	if b.at = now; b.left < 1 {
-		return false
-	}
-	b.left--
-	return true
-}
-
 // Wake has the loop call onWake soon. It may be called from any goroutine.
 func (l *Loop) Wake() { _, _ = unix.Write(l.wakeFD, []byte{1, 0, 0, 0, 0, 0, 0, 0}) }
 
@@ -171,11 +142,11 @@
 func (l *Loop) guard(h handler, act func()) {
 	defer func() {
 		if p := recover(); p != nil {
-			whose := ""
+			attrs := []slog.Attr{slog.String("panic", fmt.Sprint(p)), slog.String("stack", string(debug.Stack()))}
 			if k, ok := h.(*clientLink); ok {
-				whose = k.whose()
+				attrs = append(attrs, k.whose()...)
 			}
-			l.Logf("panic on a link, which ends: %v%s\n%s", p, whose, debug.Stack())
+			l.log.LogAttrs(context.Background(), slog.LevelError, "panic on a link, which ends", attrs...)
 			h.broken()
 		}
 	}()
--- a/internal/link/start.go
+++ b/internal/link/start.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"io"
 	"net/netip"
 	"time"
 
@@ -13,6 +12,7 @@
 	"valvecove/internal/config"
 	"valvecove/internal/figures"
 	"valvecove/internal/ledger"
+	"valvecove/internal/oplog"
 	"valvecove/internal/status"
 	"valvecove/logic"
 )
@@ -22,28 +22,21 @@
 
 // Open returns a loop that listens and is ready to run, with the features that are on. figuresTo are targets of figures
 // besides a collector.
-func Open(c config.Config, ops config.Ops, log io.Writer, figuresTo ...figures.Target) (*Loop, error) {
-	l, err := newLoop(log)
+func Open(c config.Config, ops config.Ops, log *oplog.Log, figuresTo ...figures.Target) (*Loop, error) {
+	l, err := newLoop(log.Kind(), log.Kind())
 	if err != nil {
 		return nil, err
 	}
-	if ops.Status != nil {
-		l.side += statusMost + 2 // and the listener; one more is accepted before another makes room
-	}
-	if ops.Figures != nil {
-		l.side += 2 // a socket and a file
-	}
-	if ops.Capture != nil && ops.Capture.Dir != "" {
-		l.side += 2 // two files for a moment
-	}
 	if ops.Addresses != nil {
 		l.lists = address.New(*ops.Addresses)
 	}
-	servers, clients := l.share(c.Limits.Sockets)
+	l.side = forFeatures(ops)
+	servers, clients := share(c.Limits.Sockets, l.side)
 	l.serve(servers, c.Settings.ConnectTimeout, c.Settings.ConnIdle)
 	l.watch = &watch{stream: stream{loop: l}, to: c.Discovery}
+	decisions := log.Kind()
 	if ops.Capture != nil {
-		if l.Capture, err = capture.New(*ops.Capture, c, l.Now, l.Logf); err != nil {
+		if l.Capture, err = capture.New(*ops.Capture, c, l.Now, decisions); err != nil {
 			return nil, fmt.Errorf("key \"capture.dir\": %w", err)
 		}
 	}
@@ -56,7 +49,7 @@
 		}
 		return m
 	}
-	l.Ledger = ledger.New(c.Settings.TryLimit, c.Settings.Names, module, c.Known, l.servers, l.Logf)
+	l.Ledger = ledger.New(c.Settings.TryLimit, c.Settings.Names, module, c.Known, l.servers, decisions)
 	if l.Capture != nil {
 		l.Capture.Host = l.Ledger.Host
 		l.Ledger.Attach(l.Capture)
@@ -87,21 +80,50 @@
 // Now is the time of the present turn.
 func (l *Loop) Now() time.Duration { return l.now }
 
+// forFeatures counts the descriptors that features take up.
+func forFeatures(ops config.Ops) (n int) {
+	if ops.Status != nil {
+		n += statusMost + 2 // and the listener; one more is accepted before another makes room
+	}
+	if ops.Figures != nil {
+		n += 2 // a socket and a file
+	}
+	if ops.Capture != nil && ops.Capture.Dir != "" {
+		n += 2 // two files for a moment
+	}
+	return n
+}
+
 // share parts the descriptors. Server links hold one only until a job is accepted; clients hold theirs for as
 // long as it runs.
-func (l *Loop) share(sockets int) (servers, clients int) {
-	most := sockets - ownDescriptors - l.side
+func share(sockets, side int) (servers, clients int) {
+	most := sockets - ownDescriptors - side
 	servers = max(8, most/6)
 	return servers, most - servers
 }
 
+// Shares is what a loop makes of its limits.
+type Shares struct {
+	Own, Features, Servers, Clients int // descriptors
+	Queries                         int // open at once
+	Buffers                         int // bytes in the buffers of client links; the bodies of queries take up as much
+}
+
+// SharesOf tells what Open would make of the limits.
+func SharesOf(c config.Config, ops config.Ops) Shares {
+	s := Shares{Own: ownDescriptors, Features: forFeatures(ops), Buffers: bufferBudget(c)}
+	s.Servers, s.Clients = share(c.Limits.Sockets, s.Features)
+	s.Queries = mostQueries(s.Clients)
+	return s
+}
+
 // bufferBudget is how many bytes the buffers of client links may take up, and the bodies of queries as much again.
 // Twice a sixth, and as much garbage at most, leaves room on the smallest machine for the program itself.
 func bufferBudget(c config.Config) int { return c.Limits.MemoryMB << 20 / 6 }
 
 // Reload goes on by another configuration: links, queries and what the module knows stay.
 func (l *Loop) Reload(c config.Config) {
-	servers, clients := l.share(c.Limits.Sockets)
+	servers, clients := share(c.Limits.Sockets, l.side)
 	l.servers.most = servers
 	l.clients.limit(clients, bufferBudget(c))
 	if c.Discovery != l.watch.to {
--- a/internal/link/watch.go
+++ b/internal/link/watch.go
@@ -87,7 +87,7 @@
 func (w *watch) lost(why error) {
 	if w.on {
 		w.stop()
-		w.loop.Logf("watch on the host group lost: %v", why)
+		w.loop.log.Warn("watch lost", "discovery", w.to.String(), "why", why)
 		w.loop.Ledger.HostsLost()
 	}
 }
@@ -190,7 +190,8 @@
 			}
 			if !w.spoke {
 				w.spoke = true
-				w.loop.Logf("watch at %v after generation %d: generation %d, whole %v, %d entries", w.to, w.after, g.Generation, g.Reset, len(g.Hosts))
+				w.loop.log.Info("watch began", "discovery", w.to.String(), "after", w.after, "generation", g.Generation,
+					"whole", g.Reset, "entries", len(g.Hosts))
 			}
 			w.loop.Ledger.Hosts(g)
 		}
--- a/internal/link/world_test.go
+++ b/internal/link/world_test.go
@@ -3,7 +3,7 @@
 import (
 	"bytes"
 	"errors"
-	"io"
+	"log/slog"
 	"net/netip"
 	"strings"
 	"testing"
@@ -37,7 +37,8 @@
 
 func newWorld(s *steps.Steps) *world {
 	w := &world{Steps: s, module: &steps.Script{}, now: 1000 * time.Hour}
-	l, err := newLoop(io.Discard)
+	silent := slog.New(slog.DiscardHandler)
+	l, err := newLoop(silent, silent)
 	if err != nil {
 		s.T.Fatal(err)
 	}
@@ -53,7 +54,7 @@
 	l.serve(50, 250*time.Millisecond, time.Minute)
 	l.watch = &watch{stream: stream{loop: l, closed: true}}
 	l.Ledger = ledger.New(6, names, func() ledger.Module { return w.module }, ledger.HostGroup{Hosts: []ledger.Host{
-		{ID: "s-0", Addr: "127.0.0.1:1", State: "up"}}}, l.servers, l.Logf)
+		{ID: "s-0", Addr: "127.0.0.1:1", State: "up"}}}, l.servers, silent)
 	l.accept(50, 1<<20, &logic.Settings{Classes: []logic.Class{{GiveUp: 5 * time.Second}}}, names)
 	l.onWake = func() {}
 	w.loop = l
--- a/internal/run/addresses_test.go
+++ b/internal/run/addresses_test.go
@@ -41,7 +41,7 @@
 			t.Fatal(err)
 		}
 		s.gone(c, "")
-		s.log("refused, in addresses.deny client=" + c.LocalAddr().String())
+		s.log(`level=WARN msg="connection refused" scheduler=n0 why="in addresses.deny" client=` + c.LocalAddr().String())
 		c.Close()
 	}
 	const v2 = "\r\n\r\n\x00\r\nQUIT\n\x21\x11\x00\x0c\xcb\x00\x71\x07\x0a\x14\x00\x01\xc9\x3a\x23\x28"
@@ -52,22 +52,22 @@
 			t.Errorf("after %q: %q", header, line)
 		}
 		whose := " client=203.0.113.7:51514 via=" + c.LocalAddr().String()
-		s.log("client link open" + whose)
-		s.log("query 1 answered with 503" + whose)
+		s.log(`msg="client link open" scheduler=n0` + whose)
+		s.log(`msg="query answered" scheduler=n0 query=1 status=503` + whose)
 		stranger := s.from("127.0.0.10")
 		s.gone(stranger, header+query)
-		s.log("PROXY header from an address that is not trusted client=" + stranger.LocalAddr().String())
+		s.log(`why="PROXY header from an address that is not trusted" client=` + stranger.LocalAddr().String())
 	}
 	c := s.from("127.0.0.9")
 	s.gone(c, "PROXY TCP4 nowhere\r\n"+query)
-	s.log("closed: malformed PROXY header client=" + c.LocalAddr().String())
+	s.log(`msg="link closed" scheduler=n0 why="malformed PROXY header" client=` + c.LocalAddr().String())
 	c = s.from("127.0.0.9")
 	io.WriteString(c, "\r\n\r\n\x00\r\nQUIT\n\x20\x00\x00\x00GET /up HTTP/1.1\r\n\r\n") // the front's own
 	if line, _ := bufio.NewReader(c).ReadString('\n'); line != "HTTP/1.1 200 OK\r\n" {
 		t.Errorf("/up by the front itself: %q", line)
 	}
 	own := c.LocalAddr().String()
-	s.log("client link open client=" + own + " via=" + own)
+	s.log(`msg="client link open" scheduler=n0 client=` + own + " via=" + own)
 }
 
 // With the lists off nothing is said of links, and a header is what it was: bytes that can't be read.
--- a/internal/run/capture_test.go
+++ b/internal/run/capture_test.go
@@ -18,7 +18,7 @@
 	var text strings.Builder
 	for s.lines.Scan() {
 		text.WriteString(s.lines.Text() + "\n")
-		if strings.Contains(s.lines.Text(), "capture of ") {
+		if strings.Contains(s.lines.Text(), `msg="capture written"`) {
 			return text.String()
 		}
 	}
@@ -52,7 +52,7 @@
 	file := filepath.Join(t.TempDir(), "ring.jsonl")
 	w.write(file, text)
 	garbage := filepath.Join(t.TempDir(), "garbage")
-	w.write(garbage, "n0: draining\n")
+	w.write(garbage, "msg=draining\n"+`{"time":"2026-01-01T00:00:00Z","level":"INFO","msg":"draining"}`+"\n")
 	for _, c := range []struct {
 		file, ops, out, warning string
 		code                    int
@@ -75,8 +75,13 @@
 	}
 }
 
-// A log that nobody takes in holds up neither the jobs nor the end.
+// A log that nobody takes in holds up neither the jobs nor the end, whatever is on.
 func TestLogStuck(t *testing.T) {
+	t.Run("capture", func(t *testing.T) { stuck(t, "[capture]") })
+	t.Run("no feature", func(t *testing.T) { stuck(t, "[log]\nlevel = 'debug'") })
+}
+
+func stuck(t *testing.T, ops string) {
 	logs, log, err := os.Pipe()
 	if err != nil {
 		t.Fatal(err)
@@ -94,12 +99,14 @@
 	s := &started{T: t, path: filepath.Join(t.TempDir(), "config.json"), ops: filepath.Join(t.TempDir(), "ops.toml"),
 		addr: addr, end: make(chan error, 1)}
 	s.configure(strings.Replace(conf, "127.0.0.1:0", addr, 1))
-	s.write(s.ops, "[capture]")
+	s.write(s.ops, ops)
 	go func() {
 		s.end <- Scheduler(func(name string) string { return map[string]string{"PROXY_CONFIG": s.path}[name] }, s.ops, log)
 	}()
 	s.up()
-	s.signal(syscall.SIGUSR1)
+	if ops == "[capture]" {
+		s.signal(syscall.SIGUSR1)
+	}
 	if line, _ := s.talk(query).ReadString('\n'); line != givenUp {
 		t.Errorf("a query while the log is stuck: %q", line)
 	}
--- a/internal/run/run.go
+++ b/internal/run/run.go
@@ -4,6 +4,7 @@
 import (
 	"fmt"
 	"io"
+	"log/slog"
 	"math"
 	"os"
 	"os/signal"
@@ -16,6 +17,7 @@
 	"valvecove/internal/config"
 	"valvecove/internal/figures"
 	"valvecove/internal/link"
+	"valvecove/internal/oplog"
 	"valvecove/internal/spool"
 )
 
@@ -39,7 +41,8 @@
 	loop     *link.Loop
 	draining bool
 	over     bool          // there is nothing more to stay for
-	spool    *spool.Writer // before standard error; nil where no feature writes there
+	spool    *spool.Writer // before standard error
+	log      *slog.Logger
 }
 
 // Scheduler runs until it has been told to stop and has drained. ops names the operators' file; without one no
@@ -62,15 +65,13 @@
 		return err
 	}
 	limit(c.Limits)
-	s := &scheduler{env: env, conf: c}
-	if features.Capture != nil || features.Figures != nil {
-		// Standard error may be slow or gone: with features that write much to it, nobody waits for it.
-		s.spool = spool.Before(log, logWaiting, func(n uint64) string {
-			return fmt.Sprintf("%s: %d pieces of the log are lost, as they were not taken in\n", c.Name, n)
-		})
-		defer s.spool.Close(lastFlush)
-		log = s.spool
-	}
+	// Standard error may be slow or gone: nobody waits for it.
+	s := &scheduler{env: env, conf: c, spool: spool.Before(log, logWaiting, func(n uint64) string {
+		return oplog.Line(features.Log, c.Name, slog.LevelWarn, "log lost, as it was not taken in", slog.Uint64("pieces", n))
+	})}
+	defer s.spool.Close(lastFlush)
+	logs := oplog.New(features.Log, c.Name, s.spool)
+	s.log = logs.Kind()
 	if features.Capture != nil {
 		signal.Notify(signals, syscall.SIGUSR1)
 	}
@@ -87,7 +88,7 @@
 	} else if f != nil && !f.To.IsValid() {
 		targets = append(targets, offered{s.spool})
 	}
-	loop, err := link.Open(c, features, log, targets...)
+	loop, err := link.Open(c, features, logs, targets...)
 	if err != nil {
 		return err
 	}
@@ -113,7 +114,7 @@
 			}
 		}
 	}()
-	loop.Logf("%s: listening at %v", c.Name, loop.Addr())
+	s.log.Info("listening", "addr", loop.Addr().String())
 	return loop.Run(func() bool { return s.over && loop.Quiet() })
 }
 
@@ -132,7 +133,7 @@
 		s.dump()
 	case !s.draining: // once: a second SIGTERM must not begin the drain anew
 		s.draining = true
-		s.loop.Logf("%s: draining", s.conf.Name)
+		s.log.Info("draining")
 		s.drain()
 	}
 }
@@ -142,20 +143,17 @@
 	held := s.loop.Capture.Dump()
 	switch {
 	case held == nil:
-		s.loop.Logf("%s: the capture is in files, %d pieces lost", s.conf.Name, s.loop.Capture.Lost())
+		s.log.Info("the capture is in files", "pieces_lost", s.loop.Capture.Lost())
 	case s.spool.WriteLarge(held):
-		s.loop.Logf("%s: capture of %d bytes written, %d segments lost", s.conf.Name, len(held), s.loop.Capture.Lost())
+		s.log.Info("capture written", "bytes", len(held), "segments_lost", s.loop.Capture.Lost())
 	default:
-		s.loop.Logf("%s: a capture is still being written", s.conf.Name)
+		s.log.Warn("a capture is still being written")
 	}
 }
 
 // drain serves on for as long as there is time to, and sees to it that nothing is left unanswered.
 func (s *scheduler) drain() {
-	killed := killSpare
-	for _, c := range s.conf.Settings.Classes {
-		killed = max(killed, killSpare+min(c.GiveUp, killAfter))
-	}
+	killed := KilledAfter(s.conf.Settings)
 	s.loop.Drain()
 	s.loop.After(max(killed-lastTaken, killed/2), s.loop.Close)
 	s.loop.After(killed-lastWords, func() { s.loop.Finish(killed - lastWords - killSpare) })
@@ -169,22 +167,34 @@
 func (s *scheduler) reload() {
 	next, kept, err := s.conf.Reload(s.env)
 	if err != nil {
-		s.loop.Logf("%s: configuration kept as it was: %v", s.conf.Name, err)
+		s.log.Error("configuration kept as it was", "error", err)
 		return
 	}
 	limit(next.Limits)
 	s.loop.Reload(next)
 	s.conf = next
-	s.loop.Logf("%s: configuration read anew, discovery at %v", s.conf.Name, next.Discovery)
+	s.log.Info("configuration read anew", "discovery", next.Discovery.String())
 	if len(kept) > 0 {
-		s.loop.Logf("%s: these change at the next start only: %s", s.conf.Name, strings.Join(kept, ", "))
+		s.log.Warn("some of it changes at the next start only", "keys", strings.Join(kept, " "))
 	}
 }
 
-// limit keeps the runtime inside what the machine allows. Memory beyond the heap needs room too, and running
-// into the cap is a crash, so the collector works harder well before it.
+// limit keeps the runtime inside what the machine allows.
 func limit(l config.Limits) {
 	runtime.GOMAXPROCS(max(1, int(math.Ceil(l.Cores))))
-	debug.SetMemoryLimit(int64(l.MemoryMB) << 20 * 6 / 10)
+	debug.SetMemoryLimit(HeapLimit(l))
 	debug.SetGCPercent(200)
 }
+
+// HeapLimit is how many bytes the collector is held to. Memory beyond the heap needs room too, and running into the
+// cap is a crash, so it works harder well before that.
+func HeapLimit(l config.Limits) int64 { return int64(l.MemoryMB) << 20 * 6 / 10 }
+
+// KilledAfter is how long after SIGTERM a scheduler stays, which is when SIGKILL is due.
+func KilledAfter(s config.Settings) time.Duration {
+	killed := killSpare
+	for _, c := range s.Classes {
+		killed = max(killed, killSpare+min(c.GiveUp, killAfter))
+	}
+	return killed
+}
--- a/internal/run/run_test.go
+++ b/internal/run/run_test.go
@@ -48,7 +48,8 @@
 		log.Close()
 	}()
 	s.lines = bufio.NewScanner(logs)
-	_, s.addr, _ = strings.Cut(s.log("listening at "), "listening at ")
+	_, s.addr, _ = strings.Cut(s.log("listening"), "addr")
+	s.addr = strings.Trim(s.addr, `=":}`)
 	return s
 }
 
@@ -150,11 +151,11 @@
 	answer, other := s.talk(query), s.dial()
 	s.configure(with(second))
 	s.signal(syscall.SIGHUP)
-	s.log("configuration read anew, discovery at " + second.Addr().String())
+	s.log(`msg="configuration read anew" scheduler=n0 discovery=` + second.Addr().String())
 	s.hears(second, watch)
 	s.configure(strings.Replace(with(third), `"sockets":64`, `"sockets":6`, 1))
 	s.signal(syscall.SIGHUP)
-	s.log(`configuration kept as it was: ` + s.path + `: key "limits.sockets"`)
+	s.log(`level=ERROR msg="configuration kept as it was" scheduler=n0 error="` + s.path + `: key \"limits.sockets\"`)
 	s.signal(syscall.SIGTERM)
 	s.log("draining")
 	io.WriteString(other, "GET /up HTTP/1.1\r\n\r\n") // a client goes on using the link that it has
@@ -163,7 +164,7 @@
 	}
 	s.configure(with(third))
 	s.signal(syscall.SIGHUP)
-	s.log("configuration read anew, discovery at " + third.Addr().String())
+	s.log(`msg="configuration read anew" scheduler=n0 discovery=` + third.Addr().String())
 	s.hears(third, watch)
 	const note = `{"id":"1","from":"s-1","state":"done","result":"r"}`
 	s.talk("POST /v1/job-events HTTP/1.1\r\nContent-Length: " + strconv.Itoa(len(note)) + "\r\n\r\n" + note)
--- a/internal/status/status_test.go
+++ b/internal/status/status_test.go
@@ -2,8 +2,8 @@
 
 import (
 	"fmt"
+	"log/slog"
 	"strconv"
-	"strings"
 	"testing"
 	"time"
 
@@ -33,9 +33,17 @@
 	table *Table
 }
 
+// faults is a log in which nothing may come.
+type faults struct{ *steps.Steps }
+
+func (f faults) Write(b []byte) (int, error) {
+	f.Check(false, "%s", b)
+	return len(b), nil
+}
+
 func newWorld(s *steps.Steps, conf config.Status) *world {
 	names := ledger.Names{Classes: []string{"cash-payout"}, Tenants: []string{"swat-society"}}
-	w := &world{Steps: s, World: sides.New(names, func(f string, args ...any) { s.Check(!strings.HasPrefix(f, "panic"), f, args...) })}
+	w := &world{Steps: s, World: sides.New(names, slog.New(slog.NewTextHandler(faults{s}, &slog.HandlerOptions{Level: slog.LevelError})))}
 	w.table = New(conf, names, true, func() time.Duration { return w.Now })
 	w.Ledger.Attach(w.table)
 	return w
--- a/internal/steps/sides/sides.go
+++ b/internal/steps/sides/sides.go
@@ -2,6 +2,7 @@
 package sides
 
 import (
+	"log/slog"
 	"strconv"
 	"time"
 
@@ -20,13 +21,13 @@
 }
 
 // New returns a world in which nothing has happened.
-func New(names ledger.Names, report func(format string, args ...any)) *World {
+func New(names ledger.Names, log *slog.Logger) *World {
 	w := &World{Module: &steps.Script{}, Now: 1718000000 * time.Second}
 	group := ledger.HostGroup{}
 	for n := range 2 {
 		group.Hosts = append(group.Hosts, ledger.Host{ID: "s-" + strconv.Itoa(n), Addr: "127.0.0.1:1", State: "up"})
 	}
-	w.Ledger = ledger.New(6, names, func() ledger.Module { return w.Module }, group, w, report)
+	w.Ledger = ledger.New(6, names, func() ledger.Module { return w.Module }, group, w, log)
 	w.Ledger.Step(w.Now)
 	w.hosts = w.Module.Heard[0].(logic.WorkerList).Workers
 	return w
