--- a/internal/lab/judge/books.go
+++ b/internal/lab/judge/books.go
@@ -1,6 +1,7 @@
 package judge
 
 import (
+	"math"
 	"time"
 
 	"valvecove/internal/lab/scenario"
@@ -145,15 +146,23 @@
 	return found
 }
 
+// out tells whether an attempt of its is.
+func (b *job) out() bool {
+	for i := range b.attempts {
+		if b.attempts[i].ended == 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // sched is a scheduler, and what became of its processes.
 type sched struct {
 	process int
 	up      bool
 	ends    []ending // by process
 	term    time.Duration
-	frozen  bool
-	froze   time.Duration // last
-	woke    time.Duration
+	frozen  []span                // the last one lasts as long as its end is open
 	drained map[int]time.Duration // by worker node: told so
 	breach  bool                  // of its limits, by this process
 }
@@ -166,10 +175,18 @@
 }
 
 // met tells whether it was frozen at any time from a to b.
-func (s *sched) met(a, b time.Duration) bool {
-	return s.froze > 0 && s.froze <= b && (s.frozen || s.woke >= a)
+func (s *sched) met(a, b time.Duration) bool { return len(s.frozen) > 0 && meet(s.frozen, a, b) }
+
+// wake ends a freeze, if there is one.
+func (s *sched) wake(at time.Duration) {
+	if n := len(s.frozen); n > 0 && s.frozen[n-1].to == ever {
+		s.frozen[n-1].to = at
+	}
 }
 
+// ever is the end of what has none.
+const ever = time.Duration(math.MaxInt64)
+
 // span is a part of the play.
 type span struct{ from, to time.Duration }
 
--- a/internal/lab/judge/doc.go
+++ b/internal/lab/judge/doc.go
@@ -50,7 +50,7 @@
 //   - A query whose client was cut off from the scheduler, or slowed down, by a fault of the scenario.
 //   - A close that crosses the query, which comes within the time that a word takes there and back; and the close of
 //     a connection on which nothing had been asked before. Both only if nothing was sent on for the query.
-//   - A client that leaves by itself, and one that gives up before the query's budget is over.
+//   - A client that leaves by itself, and one that gives up before an answer of the budget's last moment can have come.
 //
 // # Attempts that overlap
 //
@@ -74,6 +74,10 @@
 //
 // Of a query that met a frozen scheduler, or a cut between that and its client, neither is asked.
 //
+// # The lab's own lateness
+//
+// Late sights widen time limits by as much for a second. Beyond Options.Late they make the play void.
+//
 // # Memory and time
 //
 // A sight costs a map access or two. A job is remembered until it has been settled for as long as the longest window
