Keep the agenda in order: bound a heap's children before one is taken for the least

Seen: a fuzzed play of clients gave up 27 ms late; a check of the heap in add and take panicked there. Cause: the loop over four children took its bound from the least child so far, so it ran on into cousins that may be less than what had gone up.

--- a/internal/lab/world/agenda.go
+++ b/internal/lab/world/agenda.go
@@ -75,7 +75,7 @@
 		if least >= last {
 			break
 		}
-		for k := least + 1; k < min(least+4, last); k++ {
+		for k, end := least+1, min(least+4, last); k < end; k++ {
 			if items[k].before(&items[least]) {
 				least = k
 			}
