--- a/internal/lab/world/node_notes.go
+++ b/internal/lab/world/node_notes.go
@@ -71,7 +71,8 @@
 
 func (n *node) newNote(a *attempt, state string) *note {
 	p := &n.post
-	t := &note{id: uint64(n.n)<<32 | (p.first + uint64(len(p.notes))), sched: a.sched, body: ledger.Note{ID: a.call, From: n.id, State: state}}
+	t := &note{id: uint64(n.n)<<32 | (p.first + uint64(len(p.notes))), sched: a.sched,
+		body: ledger.Note{ID: a.call, From: n.id, State: state}}
 	if state == "done" {
 		t.result = a.result
 		t.body.Result = &t.result
--- a/internal/lab/world/node_work.go
+++ b/internal/lab/world/node_work.go
@@ -59,8 +59,8 @@
 //     So is what its kind may not run, what takes more slots than there are, and anything new while it drains.
 //   - A job of k slots does k times its run time of work. While more slots are in use than there are cores, all jobs
 //     share these evenly.
-//   - Of attempts that end with an error, a quarter do so at the door: 500 in place of 202. The others are told as failed
-//     after a part of their work, drawn evenly from a tenth to all of it.
+//   - Of attempts that end with an error, a quarter do so at the door: 500 in place of 202. The others are told as
+//     failed after a part of their work, drawn evenly from a tenth to all of it.
 
 // doorErrors is the share of errors that come before a 202.
 const doorErrors = 0.25
--- a/internal/lab/world/nodes_test.go
+++ b/internal/lab/world/nodes_test.go
@@ -36,7 +36,7 @@
 			check(m.begun[m.in[i]], "run out of turn, by "+m.last)
 		}
 	}
-	check(m.stops == "" || x.What == seen.Died && x.Call == m.stops && x.Text == "cancelled", "run on of what is cancelled")
+	check(m.stops == "" || x.What == seen.Died && x.Call == m.stops && x.Text == "cancelled", "run of what is cancelled")
 	m.last, m.stops = "", ""
 	at := slices.Index(m.in, x.Call)
 	switch x.What {
