--- /dev/null
+++ b/internal/lab/live/fake_test.go
@@ -0,0 +1,61 @@
+package live
+
+import (
+	"fmt"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"golang.org/x/sys/unix"
+
+	"valvecove/internal/config"
+)
+
+// fakeScheduler is a process that keeps to what the platform asks of one, and schedules nothing.
+func fakeScheduler() int {
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGHUP)
+	c, err := config.Load(os.Getenv)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	var limit unix.Rlimit
+	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &limit); err != nil || int(limit.Max) != c.Limits.Sockets {
+		fmt.Fprintln(os.Stderr, "descriptors:", limit, err)
+		return 1
+	}
+	var cores unix.CPUSet
+	if err := unix.SchedGetaffinity(0, &cores); err != nil || cores.Count() != 1 {
+		fmt.Fprintln(os.Stderr, "cores:", cores.Count(), err)
+		return 1
+	}
+	fmt.Fprintln(os.Stderr, "begins")
+	ask := func() {
+		url := fmt.Sprintf("http://%v/discovery/hosts?stream=1&index=%d", c.Discovery, c.Known.Generation)
+		go http.Get(url) // its answer may come late, or never
+	}
+	ask()
+	go http.ListenAndServe(c.Listen.String(), http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		if q.URL.Path != "/up" {
+			w.WriteHeader(http.StatusNotFound)
+		}
+	}))
+	for sig := range signals {
+		if sig == syscall.SIGTERM {
+			return 7
+		}
+		next, _, err := c.Reload(os.Getenv)
+		if err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			return 1
+		}
+		if next.Discovery != c.Discovery {
+			fmt.Fprintln(os.Stderr, "discovery moved")
+		}
+		c = next
+		ask()
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/lab/live/http.go
@@ -0,0 +1,158 @@
+package live
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+)
+
+const (
+	mostHead = 64 << 10
+	mostBody = 1 << 20
+)
+
+// reader takes HTTP messages from bytes at hand by net/http's parser: another implementation than the schedulers' own,
+// so that what only theirs understands is found out.
+type reader struct {
+	src bytes.Reader
+	buf *bufio.Reader
+}
+
+func newReader() *reader { return &reader{buf: bufio.NewReader(nil)} }
+
+var (
+	errHead     = errors.New("head too large")
+	errBody     = errors.New("body too large")
+	errTwoSizes = errors.New("both Content-Length and Transfer-Encoding")
+)
+
+var headEnd = []byte("\r\n\r\n")
+
+// request reads one request from the start of b, n bytes long; n is 0 while it is not whole.
+func (r *reader) request(b []byte) (q *http.Request, body []byte, n int, err error) {
+	head, err := wholeHead(b)
+	if head == 0 || err != nil {
+		return nil, nil, 0, err
+	}
+	r.load(b)
+	if q, err = http.ReadRequest(r.buf); err != nil {
+		return nil, nil, 0, err
+	}
+	if q.TransferEncoding != nil && bytes.Contains(bytes.ToLower(b[:head]), []byte("\ncontent-length:")) {
+		return nil, nil, 0, errTwoSizes // net/http picks one
+	}
+	body, n, err = r.body(b, head, q.ContentLength, q.Body, false)
+	return q, body, n, err
+}
+
+// response reads one answer to a POST from the start of b; interim ones are passed over. ended tells that nothing more
+// will come: some answers end only with their connection.
+func (r *reader) response(b []byte, ended bool) (a *http.Response, body []byte, n int, err error) {
+	for at := 0; ; {
+		head, err := wholeHead(b[at:])
+		if head == 0 || err != nil {
+			return nil, nil, 0, err
+		}
+		r.load(b[at:])
+		a, err := http.ReadResponse(r.buf, nil)
+		if err != nil {
+			return nil, nil, 0, err
+		}
+		if a.StatusCode < 200 {
+			at += head
+			continue
+		}
+		if a.ContentLength < 0 && a.TransferEncoding == nil && !ended {
+			return nil, nil, 0, nil
+		}
+		body, n, err := r.body(b[at:], head, a.ContentLength, a.Body, ended)
+		if n > 0 {
+			n += at
+		}
+		return a, body, n, err
+	}
+}
+
+// wholeHead tells how long the head at the start of b is; 0 while it is not whole.
+func wholeHead(b []byte) (int, error) {
+	end := bytes.Index(b[:min(len(b), mostHead)], headEnd)
+	switch {
+	case end >= 0:
+		return end + len(headEnd), nil
+	case len(b) >= mostHead:
+		return 0, errHead
+	}
+	return 0, nil
+}
+
+func (r *reader) load(b []byte) {
+	r.src.Reset(b)
+	r.buf.Reset(&r.src)
+}
+
+// body takes the body of the message just read, if it is whole. length below 0: it has none, or is in chunks.
+func (r *reader) body(b []byte, head int, length int64, from io.Reader, ended bool) (body []byte, n int, err error) {
+	switch {
+	case length > mostBody:
+		return nil, 0, errBody
+	case length >= 0 && int64(len(b)-head) < length:
+		return nil, 0, nil
+	case length >= 0:
+		n = head + int(length)
+		return b[head:n], n, nil
+	}
+	body, err = io.ReadAll(io.LimitReader(from, mostBody+1))
+	switch {
+	case len(body) > mostBody:
+		return nil, 0, errBody
+	case err != nil && !ended && strings.Contains(err.Error(), io.ErrUnexpectedEOF.Error()):
+		return nil, 0, nil // in a chunk, or in the trailer, which has an error of its own
+	case err != nil:
+		return nil, 0, err
+	}
+	return body, len(b) - r.src.Len() - r.buf.Buffered(), nil
+}
+
+// once gives the value of a header field, and whether it is given at most once.
+func once(h http.Header, name string) (value string, ok bool) {
+	list := h[name]
+	if len(list) == 0 {
+		return "", true
+	}
+	return list[0], len(list) == 1
+}
+
+// appendAnswer writes an answer; fields are whole lines of its head.
+func appendAnswer(b []byte, status int, fields string, body []byte) []byte {
+	b = append(b, "HTTP/1.1 "...)
+	b = strconv.AppendInt(b, int64(status), 10)
+	b = append(append(b, ' '), http.StatusText(status)...)
+	b = append(append(b, "\r\n"...), fields...)
+	if status != http.StatusNoContent {
+		b = append(b, "Content-Length: "...)
+		b = strconv.AppendInt(b, int64(len(body)), 10)
+		b = append(b, "\r\n"...)
+	}
+	b = append(b, "\r\n"...)
+	return append(b, body...)
+}
+
+// appendField writes a header field, unless it has no value.
+func appendField(b []byte, name, value string) []byte {
+	if value == "" {
+		return b
+	}
+	b = append(append(b, name...), ": "...)
+	return append(append(b, value...), "\r\n"...)
+}
+
+// appendCall writes the start of a request up to its last field; the caller adds fields and a blank line.
+func appendCall(b []byte, method, target, host string) []byte {
+	b = append(append(b, method...), ' ')
+	b = append(append(b, target...), " HTTP/1.1\r\n"...)
+	return appendField(b, "Host", host)
+}
--- /dev/null
+++ b/internal/lab/live/live_test.go
@@ -0,0 +1,676 @@
+package live
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"runtime"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"valvecove/internal/lab/edge"
+	"valvecove/internal/lab/scenario"
+	"valvecove/internal/lab/seen"
+	"valvecove/internal/ledger"
+)
+
+// rig is a driver whose world is the test: it gets what comes, and says what is done.
+type rig struct {
+	*testing.T
+	d    *driver
+	outs chan edge.Out
+}
+
+func (r *rig) Next() (time.Duration, bool) { return 0, false }
+func (r *rig) Over() bool                  { return false }
+
+func (r *rig) Step(_ time.Duration, outs []edge.Out, dst []edge.In) []edge.In {
+	for _, o := range outs {
+		r.outs <- o
+	}
+	return dst
+}
+
+func testSpec(t *testing.T, more string) *scenario.Scenario {
+	s, err := scenario.Parse("test", []byte("length = \"2s\"\n[fleet]\nnodes = 2\n"+more))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+func newRig(t *testing.T, opt Options) *rig {
+	opt.Dir, opt.Stay = t.TempDir(), true
+	d, err := newDriver(testSpec(t, ""), opt)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := &rig{t, d, make(chan edge.Out, 1<<14)}
+	ctx, cancel := context.WithCancel(context.Background())
+	d.world, d.begins = r, func(time.Time) {}
+	var all sync.WaitGroup
+	all.Go(func() {
+		if err := d.run(ctx, time.Hour); err != nil {
+			t.Error(err)
+		}
+		d.close()
+	})
+	all.Go(d.lookAt)
+	t.Cleanup(func() {
+		cancel()
+		all.Wait()
+	})
+	return r
+}
+
+// do has something done to schedulers.
+func (r *rig) do(ins ...edge.In) {
+	r.d.send(func() {
+		for _, in := range ins {
+			r.d.carryOut(&in)
+		}
+	})
+}
+
+// next is what comes next from schedulers.
+func (r *rig) next() edge.Out {
+	r.Helper()
+	select {
+	case o := <-r.outs:
+		return o
+	case <-time.After(30 * time.Second):
+		r.Fatal("what was to come has not come")
+	}
+	return edge.Out{}
+}
+
+func (r *rig) want(kind edge.OutKind) edge.Out {
+	r.Helper()
+	o := r.next()
+	if o.Kind != kind {
+		r.Fatalf("got %+v, expected kind %d", o, kind)
+	}
+	return o
+}
+
+// serve serves HTTP where a scheduler would.
+func (r *rig) serve(h http.Handler) {
+	l, err := net.Listen("tcp", r.d.scheds[0].listen.String())
+	if err != nil {
+		r.Fatal(err)
+	}
+	s := &http.Server{Handler: h, ReadTimeout: 300 * time.Millisecond, MaxHeaderBytes: 16 << 10}
+	go s.Serve(l)
+	r.Cleanup(func() { s.Close() })
+}
+
+// raw answers with just these bytes and closes.
+func raw(w http.ResponseWriter, text string) {
+	c, _, _ := w.(http.Hijacker).Hijack()
+	io.WriteString(c, text)
+	c.Close()
+}
+
+// Clients write queries as the protocol shows them, and take answers in any framing.
+func TestClients(t *testing.T) {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /account-credit/{key}", func(w http.ResponseWriter, q *http.Request) {
+		call := q.Header.Get("X-Call-Id")
+		body, _ := io.ReadAll(q.Body)
+		for name, value := range map[string]string{"X-Call-Class": "account-credit", "X-Caller": "mardan-society",
+			"X-Budget-Ms": "480", "Idempotency-Key": q.PathValue("key"), "X-Call-Cost": "12000",
+			"X-Call-Info": "slots=2", "X-Again": "1"} {
+			if got := q.Header.Get(name); got != value {
+				t.Errorf("%s: %q, expected %q", name, got, value)
+			}
+		}
+		if len(body) != 300 || !strings.HasPrefix(string(body), call) {
+			t.Errorf("body %q", body)
+		}
+		switch call {
+		case "chunked":
+			io.WriteString(w, "made in ")
+			w.(http.Flusher).Flush()
+			io.WriteString(w, "chunks")
+		case "refused":
+			w.Header().Set("Retry-After", "0.25")
+			w.WriteHeader(503)
+		case "interim":
+			raw(w, "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+		case "unframed":
+			raw(w, "HTTP/1.0 500 Oh\r\n\r\nuntil the end")
+		case "cut":
+			raw(w, "")
+		case "garbage":
+			raw(w, "what?\r\n\r\n")
+		default:
+			io.WriteString(w, "made")
+		}
+	})
+	r := newRig(t, Options{})
+	ask := func(conn edge.Conn, call string) {
+		r.do(edge.In{Kind: edge.Asked, Conn: conn, Ask: &edge.Ask{Call: call, Class: 3, Tenant: 1, Key: "k-" + call,
+			Budget: 480*time.Millisecond + 700, Hint: 12 * time.Millisecond, Slots: 2, Body: 300, Again: true}})
+	}
+	ask(1, "nobody")
+	r.want(edge.Unmet)
+	r.serve(mux)
+	for i, x := range []struct {
+		call, result string
+		status       int // 0: the connection ends instead
+		after        time.Duration
+		ends         bool // and with the answer
+	}{
+		{call: "plain", status: 200, result: "made"},
+		{call: "chunked", status: 200, result: "made in chunks"},
+		{call: "refused", status: 503, after: 250 * time.Millisecond},
+		{call: "plain-again", status: 200, result: "made"},
+		{call: "interim", status: 200, result: "ok", ends: true},
+		{call: "unframed", status: 500, result: "until the end", ends: true},
+		{call: "cut"},
+		{call: "garbage"},
+	} {
+		conn := edge.Conn(2 + max(0, i-4)) // the first five share one
+		ask(conn, x.call)
+		if x.status > 0 {
+			o := r.want(edge.Replied)
+			o.Kind = 0
+			if o != (edge.Out{Conn: conn, Call: x.call, Status: x.status, Result: x.result, After: x.after}) {
+				t.Errorf("%s: %+v", x.call, o)
+			}
+		}
+		if x.status == 0 || x.ends {
+			if o := r.want(edge.Cut); o.Conn != conn {
+				t.Errorf("%s: %+v", x.call, o)
+			}
+		}
+	}
+}
+
+// A query that crosses the close of its connection is sent once more; one that was read and dropped is not.
+func TestCrossedClose(t *testing.T) {
+	r := newRig(t, Options{})
+	l, err := net.Listen("tcp", r.d.scheds[0].listen.String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	answer := func(c net.Conn) {
+		if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
+			t.Error(err)
+		}
+		io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+	}
+	ask := func(call string) { r.do(edge.In{Kind: edge.Asked, Conn: 1, Ask: &edge.Ask{Call: call, Body: 10}}) }
+	r.d.send(func() { r.d.scheds[0].alive, r.d.scheds[0].life = true, 2 })
+	ask("a")
+	c, _ := l.Accept()
+	answer(c)
+	r.want(edge.Replied)
+	ask("b")
+	c.Read(make([]byte, 1)) // the rest stays unread, so that the close is a reset
+	c.Close()
+	if c, err = l.Accept(); err != nil {
+		t.Fatal(err)
+	}
+	answer(c)
+	if o := r.want(edge.Replied); o.Call != "b" {
+		t.Errorf("%+v", o)
+	}
+	ask("c")
+	if _, err := io.ReadFull(c, make([]byte, 1)); err != nil {
+		t.Error(err)
+	}
+	b := make([]byte, 4096)
+	for got := ""; !strings.Contains(got, "\r\n\r\nc"); {
+		n, _ := c.Read(b)
+		got += string(b[:n])
+	}
+	c.Close()
+	r.want(edge.Cut)
+}
+
+// scheduler is the test's end of a link to a worker node.
+type schedEnd struct {
+	net.Conn
+	r  *rig
+	in *bufio.Reader
+}
+
+func (r *rig) connect(node int) *schedEnd {
+	r.Helper()
+	c, err := net.DialTimeout("tcp", r.d.places.node(node, 0).String(), 10*time.Second)
+	if err != nil {
+		r.Fatal(err)
+	}
+	r.Cleanup(func() { c.Close() })
+	c.SetDeadline(time.Now().Add(30 * time.Second))
+	return &schedEnd{c, r, bufio.NewReader(c)}
+}
+
+// status reads an answer; 0: the link ended without one.
+func (s *schedEnd) status() int {
+	a, err := http.ReadResponse(s.in, nil)
+	if err != nil {
+		return 0
+	}
+	io.Copy(io.Discard, a.Body)
+	return a.StatusCode
+}
+
+func query(call, key, body string) string {
+	return fmt.Sprintf("POST /account-credit/%s HTTP/1.1\r\nHost: w\r\nX-Call-Id: %s\r\nIdempotency-Key: %s\r\n"+
+		"X-Budget-Ms: 77\r\nContent-Length: %d\r\n\r\n%s", key, call, key, len(body), body)
+}
+
+// A worker node tells the world of what comes, and answers by itself only what the protocol leaves no doubt about.
+func TestNodes(t *testing.T) {
+	r := newRig(t, Options{})
+	s := r.connect(1)
+	dial := r.want(edge.Dial)
+	if dial.Node != 1 || dial.Conn != edge.LinkConn(0, 1) {
+		t.Fatalf("%+v", dial)
+	}
+	up := edge.In{Kind: edge.LinkUp, Conn: dial.Conn}
+	answer := func(status int) {
+		r.do(edge.In{Kind: edge.Answered, Conn: dial.Conn, Status: status, Rejected: status == 503})
+	}
+	body := string(appendBody(nil, "c1", 40))
+	r.d.send(func() { r.d.forms.add(&edge.Ask{Call: "c1", Class: 3, Key: "k1", Body: 40}, 0) })
+	io.WriteString(s, query("c1", "k1", body)) // the world has not accepted yet: this waits
+	r.do(up)
+	o := r.want(edge.Sent)
+	if o.Call != "c1" || o.Key != "k1" || o.Budget != 77*time.Millisecond || o.Node != 1 || o.First <= 0 {
+		t.Errorf("%+v", o)
+	}
+	answer(202)
+	if got := s.status(); got != 202 {
+		t.Errorf("202: %d", got)
+	}
+	for _, x := range []struct {
+		ask  string
+		kind edge.OutKind
+		call string
+	}{
+		{query("c1", "k1", body[:39]+"!"), edge.Sent, "c1!body"},
+		{query("c1", "k2", body), edge.Sent, "c1!path"},
+		{query("unknown", "k2", "x"), edge.Sent, "unknown"},
+		{"GET /alive HTTP/1.1\r\nHost: w\r\n\r\n", edge.Probe, ""},
+		{"GET /metrics/load HTTP/1.1\r\nHost: w\r\n\r\n", edge.Probe, ""},
+		{"DELETE /jobs/c1 HTTP/1.1\r\nHost: w\r\n\r\n", edge.Delete, "c1"},
+	} {
+		io.WriteString(s, x.ask)
+		o := r.want(x.kind)
+		if o.Call != x.call || o.Load != strings.Contains(x.ask, "load") {
+			t.Errorf("%s: %+v", x.ask, o)
+		}
+		answer(503)
+		a, err := http.ReadResponse(s.in, nil)
+		if err != nil || a.StatusCode != 503 || a.Header.Get("X-Rejected") != "1" {
+			t.Errorf("%s: %v, %v", x.ask, a, err)
+		}
+	}
+	for ask, status := range map[string]int{
+		"GET /else HTTP/1.1\r\nHost: w\r\n\r\n":                       404,
+		"POST /account-credit/k HTTP/1.1\r\nHost: w\r\n\r\n":          404, // without an id
+		strings.Replace(query("c1", "k1", body), "77", "soon", 1):     400,
+		query("any", oddName+"1", "x"):                                400, // a bad client's
+		strings.Replace(query("c1", "k1", body), "POST", "DELETE", 1): 404,
+	} {
+		io.WriteString(s, ask)
+		if got := s.status(); got != status {
+			t.Errorf("%s: %d, expected %d", ask, got, status)
+		}
+	}
+	io.WriteString(s, "what?\r\n\r\n")
+	if got := s.status(); got != 400 || s.status() != 0 {
+		t.Errorf("garbage: %d", got)
+	}
+	r.want(edge.Hangup)
+}
+
+// The world resets links at any byte, and closes them.
+func TestLinkEnds(t *testing.T) {
+	r := newRig(t, Options{})
+	ask := query("x", "k", "body")
+	// Reset after so many bytes read.
+	for most, told := range map[int]bool{10: false, len(ask): true} {
+		s := r.connect(0)
+		conn := r.want(edge.Dial).Conn
+		io.WriteString(s, ask)
+		r.do(edge.In{Kind: edge.LinkUp, Conn: conn, Bytes: most})
+		if told {
+			r.want(edge.Sent)
+		}
+		r.want(edge.Hangup)
+		if _, err := s.Read(make([]byte, 1)); !errors.Is(err, syscall.ECONNRESET) {
+			t.Errorf("reset after %d bytes: %v", most, err)
+		}
+	}
+	// Reset after so many bytes of the answer.
+	s := r.connect(0)
+	conn := r.want(edge.Dial).Conn
+	r.do(edge.In{Kind: edge.LinkUp, Conn: conn})
+	io.WriteString(s, ask)
+	r.want(edge.Sent)
+	r.do(edge.In{Kind: edge.Answered, Conn: conn, Status: 202, Bytes: 9})
+	if b, err := io.ReadAll(s.in); string(b) != "HTTP/1.1 " || !errors.Is(err, syscall.ECONNRESET) {
+		// A reset may overtake what was written before it, as on any network.
+		if !errors.Is(err, syscall.ECONNRESET) || len(b) > 0 {
+			t.Errorf("%q, %v", b, err)
+		}
+	}
+	r.want(edge.Hangup)
+	// Closed by the world, and by the scheduler.
+	for _, reset := range []bool{false, true} {
+		s := r.connect(0)
+		r.do(edge.In{Kind: edge.LinkDown, Conn: r.want(edge.Dial).Conn, Reset: reset})
+		if _, err := s.Read(make([]byte, 1)); errors.Is(err, syscall.ECONNRESET) != reset {
+			t.Errorf("reset %v: %v", reset, err)
+		}
+	}
+	r.connect(0).Close()
+	r.want(edge.Dial)
+	r.want(edge.Hangup)
+}
+
+// Refused, never up, and accepting again; what is open goes on meanwhile.
+func TestHear(t *testing.T) {
+	r := newRig(t, Options{})
+	s := r.connect(0)
+	conn := r.want(edge.Dial).Conn
+	r.do(edge.In{Kind: edge.LinkUp, Conn: conn})
+	hear := func(mode int) {
+		done := make(chan struct{})
+		r.do(edge.In{Kind: edge.Hear, Node: 0, Mode: mode})
+		r.d.send(func() { close(done) })
+		<-done
+	}
+	at := r.d.places.node(0, 0).String()
+	for _, mode := range []int{edge.Refuse, edge.NeverUp, edge.Refuse, edge.NeverUp} {
+		hear(mode)
+		_, err := net.DialTimeout("tcp", at, 50*time.Millisecond)
+		var late net.Error
+		refused, silent := errors.Is(err, syscall.ECONNREFUSED), errors.As(err, &late) && late.Timeout()
+		if refused != (mode == edge.Refuse) || silent != (mode == edge.NeverUp) {
+			t.Errorf("mode %d: %v", mode, err)
+		}
+		io.WriteString(s, "GET /alive HTTP/1.1\r\nHost: w\r\n\r\n")
+		r.want(edge.Probe)
+		r.do(edge.In{Kind: edge.Answered, Conn: conn, Status: 200})
+		if s.status() != 200 {
+			t.Errorf("mode %d: the open link has no answer", mode)
+		}
+	}
+	hear(edge.Open)
+	r.connect(0)
+	r.want(edge.Dial)
+}
+
+// A note is a call of its own, and its outcome is told whatever becomes of it.
+func TestNotes(t *testing.T) {
+	r := newRig(t, Options{})
+	result := "made"
+	tell := func(id uint64, state string) {
+		n := &ledger.Note{ID: "c", From: "w-1", State: state}
+		if state == "done" {
+			n.Result = &result
+		}
+		r.do(edge.In{Kind: edge.Told, Node: 1, NoteID: id, Note: n})
+	}
+	acked := func(id uint64, status int) {
+		t.Helper()
+		if o := r.want(edge.Acked); o.NoteID != id || o.Status != status || o.Node != 1 {
+			t.Errorf("%+v, expected note %d with %d", o, id, status)
+		}
+	}
+	tell(1, "done")
+	acked(1, 0) // nobody listens
+	mux := http.NewServeMux()
+	hang := make(chan struct{})
+	mux.HandleFunc("POST /v1/job-events", func(w http.ResponseWriter, q *http.Request) {
+		b, _ := io.ReadAll(q.Body)
+		switch text := string(b); {
+		case text == `{"id":"c","from":"w-1","state":"done","result":"made"}`:
+			w.WriteHeader(204)
+		case strings.Contains(text, "lost"):
+			raw(w, "")
+		case strings.Contains(text, "failed"):
+			<-hang
+		default:
+			w.WriteHeader(400)
+		}
+	})
+	r.serve(mux)
+	t.Cleanup(func() { close(hang) })
+	for id, x := range map[uint64]struct {
+		state  string
+		status int
+	}{2: {"done", 204}, 3: {"started", 400}, 4: {"lost", 0}, 5: {"failed", 0}} {
+		tell(id, x.state)
+		acked(id, x.status)
+	}
+	// Of many at once each has its outcome, though only some are under way at a time.
+	for id := uint64(10); id < 60; id++ {
+		tell(id, "done")
+	}
+	got := map[uint64]int{}
+	for range 50 {
+		o := r.want(edge.Acked)
+		got[o.NoteID] = o.Status
+	}
+	if len(got) != 50 || got[10] != 204 || got[59] != 204 {
+		t.Errorf("%v", got)
+	}
+}
+
+// Discovery tells a watch all it has to tell, with the addresses that are the scheduler's, and ends it.
+func TestDiscovery(t *testing.T) {
+	r := newRig(t, Options{})
+	ask := func(at netip.AddrPort, path string) (*http.Response, *bufio.Reader) {
+		c, err := net.Dial("tcp", at.String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { c.Close() })
+		c.SetDeadline(time.Now().Add(30 * time.Second))
+		fmt.Fprintf(c, "GET %s HTTP/1.1\r\nHost: d\r\n\r\n", path)
+		a, err := http.ReadResponse(bufio.NewReader(c), nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return a, bufio.NewReader(a.Body)
+	}
+	list := &ledger.HostGroup{Generation: 43, Hosts: []ledger.Host{
+		{ID: "w-1.1", Zone: "a", Kind: "m", State: "up", Weight: 1}}}
+	want := fmt.Sprintf(`{"generation":43,"reset":false,"instances":[{"instanceId":"w-1.1","hostPort":"%v","zone":"a",`+
+		`"machineType":"m","cell":0,"lifecycle":"up","weight":1,"startedAtMs":0}]}`, r.d.places.node(1, 0))
+	go func() {
+		if o := r.want(edge.Watch); o.After != 41 {
+			t.Errorf("%+v", o)
+		}
+		r.do(edge.In{Kind: edge.Listed, List: list}, edge.In{Kind: edge.Quiet}, edge.In{Kind: edge.Listed, List: list})
+	}()
+	_, lines := ask(r.d.places.disco(0, 0), "/discovery/hosts?stream=1&index=41")
+	for _, x := range []string{want, "", want} {
+		if line, err := lines.ReadString('\n'); err != nil || line != x+"\n" {
+			t.Errorf("%q, %v, expected %q", line, err, x)
+		}
+	}
+	r.do(edge.In{Kind: edge.Unlisted})
+	if _, err := lines.ReadString('\n'); !errors.Is(err, syscall.ECONNRESET) {
+		t.Errorf("ended: %v", err)
+	}
+	// At another address, once the world has it there: a call that fails, the whole list, and what is no call.
+	r.do(edge.In{Kind: edge.HearDisco, Disco: 1, Mode: edge.Open}, edge.In{Kind: edge.HearDisco, Mode: edge.Refuse})
+	told := make(chan struct{})
+	r.d.send(func() { close(told) })
+	<-told
+	if _, err := net.Dial("tcp", r.d.places.disco(0, 0).String()); !errors.Is(err, syscall.ECONNREFUSED) {
+		t.Errorf("the old address: %v", err)
+	}
+	go func() {
+		r.want(edge.Watch)
+		r.do(edge.In{Kind: edge.Unlisted})
+		if o := r.want(edge.Watch); o.After != 0 {
+			t.Errorf("%+v", o)
+		}
+		r.do(edge.In{Kind: edge.Listed, List: list})
+	}()
+	if a, _ := ask(r.d.places.disco(1, 0), "/discovery/hosts?stream=1&index=43"); a.StatusCode != 503 {
+		t.Errorf("a call that fails: %d", a.StatusCode)
+	}
+	a, body := ask(r.d.places.disco(1, 0), "/discovery/hosts")
+	if text, _ := io.ReadAll(body); a.StatusCode != 200 || string(text) != want {
+		t.Errorf("%d %s", a.StatusCode, text)
+	}
+	for path, status := range map[string]int{"/else": 404, "/discovery/hosts?stream=1&index=x": 400} {
+		if a, _ := ask(r.d.places.disco(1, 0), path); a.StatusCode != status {
+			t.Errorf("%s: %d", path, a.StatusCode)
+		}
+	}
+}
+
+// Bad clients of every kind come to an end at a server that gives each an error, or closes.
+func TestBadClients(t *testing.T) {
+	r := newRig(t, Options{})
+	var lock sync.Mutex
+	asked := map[string]int{}
+	r.serve(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		lock.Lock()
+		asked[q.URL.Path[strings.LastIndexByte(q.URL.Path, '/')+1:]]++
+		lock.Unlock()
+		w.WriteHeader(400)
+	}))
+	kinds := map[edge.Conn]string{}
+	for i, kind := range scenario.BadKinds {
+		conn := edge.Conn(i + 1)
+		kinds[conn] = kind
+		r.do(edge.In{Kind: edge.Odd, Conn: conn, Odd: &edge.OddDoing{Kind: kind, N: 1, Call: "open"}})
+	}
+	for len(kinds) > 0 {
+		o := r.next()
+		kind := kinds[o.Conn]
+		switch delete(kinds, o.Conn); {
+		case o.Kind == edge.Cut:
+		case o.Kind == edge.Replied && o.Status >= 400:
+		default:
+			t.Errorf("%s: %+v", kind, o)
+		}
+	}
+	lock.Lock()
+	defer lock.Unlock()
+	at := func(kind string) string {
+		for i, k := range scenario.BadKinds {
+			if k == kind {
+				return oddName + string("0123456789abcdefghijklmnopqrstuvwxyz"[i+1]) + "-0"
+			}
+		}
+		return ""
+	}
+	// By chunks, as net/http reads it, the smuggler's request is two.
+	insist, stolen, garbage := asked[at("insist")], asked[at("stolen_id")], asked[at("garbage")]
+	hidden := asked[hiddenName+strings.TrimSuffix(at("smuggle"), "0")+"1"]
+	if insist == 0 || stolen != 1 || garbage != 0 || hidden != 1 {
+		t.Errorf("insist %d, stolen_id %d, garbage %d, hidden %d", insist, stolen, garbage, hidden)
+	}
+}
+
+// Guests' queries are run without the world.
+func TestGuests(t *testing.T) {
+	r := newRig(t, Options{Guests: true})
+	notes := make(chan string, 4)
+	r.serve(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		b, _ := io.ReadAll(q.Body)
+		notes <- string(b)
+		w.WriteHeader(204)
+	}))
+	s := r.connect(0)
+	r.do(edge.In{Kind: edge.LinkUp, Conn: r.want(edge.Dial).Conn})
+	io.WriteString(s, query("mine", "k", "x"))
+	status, started, done := s.status(), <-notes, <-notes
+	if status != 202 || !strings.Contains(started, "started") || !strings.Contains(done, `"done","result":"mine ran`) {
+		t.Error(status, started, done)
+	}
+}
+
+// ---- Processes ----
+
+// TestMain is also the scheduler of TestProcesses: one that asks discovery at its start and at SIGHUP, and ends with 7
+// at SIGTERM.
+func TestMain(m *testing.M) {
+	if os.Getenv("LIVE_FAKE") == "" {
+		os.Exit(m.Run())
+	}
+	os.Exit(fakeScheduler())
+}
+
+func TestProcesses(t *testing.T) {
+	before := runtime.NumGoroutine()
+	t.Run("play", func(t *testing.T) {
+		var usage seen.Sight
+		looked := make(chan struct{})
+		exe, err := os.Executable()
+		if err != nil {
+			t.Fatal(err)
+		}
+		r := newRig(t, Options{Binary: exe, Env: []string{"LIVE_FAKE=1"}, Cores: []int{0}, Watch: func(s *seen.Sight) {
+			if s.What == seen.Usage && s.Sched == 0 && usage.What == 0 {
+				usage = *s
+				close(looked)
+			}
+		}})
+		known := ledger.HostGroup{Generation: 9, Hosts: []ledger.Host{{ID: "w-1", State: "up"}}}
+		boot := &edge.Boot{Name: "s1", Seed: 5, Known: known}
+		start := edge.In{Kind: edge.Start, Boot: boot}
+		asks := func(after int64, ready bool) { // in any order
+			t.Helper()
+			for asked := false; !asked || ready; {
+				switch o := r.next(); {
+				case o.Kind == edge.Ready && ready:
+					ready = false
+				case o.Kind == edge.Watch && !asked && int64(o.After) == after:
+					asked = true
+				default:
+					t.Fatalf("%+v", o)
+				}
+			}
+		}
+		r.do(start)
+		asks(9, true) // the generation that it was started with
+		<-looked
+		if usage.Memory <= 0 || usage.Files <= 0 || usage.CPU <= 0 {
+			t.Errorf("%+v", usage)
+		}
+		r.do(edge.In{Kind: edge.Freeze}, edge.In{Kind: edge.Resume}, edge.In{Kind: edge.Reload, Disco: 1})
+		asks(9, false)
+		r.do(edge.In{Kind: edge.Terminate})
+		if o := r.want(edge.Exited); o.Status != 7 {
+			t.Errorf("%+v", o)
+		}
+		boot.Known.Generation = 10
+		r.do(start)
+		asks(10, true)
+		r.do(edge.In{Kind: edge.Freeze}, edge.In{Kind: edge.Kill}) // of which nothing is told
+		r.do(start)
+		asks(10, true)
+		log, err := os.ReadFile(r.d.scheds[0].log.path)
+		text := string(log)
+		if err != nil || strings.Count(text, "begins") != 3 || !strings.Contains(text, "discovery moved") {
+			t.Errorf("log %s, %v", log, err)
+		}
+	})
+	// What has ended may still be on its way out; what has not keeps the test from ending.
+	for runtime.NumGoroutine() > before {
+		runtime.Gosched()
+	}
+}
--- /dev/null
+++ b/internal/lab/live/load.go
@@ -0,0 +1,458 @@
+package live
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"net/netip"
+	"runtime"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"golang.org/x/sys/unix"
+
+	"valvecove/internal/lab/edge"
+)
+
+// LoadOptions are an open load on one address: requests fall due at random moments, whatever becomes of those before.
+type LoadOptions struct {
+	Target  string                            // address and port, on 127.0.0.0/8
+	Rate    float64                           // requests a second
+	Conns   int                               // connections, kept alive; default 256
+	Cores   int                               // threads that it is made by; default 2
+	Pin     []int                             // processor cores for them, dealt out in turn; empty: any
+	Length  time.Duration                     // requests fall due for so long
+	Warm    time.Duration                     // and before that for so long, uncounted
+	Grace   time.Duration                     // answers are awaited for so long after that; default 1 s
+	Seed    uint64                            // of the moments
+	Request func(thread int, n uint64) []byte // the n-th of a thread; kept until the next call. Default: GET /up
+}
+
+// LoadResult is what came of it.
+type LoadResult struct {
+	Due      uint64 // requests
+	Answered uint64 // by any status
+	Failed   uint64 // lost with their connection
+	Open     uint64 // unanswered at the end
+	Status   map[int]uint64
+	Length   time.Duration
+	Rate     float64 // answers a second
+	// Latency runs from when a request was due to the last byte of its answer, so that one which had to wait for those
+	// before it is charged with its wait. Late is the load's own part of that: from when it was due to when its thread
+	// came to it. Both in microseconds.
+	Latency, Late *hdrhistogram.Histogram
+}
+
+// Void says why it is no result; empty: it is one.
+func (r *LoadResult) Void() string { return lateMeter{r.Late}.lateness().Void() }
+
+const mostDue = 1 << 20 // of a thread: requests that may wait for a connection
+
+var errLoad = errors.New("a load needs a target, a rate and a length")
+
+// Load puts a load on an address. It blocks for its length; its threads do nothing else.
+func Load(ctx context.Context, o LoadOptions) (LoadResult, error) {
+	to, err := netip.ParseAddrPort(o.Target)
+	if err != nil {
+		return LoadResult{}, fmt.Errorf("target: %w", err)
+	}
+	if !to.Addr().IsLoopback() || !to.Addr().Is4() || o.Rate <= 0 || o.Length <= 0 {
+		return LoadResult{}, errLoad
+	}
+	defaults(&o.Conns, 256)
+	defaults(&o.Cores, 2)
+	defaults(&o.Grace, time.Second)
+	if o.Request == nil {
+		up := append(appendCall(nil, http.MethodGet, "/up", o.Target), "\r\n"...)
+		o.Request = func(int, uint64) []byte { return up }
+	}
+	threads := make([]*loadThread, o.Cores)
+	for i := range threads {
+		if threads[i], err = newLoadThread(&o, to, i); err != nil {
+			for _, t := range threads[:i] {
+				t.close()
+			}
+			return LoadResult{}, err
+		}
+	}
+	var all sync.WaitGroup
+	began := time.Now()
+	for _, t := range threads {
+		t.began = began
+		all.Go(func() { t.fault = t.run(ctx) })
+	}
+	all.Wait()
+	r := LoadResult{Status: map[int]uint64{}, Length: o.Length, Latency: newLateMeter().spans,
+		Late: newLateMeter().spans}
+	for _, t := range threads {
+		err = errors.Join(err, t.fault)
+		r.add(&t.got)
+	}
+	r.Rate = float64(r.Answered) / o.Length.Seconds()
+	return r, err
+}
+
+func defaults[T int | time.Duration](x *T, by T) {
+	if *x <= 0 {
+		*x = by
+	}
+}
+
+func (r *LoadResult) add(o *LoadResult) {
+	r.Due += o.Due
+	r.Answered += o.Answered
+	r.Failed += o.Failed
+	r.Open += o.Open
+	for s, n := range o.Status {
+		r.Status[s] += n
+	}
+	r.Latency.Merge(o.Latency)
+	r.Late.Merge(o.Late)
+}
+
+// loadThread is one thread's part: a loop with connections of its own.
+type loadThread struct {
+	*poller
+	o       *LoadOptions
+	to      netip.AddrPort
+	n       int
+	rng     *rand.Rand
+	gap     float64 // mean, between two requests
+	next    time.Duration
+	asked   uint64
+	conns   []*loadConn
+	idle    []*loadConn // taken from the front, so that all are used
+	waiting []time.Duration
+	open    int
+	http    *reader
+	got     LoadResult
+	fault   error
+}
+
+// loadConn is a connection. It carries one request at a time.
+type loadConn struct {
+	sock
+	t       *loadThread
+	due     time.Duration
+	busy    bool
+	counted bool
+}
+
+func newLoadThread(o *LoadOptions, to netip.AddrPort, n int) (*loadThread, error) {
+	p, err := newPoller()
+	if err != nil {
+		return nil, err
+	}
+	t := &loadThread{poller: p, o: o, to: to, n: n, rng: rand.New(rand.NewPCG(o.Seed, uint64(n))), http: newReader(),
+		gap: float64(time.Second) * float64(o.Cores) / o.Rate}
+	t.got = LoadResult{Status: map[int]uint64{}, Latency: newLateMeter().spans, Late: newLateMeter().spans}
+	for range max(1, o.Conns/o.Cores) {
+		c := &loadConn{t: t}
+		if err := p.dial(&c.sock, netip.AddrPort{}, to, c); err != nil {
+			t.close()
+			return nil, fmt.Errorf("connecting to %v: %w", to, err)
+		}
+		t.conns, t.idle = append(t.conns, c), append(t.idle, c)
+	}
+	return t, nil
+}
+
+func (t *loadThread) close() {
+	for _, c := range t.conns {
+		c.reset()
+	}
+	t.poller.close()
+}
+
+// pin keeps the goroutine on a thread, and that on a core.
+func pin(cores []int, n int) error {
+	runtime.LockOSThread()
+	if len(cores) == 0 {
+		return nil
+	}
+	var set unix.CPUSet
+	set.Set(cores[n%len(cores)])
+	return unix.SchedSetaffinity(0, &set)
+}
+
+func (t *loadThread) run(ctx context.Context) error {
+	defer t.close()
+	// The goroutine ends locked, and its thread with it: a core that it was given is given to nobody else.
+	if err := pin(t.o.Pin, t.n); err != nil {
+		return err
+	}
+	end := t.o.Warm + t.o.Length
+	last := end + t.o.Grace
+	for {
+		now := t.clock()
+		for t.next <= now && t.next < end {
+			t.fallDue(now)
+		}
+		if now >= last || now >= end && t.open == 0 || ctx.Err() != nil {
+			break
+		}
+		until := last
+		if now < end {
+			until = min(t.next, end)
+		}
+		if err := t.wait(until, true); err != nil {
+			return err
+		}
+	}
+	t.got.Open = t.got.Due - t.got.Answered - t.got.Failed
+	return ctx.Err()
+}
+
+// fallDue has the next request fall due.
+func (t *loadThread) fallDue(now time.Duration) {
+	due := t.next
+	t.next += time.Duration(t.rng.ExpFloat64() * t.gap)
+	if due >= t.o.Warm {
+		t.got.Due++
+		_ = t.got.Late.RecordValue((now - due).Microseconds())
+	}
+	t.open++
+	if len(t.idle) > 0 {
+		t.put(due)
+	} else if len(t.waiting) < mostDue {
+		t.waiting = append(t.waiting, due)
+	} else {
+		t.lost(due)
+	}
+}
+
+func (t *loadThread) put(due time.Duration) {
+	c := t.idle[0]
+	t.idle = t.idle[1:]
+	c.due, c.busy = due, true
+	c.write(t.o.Request(t.n, t.asked))
+	t.asked++
+}
+
+func (t *loadThread) lost(due time.Duration) {
+	if t.open--; due >= t.o.Warm {
+		t.got.Failed++
+	}
+}
+
+// free gives a connection to the request that has waited longest.
+func (t *loadThread) free(c *loadConn) {
+	if t.idle = append(t.idle, c); len(t.waiting) > 0 {
+		due := t.waiting[0]
+		t.waiting = t.waiting[1:]
+		t.put(due)
+	}
+}
+
+func (c *loadConn) came(int) {
+	status, n, ended := leanAnswer(c.in)
+	if n == 0 && !ended {
+		a, _, m, err := c.t.http.response(c.in, false)
+		if err != nil || m == 0 {
+			if err != nil {
+				c.fail(err)
+			}
+			return
+		}
+		status, n, ended = a.StatusCode, m, a.Close
+	}
+	if n == 0 {
+		return
+	}
+	t := c.t
+	if c.take(n); !c.busy {
+		c.fail(nil)
+		return
+	}
+	c.busy = false
+	if t.open--; c.due >= t.o.Warm {
+		t.got.Answered++
+		t.got.Status[status]++
+		_ = t.got.Latency.RecordValue((t.clock() - c.due).Microseconds())
+	}
+	if ended {
+		c.fail(nil)
+		return
+	}
+	t.free(c)
+}
+
+// ended opens the connection anew.
+func (c *loadConn) ended(error) {
+	t := c.t
+	idle := !c.busy
+	if c.busy {
+		c.busy = false
+		t.lost(c.due)
+	}
+	if idle {
+		for i, k := range t.idle {
+			if k == c {
+				t.idle = append(t.idle[:i:i], t.idle[i+1:]...)
+				break
+			}
+		}
+	}
+	if err := t.dial(&c.sock, netip.AddrPort{}, t.to, c); err == nil {
+		t.free(c)
+	}
+}
+
+// leanAnswer reads an answer of the plainest form from the start of b: n bytes long, 0 while it is not whole or not of
+// that form; ended: it says that its connection ends.
+func leanAnswer(b []byte) (status, n int, ended bool) {
+	head := bytes.Index(b, headEnd)
+	if head < 12 || !bytes.HasPrefix(b, []byte("HTTP/1.1 ")) {
+		return 0, 0, false
+	}
+	status, err := strconv.Atoi(string(b[9:12]))
+	if err != nil || status < 200 {
+		return 0, 0, false
+	}
+	length := 0
+	switch value, ok := leanField(b[:head+2], "\r\nContent-Length: "); {
+	case ok:
+		if length, err = strconv.Atoi(string(value)); err != nil || length < 0 || length > mostBody {
+			return 0, 0, false
+		}
+	case status != http.StatusNoContent:
+		return 0, 0, false
+	}
+	if n = head + len(headEnd) + length; n > len(b) {
+		return 0, 0, false
+	}
+	value, _ := leanField(b[:head+2], "\r\nConnection: ")
+	return status, n, string(value) == "close"
+}
+
+// leanField finds a field that is written just so in a head whose lines all end.
+func leanField(head []byte, name string) (value []byte, ok bool) {
+	at := bytes.Index(head, []byte(name))
+	if at < 0 {
+		return nil, false
+	}
+	value = head[at+len(name):]
+	return value[:bytes.IndexByte(value, '\r')], true
+}
+
+// ---- Something to put a load on ----
+
+// Responder answers every request with an empty 200, as fast as it can: the load's own measure.
+type Responder struct {
+	Addr    string
+	threads []*responderThread
+	over    atomic.Bool
+	done    sync.WaitGroup
+}
+
+type responderThread struct {
+	*poller
+	listener *listener
+	conns    map[*responderConn]struct{}
+	fault    error
+}
+
+type responderConn struct {
+	sock
+	t *responderThread
+}
+
+// StartResponder has one answer at an address of 127.0.0.0/8 (port 0: any) from so many threads, on these cores if
+// some are named.
+func StartResponder(at string, threads int, cores []int) (*Responder, error) {
+	to, err := netip.ParseAddrPort(at)
+	if err != nil {
+		return nil, err
+	}
+	if !to.Addr().IsLoopback() || !to.Addr().Is4() {
+		return nil, fmt.Errorf("%v is not of 127.0.0.0/8", to)
+	}
+	r := &Responder{}
+	for i := range threads {
+		t := &responderThread{conns: map[*responderConn]struct{}{}}
+		if t.poller, err = newPoller(); err != nil {
+			break
+		}
+		r.threads = append(r.threads, t)
+		if t.listener, err = t.share(to, t.accept, func(err error) { t.fault = err }); err != nil {
+			break
+		}
+		to = t.listener.at
+		if err = t.listener.hear(edge.Open); err != nil {
+			break
+		}
+		r.done.Go(func() {
+			if t.fault = pin(cores, i); t.fault == nil {
+				r.run(t)
+			}
+		})
+	}
+	if r.Addr = to.String(); err != nil {
+		return nil, errors.Join(err, r.Close())
+	}
+	return r, nil
+}
+
+// Close ends it, and tells what went wrong in it.
+func (r *Responder) Close() (err error) {
+	r.over.Store(true)
+	for _, t := range r.threads {
+		t.ring()
+	}
+	r.done.Wait()
+	for _, t := range r.threads {
+		for c := range t.conns {
+			c.reset()
+		}
+		if t.listener != nil {
+			t.listener.close()
+		}
+		t.poller.close()
+		err = errors.Join(err, t.fault)
+	}
+	return err
+}
+
+func (r *Responder) run(t *responderThread) {
+	for t.fault == nil && !r.over.Load() {
+		t.fault = t.wait(0, false)
+	}
+}
+
+func (t *responderThread) accept(fd int) {
+	c := &responderConn{t: t}
+	if err := t.adopt(&c.sock, fd, c); err != nil {
+		t.fault = err
+		return
+	}
+	t.conns[c] = struct{}{}
+}
+
+var emptyAnswer = appendAnswer(nil, http.StatusOK, "", nil)
+
+func (c *responderConn) came(int) {
+	for !c.closed {
+		head := bytes.Index(c.in, headEnd)
+		if head < 0 {
+			return
+		}
+		length := 0
+		if value, ok := leanField(c.in[:head+2], "\r\nContent-Length: "); ok {
+			length, _ = strconv.Atoi(string(value))
+		}
+		n := head + len(headEnd) + length
+		if length < 0 || n > len(c.in) {
+			return
+		}
+		c.take(n)
+		c.write(emptyAnswer)
+	}
+}
+
+func (c *responderConn) ended(error) { delete(c.t.conns, c) }
--- /dev/null
+++ b/internal/lab/live/play.go
@@ -0,0 +1,182 @@
+package live
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"valvecove/internal/lab/scenario"
+	"valvecove/internal/lab/seen"
+	"valvecove/internal/lab/world"
+)
+
+// Options are what is said of a play beyond its scenario and seed.
+type Options struct {
+	Binary   string         // the scheduler's program
+	Args     []string       // of it, before any that the scenario's operators' file brings
+	Env      []string       // further variables of its environment, beside PATH, TMPDIR and the platform's own
+	Dir      string         // for its configuration and logs, which stay; empty: one that is removed at the end
+	Cores    []int          // processor cores for the schedulers, dealt out in turn; empty: any
+	Watch    seen.Watcher   // called in the play's own goroutine, so it must not wait for anything
+	Progress func(Progress) // called every 250 ms from a goroutine of its own; what it has not taken in is skipped
+	Begun    func(Places)   // called once all is open and no scheduler runs yet, in the play's own goroutine
+	Stay     bool           // goes on when the world is over, until the context ends, which is no error then
+	Guests   bool           // queries that no client of the world has sent are run, apart from it; see Places
+}
+
+// Progress is how a play stands.
+type Progress struct {
+	At   time.Duration
+	Late Lateness
+}
+
+// Places is where things are in a play, for whoever wants to try them by hand.
+type Places struct {
+	Schedulers []string // address and port, by number
+	Discovery  []string // that each of them is told at first
+}
+
+// Outcome is a play that has been played, apart from what was seen of it.
+type Outcome struct {
+	Length     time.Duration
+	Over       bool   // every job was settled; else its time was up before
+	Void       string // why it is no result; empty: it is one
+	Late       Lateness
+	Unseen     []string // what of the scenario it can't show
+	Altered    []string // queries that reached worker nodes otherwise than a client sent them; the first 100
+	Schedulers []Process
+}
+
+// Process is what became of a scheduler's processes.
+type Process struct {
+	Name   string
+	Starts int
+	Exits  []int  // exit codes of those that ended by themselves; -1: by a signal
+	Log    string // where their standard error is, the first 8 MB of it
+}
+
+// Play plays a checked scenario. A play that could be played is an outcome, void or not; an error is this machine's, or
+// the context's.
+func Play(ctx context.Context, spec *scenario.Scenario, seed uint64, opt Options) (*Outcome, error) {
+	if err := fits(spec); err != nil {
+		return nil, err
+	}
+	if opt.Watch == nil {
+		opt.Watch = func(*seen.Sight) {}
+	}
+	w := world.New(spec, seed, time.Duration(time.Now().UnixNano()), opt.Watch)
+	return play(ctx, spec, opt, w, func(start time.Time) { w.Epoch = time.Duration(start.UnixNano()) })
+}
+
+// play plays a world. begins is told of the instant from which its time counts.
+func play(ctx context.Context, spec *scenario.Scenario, opt Options, w model, begins func(time.Time)) (
+	_ *Outcome, err error) {
+	temporary := opt.Dir == ""
+	if temporary {
+		if opt.Dir, err = os.MkdirTemp("", "covelab-"); err != nil {
+			return nil, err
+		}
+		defer func() { _ = os.RemoveAll(opt.Dir) }()
+	} else if err = os.MkdirAll(opt.Dir, 0o755); err != nil {
+		return nil, err
+	}
+	if opt.Dir, err = filepath.Abs(opt.Dir); err != nil {
+		return nil, err
+	}
+	if opt.Binary, err = filepath.Abs(opt.Binary); err != nil {
+		return nil, err
+	}
+	if _, err = exec.LookPath(opt.Binary); err != nil {
+		return nil, fmt.Errorf("scheduler: %w", err)
+	}
+	if err = os.WriteFile(filepath.Join(opt.Dir, opsFile), []byte(spec.Schedulers.Ops), 0o600); err != nil {
+		return nil, err
+	}
+	d, err := newDriver(spec, opt)
+	if err != nil {
+		return nil, err
+	}
+	var looks sync.WaitGroup
+	looks.Go(d.lookAt)
+	if opt.Begun != nil {
+		opt.Begun(d.where())
+	}
+	d.world, d.begins, d.began = w, begins, time.Now()
+	err = d.run(ctx, spec.Length.D()+settle(spec))
+	o := d.outcome()
+	d.close()
+	looks.Wait()
+	if temporary {
+		for i := range o.Schedulers {
+			o.Schedulers[i].Log = ""
+		}
+	}
+	if err != nil {
+		return nil, err
+	}
+	return o, nil
+}
+
+// settle is for how long jobs may go on that fell due in the play's length.
+func settle(spec *scenario.Scenario) time.Duration {
+	if spec.Settle > 0 {
+		return spec.Settle.D()
+	}
+	longest := time.Duration(0)
+	for _, c := range spec.Classes {
+		longest = max(longest, c.Deadline.D())
+	}
+	return longest + 2*time.Second
+}
+
+func (d *driver) where() (p Places) {
+	for _, s := range d.scheds {
+		p.Schedulers = append(p.Schedulers, s.listen.String())
+		p.Discovery = append(p.Discovery, d.places.disco(0, s.n).String())
+	}
+	return p
+}
+
+func (d *driver) outcome() *Outcome {
+	o := &Outcome{Length: d.worldTime(d.now), Over: d.over, Late: d.late.lateness(), Unseen: Unseen(d.spec),
+		Altered: d.altered}
+	o.Void = o.Late.Void()
+	for _, s := range d.scheds {
+		o.Schedulers = append(o.Schedulers, Process{Name: s.name, Starts: s.started, Exits: s.exits, Log: s.log.path})
+	}
+	return o
+}
+
+// ---- Where live ends ----
+
+// Descriptors that a play needs: a listener for each worker node and scheduler, both ends' worth of what schedulers
+// may hold, notes, and some of its own.
+const ownDescriptors = 256
+
+func descriptorsFor(spec *scenario.Scenario) int {
+	s, listens := spec.Schedulers, spec.Schedulers.Count*spec.Fleet.Nodes
+	return listens + s.Count*s.Sockets + ownDescriptors
+}
+
+// fits tells whether this machine can hold a play.
+func fits(spec *scenario.Scenario) error {
+	var limit unix.Rlimit
+	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &limit); err != nil {
+		return fmt.Errorf("limit on descriptors: %w", err)
+	}
+	if spec.Schedulers.Count < 1 || spec.Fleet.Nodes < 1 {
+		return fmt.Errorf("a live play needs a scheduler and a worker node, %d and %d are given", spec.Schedulers.Count,
+			spec.Fleet.Nodes)
+	}
+	if need := descriptorsFor(spec); uint64(need) > limit.Cur {
+		return fmt.Errorf("%d worker nodes and %d schedulers need %d descriptors live, %d are allowed (ulimit -n); "+
+			"virtual time needs none", spec.Fleet.Nodes, spec.Schedulers.Count, need, limit.Cur)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/lab/live/play_test.go
@@ -0,0 +1,181 @@
+package live
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"valvecove/internal/lab/scenario"
+	"valvecove/internal/lab/seen"
+)
+
+const calm = `[schedulers]
+count = 2
+[load]
+rate = 40
+[[class]]
+name = "status-check"
+share = 0.5
+work = "30ms"
+deadline = "1s"
+effect = "safe"
+[[class]]
+name = "account-credit"
+share = 0.5
+work = "50ms"
+deadline = "1s"
+effect = "keyed"
+group = "cell"
+window = "5s"
+`
+
+// A calm play of the real program: every job is settled once, each answer is to a query that was asked, and all that
+// the play started has ended with it.
+func TestPlay(t *testing.T) {
+	binary := filepath.Join(t.TempDir(), "valvecove")
+	if out, err := exec.Command("go", "build", "-o", binary, "valvecove/cmd/valvecove").CombinedOutput(); err != nil {
+		t.Fatalf("%v: %s", err, out)
+	}
+	settled, open := map[uint64]int{}, map[string]bool{}
+	last, due := time.Duration(0), 0
+	var progress atomic.Int32
+	o, err := Play(t.Context(), testSpec(t, calm), 3, Options{Binary: binary,
+		Progress: func(Progress) { progress.Add(1) },
+		Watch: func(s *seen.Sight) {
+			if s.At < last {
+				t.Errorf("%v after %v", s.At, last)
+			}
+			switch last = s.At; s.What {
+			case seen.Due:
+				due++
+			case seen.Settled:
+				settled[s.Job]++
+			case seen.Asked:
+				open[s.Call] = true
+			case seen.Answered:
+				if !open[s.Call] {
+					t.Errorf("an answer to %s, which awaits none", s.Call)
+				}
+				delete(open, s.Call)
+			}
+		}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for job, n := range settled {
+		if n != 1 {
+			t.Errorf("job %d settled %d times", job, n)
+		}
+	}
+	if !o.Over || due == 0 || len(settled) != due || len(o.Altered) > 0 || progress.Load() == 0 {
+		t.Errorf("%d due, %d settled, %+v", due, len(settled), o)
+	}
+	for _, p := range o.Schedulers {
+		if p.Starts != 1 || len(p.Exits) > 0 {
+			t.Errorf("%+v", p)
+		}
+	}
+}
+
+// What can't be played is said, and a context ends a play.
+func TestPlayFaults(t *testing.T) {
+	spec := testSpec(t, "")
+	refused := func(o Options, why string) {
+		t.Helper()
+		if _, err := Play(t.Context(), spec, 1, o); err == nil || !strings.Contains(err.Error(), why) {
+			t.Errorf("%v, expected %s", err, why)
+		}
+	}
+	refused(Options{Binary: "/no/such/program"}, "no such file")
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	if _, err := Play(ctx, spec, 1, Options{Binary: "/bin/true"}); err != context.Canceled {
+		t.Errorf("ended by its context: %v", err)
+	}
+	spec.Fleet.Nodes, spec.Schedulers.Count = 1_000_000, 4
+	refused(Options{}, "descriptors live")
+	spec = testSpec(t, "[net]\ndelay = \"50us\"\n[[fault]]\nwhat = \"cut\"\nat = \"1s\"\nfor = \"1s\"\n")
+	spec.Fleet.Nodes = scenario.LiveNodes + 1
+	all := strings.Join(Unseen(spec), "\n")
+	for _, part := range []string{"1001 worker nodes", "net.delay is 50µs", "Fault cut:"} {
+		if !strings.Contains(all, part) {
+			t.Errorf("not said of what is unseen: %s", part)
+		}
+	}
+}
+
+// A play is void beyond either bound of lateness.
+func TestVoid(t *testing.T) {
+	m := newLateMeter()
+	for range 2000 {
+		m.add(time.Millisecond)
+	}
+	m.add(VoidMost - time.Millisecond)
+	if why := m.lateness().Void(); why != "" {
+		t.Errorf("sound, but %s", why)
+	}
+	for range 3 {
+		m.add(Void999 + time.Millisecond)
+	}
+	if why := m.lateness().Void(); !strings.Contains(why, "one of 1000") {
+		t.Errorf("late too often: %q", why)
+	}
+	m.add(VoidMost + time.Millisecond)
+	if why := m.lateness().Void(); !strings.Contains(why, "was late by") {
+		t.Errorf("too late once: %q", why)
+	}
+}
+
+// Every request that falls due is accounted for, whatever the server does with connections.
+func TestLoad(t *testing.T) {
+	r, err := StartResponder("127.0.0.1:0", 2, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() {
+		if err := r.Close(); err != nil {
+			t.Error(err)
+		}
+	}()
+	var n atomic.Int32
+	rude := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		switch n.Add(1) % 4 {
+		case 0:
+			raw(w, "")
+		case 1:
+			w.Header().Set("Connection", "close")
+			w.WriteHeader(503)
+		case 2:
+			w.(http.Flusher).Flush() // in chunks
+		}
+	}))
+	defer rude.Close()
+	for target, status := range map[string][]int{r.Addr: {200}, rude.Listener.Addr().String(): {200, 503}} {
+		got, err := Load(t.Context(), LoadOptions{Target: target, Rate: 2000, Conns: 8, Length: 300 * time.Millisecond,
+			Warm: 50 * time.Millisecond, Grace: 20 * time.Second, Seed: 1})
+		if err != nil {
+			t.Fatal(err)
+		}
+		sum := uint64(0)
+		for _, s := range status {
+			sum += got.Status[s]
+		}
+		if got.Due < 400 || got.Open != 0 || got.Answered != sum || got.Answered+got.Failed != got.Due ||
+			uint64(got.Latency.TotalCount()) != got.Answered || uint64(got.Late.TotalCount()) != got.Due ||
+			(got.Failed > 0) != (len(status) > 1) {
+			t.Errorf("%s: %+v", target, got)
+		}
+	}
+	for _, o := range []LoadOptions{{Target: "here"}, {Target: "10.0.0.1:80", Rate: 1, Length: 1},
+		{Target: "127.0.0.1:80", Rate: 1}} {
+		if _, err := Load(t.Context(), o); err == nil {
+			t.Errorf("%+v was taken", o)
+		}
+	}
+}
