--- /dev/null
+++ b/cmd/covelab/common.go
@@ -0,0 +1,179 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"runtime/debug"
+	"slices"
+	"strings"
+
+	"valvecove/internal/lab/experiment"
+	"valvecove/internal/lab/live"
+	"valvecove/internal/lab/report"
+	"valvecove/internal/lab/scenario"
+	"valvecove/scenarios"
+)
+
+// open finds a scenario: on standard input, in a file, or in the library.
+func open(name string, s *streams) (*scenario.Scenario, error) {
+	switch {
+	case name == "-":
+		text, err := io.ReadAll(io.LimitReader(s.in, 1<<20))
+		if err != nil {
+			return nil, err
+		}
+		return scenario.Parse("stdin", text)
+	case strings.ContainsRune(name, os.PathSeparator) || strings.HasSuffix(name, ".toml"):
+		return scenario.Open(name)
+	}
+	if spec, err := scenarios.Open(name); err == nil || slices.Contains(scenarios.Names(), name) {
+		return spec, err
+	}
+	return nil, fmt.Errorf("no scenario of the library is called %q; see covelab list", name)
+}
+
+// openAll opens several, or all of the library that a driver plays where none is named.
+func openAll(names []string, driver string, s *streams) ([]*scenario.Scenario, error) {
+	all := len(names) == 0
+	if all {
+		names = scenarios.Names()
+	}
+	var specs []*scenario.Scenario
+	for _, name := range names {
+		spec, err := open(name, s)
+		if err != nil {
+			return nil, err
+		}
+		if spec.Plays(driver) {
+			specs = append(specs, spec)
+		} else if !all {
+			return nil, fmt.Errorf("%s is not for the %s driver", name, driver)
+		}
+	}
+	return specs, nil
+}
+
+// subject is what a play is played with, as flags say it.
+type subject struct {
+	Policy string   `help:"Policy: logic, or a yardstick; virtual only." default:"logic"`
+	Set    []string `help:"Change a key of the scenario, as in load.of=0.7; may be given again." sep:"none" placeholder:"KEY=VALUE"`
+	Binary string   `help:"The scheduler's program; live only. Default: valvecove beside this one, or else built." type:"path"`
+}
+
+// seeds are the plays of an experiment.
+type seeds struct {
+	Seeds int    `help:"Plays of each kind, on seeds that follow each other." default:"10"`
+	First uint64 `help:"The first seed." default:"1"`
+	At    int    `help:"Plays at once; 0: as many as there are processors, live always one." default:"0"`
+}
+
+func (o *seeds) list() []uint64 { return experiment.Seeds(o.First, max(1, o.Seeds)) }
+
+func (o *seeds) at(driver string) int {
+	if driver == scenario.Live {
+		return 1
+	}
+	return o.At
+}
+
+// binary finds the scheduler's program, and builds it where there is none. remove takes away what was built.
+func binary(ctx context.Context, named string, s *streams) (path string, remove func(), err error) {
+	if named != "" {
+		return named, func() {}, nil
+	}
+	if own, err := os.Executable(); err == nil {
+		if beside := filepath.Join(filepath.Dir(own), "valvecove"); executable(beside) {
+			return beside, func() {}, nil
+		}
+	}
+	dir, err := os.MkdirTemp("", "covelab-")
+	if err != nil {
+		return "", nil, err
+	}
+	remove = func() { _ = os.RemoveAll(dir) }
+	path = filepath.Join(dir, "valvecove")
+	fmt.Fprintln(s.err, "building valvecove ...")
+	build := exec.CommandContext(ctx, "go", "build", "-o", path, "valvecove/cmd/valvecove")
+	build.Stderr = s.err
+	if err := build.Run(); err != nil {
+		remove()
+		return "", nil, fmt.Errorf("valvecove can't be built here (%w); name a program with --binary", err)
+	}
+	return path, remove, nil
+}
+
+func executable(path string) bool {
+	info, err := os.Stat(path)
+	return err == nil && info.Mode().IsRegular() && info.Mode()&0o111 != 0
+}
+
+// prepare makes a job live where that is what it is for: its program, and where its logs go.
+func prepare(ctx context.Context, job *experiment.Job, logs string, s *streams) (done func(), err error) {
+	if job.Driver != scenario.Live {
+		return func() {}, nil
+	}
+	path, remove, err := binary(ctx, job.Subject.Binary, s)
+	if err != nil {
+		return nil, err
+	}
+	job.Subject.Binary = path
+	job.Live = live.Options{Dir: logs}
+	return remove, nil
+}
+
+// save writes a file of a report's folder.
+func save(dir, name string, write func(w io.Writer) error) error {
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		return err
+	}
+	f, err := os.Create(filepath.Join(dir, name))
+	if err != nil {
+		return err
+	}
+	err = write(f)
+	if end := f.Close(); err == nil {
+		err = end
+	}
+	return err
+}
+
+// saveJSON writes to a file, or to standard output for -.
+func saveJSON(to string, v any, s *streams) error {
+	if to == "-" {
+		return report.WriteJSON(s.out, v)
+	}
+	return save(filepath.Dir(to), filepath.Base(to), func(w io.Writer) error { return report.WriteJSON(w, v) })
+}
+
+// build says which build this is.
+func build() string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return "unknown build"
+	}
+	text, dirty := info.Main.Version, ""
+	for _, x := range info.Settings {
+		switch {
+		case x.Key == "vcs.revision":
+			text = x.Value[:min(12, len(x.Value))]
+		case x.Key == "vcs.modified" && x.Value == "true":
+			dirty = ", changed"
+		}
+	}
+	return text + dirty + ", " + info.GoVersion
+}
+
+// counter shows how far an experiment is.
+func counter(w io.Writer, what string) func(done, of int) {
+	last := -1
+	return func(done, of int) {
+		if tenth := 10 * done / max(1, of); tenth != last {
+			last = tenth
+			fmt.Fprintf(w, "%s: %d of %d plays\n", what, done, of)
+		}
+	}
+}
--- /dev/null
+++ b/cmd/covelab/experiments.go
@@ -0,0 +1,475 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"path/filepath"
+	"runtime"
+	"slices"
+	"strings"
+	"time"
+
+	"valvecove/internal/lab/experiment"
+	"valvecove/internal/lab/mutant"
+	"valvecove/internal/lab/report"
+	"valvecove/internal/lab/scenario"
+	"valvecove/internal/lab/score"
+	"valvecove/scenarios"
+)
+
+type compare struct {
+	Scenarios []string `arg:"" optional:"" help:"Names or files; none: the library."`
+	Driver    string   `help:"virtual or live." enum:"virtual,live" default:"virtual"`
+	A         string   `help:"One side: a policy, or (live) a scheduler's program." default:"logic"`
+	B         string   `help:"The other side; the same kinds." default:""`
+	ASet      []string `help:"Change a key of the scenario for A." sep:"none" placeholder:"KEY=VALUE"`
+	BSet      []string `help:"Change a key of the scenario for B." sep:"none" placeholder:"KEY=VALUE"`
+	ALab      string   `help:"A is played by another build's covelab." type:"existingfile"`
+	BLab      string   `help:"B is played by another build's covelab." type:"existingfile"`
+	JSON      string   `name:"json" help:"Write all as JSON to a file, or to standard output for -." placeholder:"FILE"`
+	Report    string   `help:"Write a page of HTML for each scenario into this folder." type:"path" placeholder:"DIR"`
+	seeds
+}
+
+// side makes a subject of flags.
+func (c *compare) side(which, what string, set []string, lab string) experiment.Subject {
+	s := experiment.Subject{Set: set, Lab: lab}
+	if c.Driver == scenario.Live {
+		s.Binary = what
+	} else {
+		s.Policy = what
+	}
+	parts := []string{what}
+	if lab != "" {
+		parts[0] = filepath.Base(lab) + " " + what
+	}
+	if s.Name = strings.Join(append(parts, set...), " "); strings.TrimSpace(s.Name) == "" {
+		s.Name = which
+	}
+	return s
+}
+
+// Run plays it.
+func (c *compare) Run(ctx context.Context, s *streams) error {
+	specs, err := openAll(c.Scenarios, c.Driver, s)
+	if err != nil {
+		return err
+	}
+	if c.B == "" {
+		c.B = c.A
+	}
+	if c.Driver == scenario.Live && c.A == experiment.Logic {
+		c.A = ""
+		if c.B == experiment.Logic {
+			c.B = ""
+		}
+	}
+	a, b := c.side("A", c.A, c.ASet, c.ALab), c.side("B", c.B, c.BSet, c.BLab)
+	if a.Name == b.Name && a.Lab == b.Lab {
+		return fmt.Errorf("both sides are %q: change one with --b, --b-set or --b-lab", a.Name)
+	}
+	job := experiment.Job{Driver: c.Driver}
+	if c.Driver == scenario.Live && (a.Binary == "" || b.Binary == "") {
+		done, err := prepare(ctx, &job, "", s)
+		if err != nil {
+			return err
+		}
+		defer done()
+		for _, side := range []*experiment.Subject{&a, &b} {
+			if side.Binary == "" {
+				side.Binary = job.Subject.Binary
+			}
+		}
+	}
+	contest := experiment.Contest{Specs: specs, Seeds: c.list(), Subjects: []experiment.Subject{a, b}, Driver: c.Driver,
+		At: c.at(c.Driver), Job: job}
+	results, err := contest.Run(ctx, counter(s.err, "compare"))
+	if err != nil {
+		return err
+	}
+	if c.JSON != "" {
+		if err := saveJSON(c.JSON, results, s); err != nil {
+			return err
+		}
+	}
+	broken := 0
+	for _, r := range results {
+		r.Build = build()
+		for _, side := range r.Sides {
+			broken += side.Broken
+		}
+		if c.Report != "" {
+			name := strings.ReplaceAll(r.Title, " ", "-") + ".html"
+			if err := save(c.Report, name, func(w io.Writer) error { return report.WriteCompare(w, r) }); err != nil {
+				return err
+			}
+		}
+		if c.JSON != "-" {
+			if err := report.ComparePage(s.out, r); err != nil {
+				return err
+			}
+		}
+	}
+	if broken > 0 {
+		return exit(exitOther)
+	}
+	return nil
+}
+
+type sweep struct {
+	Scenario string `arg:"" help:"Name, file or -."`
+	Vary     string `help:"The key and its values: load.of=0.3,0.5,0.7 or load.of=0.2..1.2/11." required:""`
+	Curves   string `help:"A second key; a curve for each of its values."`
+	Figure   string `help:"The figure that is drawn." default:"mix"`
+	Driver   string `help:"virtual or live." enum:"virtual,live" default:"virtual"`
+	JSON     string `name:"json" help:"Write all as JSON to a file, or to standard output for -." placeholder:"FILE"`
+	Report   string `help:"Write a page of HTML into this folder." type:"path" placeholder:"DIR"`
+	subject
+	seeds
+}
+
+// Run plays it.
+func (c *sweep) Run(ctx context.Context, s *streams) error {
+	spec, err := open(c.Scenario, s)
+	if err != nil {
+		return err
+	}
+	over, err := experiment.ParseVary(c.Vary)
+	if err != nil {
+		return err
+	}
+	var curves experiment.Vary
+	if c.Curves != "" {
+		if curves, err = experiment.ParseVary(c.Curves); err != nil {
+			return err
+		}
+	}
+	if _, ok := score.HeadlineOf(c.Figure); !ok {
+		return fmt.Errorf("--figure: %q is none of %s", c.Figure, figures())
+	}
+	job := experiment.Job{Driver: c.Driver, Subject: experiment.Subject{Binary: c.Binary}}
+	done, err := prepare(ctx, &job, "", s)
+	if err != nil {
+		return err
+	}
+	defer done()
+	work := experiment.Sweep{Spec: spec, Over: over, Curves: curves, Seeds: c.list(), Driver: c.Driver, Figure: c.Figure,
+		Subject: experiment.Subject{Name: c.Policy, Policy: c.Policy, Set: c.Set, Binary: job.Subject.Binary},
+		At:      c.at(c.Driver), Job: job}
+	r, err := work.Run(ctx, counter(s.err, "sweep"))
+	if err != nil {
+		return err
+	}
+	if c.JSON != "" {
+		if err := saveJSON(c.JSON, r, s); err != nil {
+			return err
+		}
+	}
+	if c.Report != "" {
+		if err := save(c.Report, "sweep.html", func(w io.Writer) error { return report.WriteSweep(w, r) }); err != nil {
+			return err
+		}
+	}
+	if c.JSON == "-" {
+		return nil
+	}
+	return report.SweepPage(s.out, r)
+}
+
+func figures() string {
+	var names []string
+	for _, h := range score.Headlines {
+		names = append(names, h.Name)
+	}
+	return strings.Join(names, ", ")
+}
+
+type hunt struct {
+	For    time.Duration `help:"Hunt for so long." default:"1m"`
+	Most   int           `help:"At most so many plays; 0: as many as there is time for." default:"0"`
+	Seed   uint64        `help:"Seed of the draws." default:"1"`
+	Keep   int           `help:"Keep so many of the worst." default:"8"`
+	Out    string        `help:"Keep them in this folder, as scenario files to be played by play --from." type:"path" placeholder:"DIR"`
+	At     int           `help:"Plays at once; 0: as many as there are processors." default:"0"`
+	Policy string        `help:"Policy that is hunted." default:"logic"`
+	Top    string        `help:"Yardstick that it is held against." default:"all-seeing"`
+}
+
+// Run hunts.
+func (c *hunt) Run(ctx context.Context, s *streams) error {
+	ctx, cancel := context.WithTimeout(ctx, c.For)
+	defer cancel()
+	h := experiment.Hunt{Seed: c.Seed, Subject: experiment.Subject{Name: c.Policy, Policy: c.Policy}, Top: c.Top,
+		Keep: c.Keep, At: c.At, Most: c.Most}
+	from := time.Now()
+	got, err := h.Run(ctx, func(f *experiment.Find, plays int) {
+		fmt.Fprintf(s.err, "%6.0fs  play %d, draw %d: %s; %d of %d faults left\n", time.Since(from).Seconds(), plays, f.Draw,
+			f.What(), f.Faults, f.Drawn)
+	})
+	if err != nil && ctx.Err() == nil {
+		return err
+	}
+	fmt.Fprintf(s.out, "%d plays, mean regret %.3f, %d with a rule broken or stopped; kept:\n", got.Plays, got.Mean, got.Broken)
+	for i, f := range got.Worst {
+		fmt.Fprintf(s.out, "%2d  %s (draw %d, seed %d)\n", i+1, f.What(), f.Draw, f.Spec.Seed)
+		for _, x := range f.Spec.Faults {
+			fmt.Fprintf(s.out, "      %s at %v for %v\n", x.What, x.At.D(), x.For.D())
+		}
+		if c.Out != "" {
+			text := f.File()
+			err := save(c.Out, fmt.Sprintf("find-%d-draw-%d.toml", c.Seed, f.Draw), func(w io.Writer) error {
+				_, err := w.Write(text)
+				return err
+			})
+			if err != nil {
+				return err
+			}
+		}
+	}
+	if got.Broken > 0 {
+		return exit(exitOther)
+	}
+	return nil
+}
+
+// agreeing are the scenarios that both drivers are held against each other by, unless others are named.
+var agreeing = []string{"calm", "busy", "crash_cold", "hang", "society_rush", "drain", "planned_restart", "stale_list",
+	"errors", "eid_swell"}
+
+type agree struct {
+	Scenarios []string `arg:"" optional:"" help:"Names or files; none: ten of the library."`
+	Seeds     int      `help:"Live plays of each." default:"3"`
+	First     uint64   `help:"The first seed." default:"1"`
+	More      int      `help:"Further plays in virtual time, for its spread." default:"27"`
+	Binary    string   `help:"The scheduler's program." type:"path"`
+	JSON      string   `name:"json" help:"Write all as JSON to a file, or to standard output for -." placeholder:"FILE"`
+}
+
+// Run plays it.
+func (c *agree) Run(ctx context.Context, s *streams) error {
+	names := c.Scenarios
+	if len(names) == 0 {
+		names = agreeing
+	}
+	specs, err := openAll(names, scenario.Live, s)
+	if err != nil {
+		return err
+	}
+	job := experiment.Job{Driver: scenario.Live, Subject: experiment.Subject{Binary: c.Binary}}
+	done, err := prepare(ctx, &job, "", s)
+	if err != nil {
+		return err
+	}
+	defer done()
+	work := experiment.Agreement{Specs: specs, Seeds: experiment.Seeds(c.First, max(1, c.Seeds)), MoreVirtual: c.More,
+		Subject: experiment.Subject{Name: "valvecove", Binary: job.Subject.Binary}, Job: job}
+	table, err := work.Run(ctx, counter(s.err, "agree"))
+	if err != nil {
+		return err
+	}
+	if c.JSON != "" {
+		if err := saveJSON(c.JSON, table, s); err != nil || c.JSON == "-" {
+			return err
+		}
+	}
+	fmt.Fprint(s.out, experiment.AgreeMarkdown(table))
+	for _, line := range table {
+		if !line.Within() || line.Broken > 0 {
+			return exit(exitOther)
+		}
+	}
+	return nil
+}
+
+type yardsticks struct {
+	Scenarios []string `arg:"" optional:"" help:"Names or files; none: the library."`
+	Fleets    []int    `help:"Instead: the calm and the busy play at these numbers of worker nodes." placeholder:"N,N"`
+	Jobs      float64  `help:"With --fleets: jobs of each play." default:"20000"`
+	Policies  []string `help:"Policies; none: all." placeholder:"NAME,NAME"`
+	Figure    string   `help:"The figure that is shown." default:"mix"`
+	JSON      string   `name:"json" help:"Write all as JSON to a file, or to standard output for -." placeholder:"FILE"`
+	seeds
+}
+
+// Run plays it.
+func (c *yardsticks) Run(ctx context.Context, s *streams) error {
+	figure, ok := score.HeadlineOf(c.Figure)
+	if !ok {
+		return fmt.Errorf("--figure: %q is none of %s", c.Figure, figures())
+	}
+	var specs []*scenario.Scenario
+	var err error
+	if len(c.Fleets) > 0 {
+		specs, err = fleets(c.Scenarios, c.Fleets, c.Jobs, s)
+	} else {
+		specs, err = openAll(c.Scenarios, scenario.Virtual, s)
+	}
+	if err != nil {
+		return err
+	}
+	if len(c.Policies) == 0 {
+		c.Policies = experiment.Policies()
+	}
+	work := experiment.Yardsticks{Specs: specs, Policies: c.Policies, Seeds: c.list(), Figure: figure, At: c.At}
+	table, err := work.Run(ctx, counter(s.err, "yardsticks"))
+	if err != nil {
+		return err
+	}
+	if c.JSON != "" {
+		if err := saveJSON(c.JSON, table, s); err != nil || c.JSON == "-" {
+			return err
+		}
+	}
+	fmt.Fprint(s.out, work.Markdown(table))
+	return nil
+}
+
+// fleets are scenarios at several sizes.
+func fleets(names []string, sizes []int, jobs float64, s *streams) ([]*scenario.Scenario, error) {
+	if len(names) == 0 {
+		names = []string{"calm", "busy"}
+	}
+	base, err := openAll(names, scenario.Virtual, s)
+	if err != nil {
+		return nil, err
+	}
+	var specs []*scenario.Scenario
+	for _, spec := range base {
+		for _, nodes := range sizes {
+			fleet, err := experiment.Fleet(spec, nodes, jobs)
+			if err != nil {
+				return nil, err
+			}
+			specs = append(specs, fleet)
+		}
+	}
+	return specs, nil
+}
+
+type speed struct {
+	Scenario string  `arg:"" optional:"" help:"Name or file." default:"calm"`
+	Fleets   []int   `help:"Numbers of worker nodes." default:"10,100,1000,10000"`
+	Jobs     float64 `help:"Jobs of each play." default:"100000"`
+	Policy   string  `help:"Policy." default:"logic"`
+	Runs     int     `help:"Plays of each, of which the median counts." default:"3"`
+}
+
+// Run measures it, on one core.
+func (c *speed) Run(ctx context.Context, s *streams) error {
+	specs, err := fleets([]string{c.Scenario}, c.Fleets, c.Jobs, s)
+	if err != nil {
+		return err
+	}
+	runtime.GOMAXPROCS(1)
+	fmt.Fprintf(s.out, "| nodes | requests | requests/s, judged: least, median, most | unjudged |\n| ---: | ---: | --- | --- |\n")
+	for _, spec := range specs {
+		row := fmt.Sprintf("| %d |", spec.Fleet.Nodes)
+		for i, unjudged := range []bool{false, true} {
+			var all []float64
+			for range max(1, c.Runs) {
+				from := time.Now()
+				p, err := experiment.Run(ctx, experiment.Job{Spec: spec, Seed: 1, Driver: scenario.Virtual, Unjudged: unjudged,
+					Subject: experiment.Subject{Policy: c.Policy}})
+				if err != nil {
+					return err
+				}
+				all = append(all, experiment.Speed{Requests: p.Virtual.Requests, Took: time.Since(from)}.PerSecond())
+				if i == 0 && len(all) == 1 {
+					row += fmt.Sprintf(" %d |", p.Virtual.Requests)
+				}
+			}
+			low, middle, high := experiment.Spread(all)
+			row += fmt.Sprintf(" %.0f, %.0f, %.0f |", low, middle, high)
+		}
+		fmt.Fprintln(s.out, row)
+	}
+	return nil
+}
+
+type mutants struct {
+	Names []string `arg:"" optional:"" help:"Of seeded faults; none: all."`
+	Seeds int      `help:"Plays of each." default:"1"`
+}
+
+// Run plays them, and says whether each was found by its rule.
+func (c *mutants) Run(ctx context.Context, s *streams) error {
+	missed := 0
+	for _, m := range mutant.All() {
+		if len(c.Names) > 0 && !slices.Contains(c.Names, m.Name) {
+			continue
+		}
+		found, others := 0, map[string]int{}
+		for seed := range uint64(max(1, c.Seeds)) {
+			p, err := experiment.Run(ctx, experiment.Job{Spec: m.Scenario(), Seed: seed + 1, Driver: scenario.Virtual,
+				Subject: experiment.Subject{Name: m.Name, Mutant: m.Name}})
+			if err != nil {
+				return err
+			}
+			for _, t := range p.Judged.Rules {
+				if t.Broken > 0 && t.Rule == m.Rule {
+					found++
+				} else if t.Broken > 0 {
+					others[t.Rule]++
+				}
+			}
+		}
+		word := "found"
+		if found < max(1, c.Seeds) {
+			word = "MISSED"
+			missed++
+		}
+		fmt.Fprintf(s.out, "%-28s %-22s %s in %d of %d plays", m.Name, m.Rule, word, found, max(1, c.Seeds))
+		if len(others) > 0 {
+			fmt.Fprintf(s.out, "; also %v", others)
+		}
+		fmt.Fprintln(s.out)
+	}
+	if missed > 0 {
+		return exit(exitOther)
+	}
+	return nil
+}
+
+type list struct{}
+
+// Run lists the library.
+func (list) Run(s *streams) error {
+	for _, name := range scenarios.Names() {
+		spec, err := scenarios.Open(name)
+		if err != nil {
+			return err
+		}
+		fmt.Fprintf(s.out, "%-26s %s\n", name, spec.About)
+	}
+	return nil
+}
+
+type check struct {
+	Files []string `arg:"" help:"Scenario files."`
+}
+
+// Run checks files, all of them.
+func (c *check) Run(s *streams) error {
+	faults := 0
+	for _, name := range c.Files {
+		if _, err := open(name, s); err != nil {
+			fmt.Fprintf(s.err, "%s: %v\n", name, err)
+			faults++
+			continue
+		}
+		fmt.Fprintf(s.out, "%s: sound\n", name)
+	}
+	if faults > 0 {
+		return exit(exitFault)
+	}
+	return nil
+}
+
+type version struct{}
+
+// Run says which build this is.
+func (version) Run(s *streams) error {
+	fmt.Fprintln(s.out, "covelab", build())
+	return nil
+}
--- /dev/null
+++ b/cmd/covelab/load.go
@@ -0,0 +1,51 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"valvecove/internal/lab/live"
+)
+
+type load struct {
+	Target string        `help:"Address and port on 127.0.0.0/8; empty: a responder of the lab's own, which answers all at once." default:""`
+	Rate   float64       `help:"Requests a second." default:"30000"`
+	Conns  int           `help:"Connections." default:"256"`
+	Cores  int           `help:"Threads that make the load." default:"2"`
+	For    time.Duration `help:"How long requests fall due." default:"10s"`
+	Seed   uint64        `help:"Seed of the moments." default:"1"`
+}
+
+// Run puts the load on, and shows latency from when requests were due.
+func (c *load) Run(ctx context.Context, s *streams) error {
+	target := c.Target
+	if target == "" {
+		r, err := live.StartResponder("127.0.0.1:0", 2, nil)
+		if err != nil {
+			return err
+		}
+		defer r.Close()
+		target = r.Addr
+	}
+	got, err := live.Load(ctx, live.LoadOptions{Target: target, Rate: c.Rate, Conns: c.Conns, Cores: c.Cores, Length: c.For,
+		Warm: time.Second, Seed: c.Seed})
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(s.out, "due %d, answered %d (%.0f/s), failed %d, open at the end %d\n", got.Due, got.Answered, got.Rate,
+		got.Failed, got.Open)
+	for status, n := range got.Status {
+		fmt.Fprintf(s.out, "  status %d: %d\n", status, n)
+	}
+	ms := func(us int64) float64 { return float64(us) / 1000 }
+	fmt.Fprintf(s.out, "latency from due, ms: p50 %.2f, p99 %.2f, p99.9 %.2f, max %.2f\n", ms(got.Latency.ValueAtQuantile(50)),
+		ms(got.Latency.ValueAtQuantile(99)), ms(got.Latency.ValueAtQuantile(99.9)), ms(got.Latency.Max()))
+	fmt.Fprintf(s.out, "lateness of the load, ms: p50 %.2f, p99 %.2f, p99.9 %.2f, max %.2f\n", ms(got.Late.ValueAtQuantile(50)),
+		ms(got.Late.ValueAtQuantile(99)), ms(got.Late.ValueAtQuantile(99.9)), ms(got.Late.Max()))
+	if why := got.Void(); why != "" {
+		fmt.Fprintln(s.err, "void:", why)
+		return exit(exitVoid)
+	}
+	return nil
+}
--- /dev/null
+++ b/cmd/covelab/main.go
@@ -0,0 +1,97 @@
+// Covelab is the lab: it plays scenarios against schedulers, in virtual time or with real processes, judges what it
+// saw, and says what it came to. Nothing of it is in the serving path.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kong"
+)
+
+// Exit codes.
+const (
+	exitFine  = 0
+	exitOther = 1 // played, and not as expected: a rule broken, an expectation not met, drivers that disagree
+	exitFault = 2 // usage, a faulty file, or this machine
+	exitVoid  = 3 // the lab itself was too late: no result
+)
+
+// commands are the command line.
+type commands struct {
+	Demo       demo       `cmd:"" help:"Bring up discovery, worker nodes, a scheduler and clients, kill a worker node on the way, and judge."`
+	Play       play       `cmd:"" help:"Play a scenario once, judge it, and show its figures."`
+	Compare    compare    `cmd:"" help:"Play two builds, configurations or policies in the same plays, paired by seed."`
+	Sweep      sweep      `cmd:"" help:"Play a scenario with one key, or two, taking several values."`
+	Hunt       hunt       `cmd:"" help:"Draw scenarios and faults at random, and keep the plays that go worst, shrunk."`
+	Agree      agree      `cmd:"" help:"Play scenarios with both drivers, and set them side by side."`
+	Yardsticks yardsticks `cmd:"" help:"Hold the module against reference policies, scenario by scenario."`
+	Speed      speed      `cmd:"" help:"Measure how fast virtual time runs on one core, by fleet."`
+	Load       load       `cmd:"" help:"Put an open load on an address, or on a responder of the lab's own."`
+	Mutants    mutants    `cmd:"" help:"Play each seeded fault, and say whether the judge finds it."`
+	List       list       `cmd:"" help:"List the scenarios of the library."`
+	Check      check      `cmd:"" help:"Check scenario files."`
+	Version    version    `cmd:"" help:"Say which build this is."`
+}
+
+const about = `The lab of valvecove. SCENARIO is a name of the library ("covelab list"), a file, or - for standard input.
+
+Exit codes: 0 as expected; 1 played, and a rule was broken, an expectation not met, or the drivers disagree; 2 wrong usage,
+a faulty file, or something this machine could not do; 3 the lab itself was too late, so the play is no result.`
+
+// exit ends a command with a code other than 0, its words having been said.
+type exit int
+
+func (e exit) Error() string { return fmt.Sprintf("exit %d", int(e)) }
+
+// streams are where a command reads and writes.
+type streams struct {
+	in       io.Reader
+	out, err io.Writer
+}
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	code := run(ctx, os.Args[1:], &streams{os.Stdin, os.Stdout, os.Stderr})
+	stop()
+	os.Exit(code)
+}
+
+// run is the program but for the process round it.
+func run(ctx context.Context, args []string, s *streams) (code int) {
+	var c commands
+	ended := -1
+	parser, err := kong.New(&c, kong.Name("covelab"), kong.Description(about), kong.UsageOnError(),
+		kong.Writers(s.out, s.err), kong.Exit(func(code int) { ended = code }), kong.ConfigureHelp(kong.HelpOptions{Compact: true}))
+	if err != nil {
+		fmt.Fprintln(s.err, "covelab:", err)
+		return exitFault
+	}
+	command, err := parser.Parse(args)
+	if ended >= 0 { // help was asked for
+		return ended
+	}
+	if err != nil {
+		fmt.Fprintln(s.err, "covelab:", err)
+		return exitFault
+	}
+	command.BindTo(ctx, (*context.Context)(nil))
+	var asked exit
+	switch err := command.Run(s); {
+	case err == nil:
+		return exitFine
+	case errors.As(err, &asked):
+		return int(asked)
+	case errors.Is(err, context.Canceled):
+		fmt.Fprintln(s.err, "covelab: stopped")
+		return exitFault
+	default:
+		fmt.Fprintln(s.err, "covelab:", err)
+		return exitFault
+	}
+}
--- /dev/null
+++ b/internal/lab/experiment/experiment_test.go
@@ -0,0 +1,293 @@
+package experiment
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"valvecove/internal/lab/scenario"
+	"valvecove/internal/lab/score"
+	"valvecove/internal/lab/seen"
+)
+
+// base is the default play, with a name.
+func base() *scenario.Scenario {
+	s := scenario.Default()
+	s.Name = "base"
+	return s
+}
+
+// small is a play that takes milliseconds.
+func small(t *testing.T, changes ...string) *scenario.Scenario {
+	t.Helper()
+	spec, err := Change(base(), append([]string{`length="4s"`, "fleet.nodes=5"}, changes...))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return spec
+}
+
+func TestChangeNamesWhatIsWrong(t *testing.T) {
+	for _, c := range []struct{ change, want string }{
+		{"load.of", "key=value"}, {"=3", "key=value"}, {"load.off=3", "load.off"}, {"load.of=many", "load.of"},
+		{"fleet.nodes=0", "fleet.nodes"}, {"fault[0].size=3", "fault"},
+	} {
+		_, err := Change(base(), []string{c.change})
+		if err == nil || !strings.Contains(err.Error(), c.want) {
+			t.Errorf("%s: %v, expected it to name %s", c.change, err, c.want)
+		}
+	}
+	from := base()
+	changed, err := Change(from, []string{"load.of=0.9"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if changed.Load.Of != 0.9 || from.Load.Of == 0.9 {
+		t.Errorf("%v changed, %v in the one it was made from", changed.Load.Of, from.Load.Of)
+	}
+}
+
+func TestParseVary(t *testing.T) {
+	for text, want := range map[string][]string{
+		"load.of=0.2..1/5":                      {"0.2", "0.4", "0.6", "0.8", "1"},
+		"fleet.nodes=1, 2,40":                   {"1", "2", "40"},
+		`load.shape="steady","swell"`:           {`"steady"`, `"swell"`},
+		`fleet.zones=["a","b"],["c"]`:           {`["a","b"]`, `["c"]`},
+		`fault[0].on={cells=[1,2]},{cells=[3]}`: {`{cells=[1,2]}`, `{cells=[3]}`},
+	} {
+		v, err := ParseVary(text)
+		if err != nil || !slices.Equal(v.Values, want) {
+			t.Errorf("%s: %v, %v", text, v.Values, err)
+		}
+	}
+	for _, text := range []string{"load.of", "load.of=", "load.of=1..2", "load.of=1..x/3", "load.of=1..2/1", "load.of=1,,2"} {
+		if v, err := ParseVary(text); err == nil {
+			t.Errorf("%s was taken as %v", text, v)
+		}
+	}
+}
+
+// What a play came to follows from scenario, subject and seed, whatever else is played beside it.
+func TestBatchOrderAndResults(t *testing.T) {
+	spec := small(t)
+	var jobs []Job
+	for _, seed := range Seeds(1, 6) {
+		jobs = append(jobs, Job{Spec: spec, Seed: seed, Driver: scenario.Virtual, Subject: Subject{Name: Logic}})
+	}
+	texts := func(at int) []string {
+		var all []string
+		if err := Batch(context.Background(), jobs, at, func(i int, p *Played) error {
+			if p.Result().Seed != jobs[i].Seed {
+				t.Errorf("job %d came back with seed %d", i, p.Result().Seed)
+			}
+			b, err := json.Marshal(p.Doc)
+			all = append(all, string(b))
+			return err
+		}); err != nil {
+			t.Fatal(err)
+		}
+		return all
+	}
+	one, many := texts(1), texts(4)
+	if !slices.Equal(one, many) {
+		t.Error("plays differ by how many are played at once")
+	}
+	if one[0] == one[1] {
+		t.Error("two seeds gave the same play")
+	}
+}
+
+func TestBatchStopsAtTheFirstError(t *testing.T) {
+	spec, stop := small(t), errors.New("enough")
+	jobs := slices.Repeat([]Job{{Spec: spec, Seed: 1, Driver: scenario.Virtual}}, 40)
+	seen := 0
+	err := Batch(context.Background(), jobs, 3, func(i int, _ *Played) error {
+		if seen++; i == 2 {
+			return stop
+		}
+		return nil
+	})
+	if !errors.Is(err, stop) || seen != 3 {
+		t.Errorf("%v after %d", err, seen)
+	}
+	jobs[1].Subject.Policy = "none such"
+	if err := Batch(context.Background(), jobs, 2, func(int, *Played) error { return nil }); err == nil ||
+		!strings.Contains(err.Error(), "none such") {
+		t.Errorf("a policy that there is not: %v", err)
+	}
+}
+
+// Both sides of a contest meet the same world; one that is the same twice differs by nothing.
+func TestContestIsPaired(t *testing.T) {
+	c := Contest{Specs: []*scenario.Scenario{small(t), small(t, "load.of=0.8")}, Seeds: Seeds(3, 3), Driver: scenario.Virtual,
+		Subjects: []Subject{{Name: "a", Policy: Logic}, {Name: "b", Policy: Logic}, {Name: "random", Policy: "random"}}}
+	got, err := c.Run(context.Background(), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(got) != 3 || len(got[2].Sides[0].Plays) != 6 {
+		t.Fatalf("%d comparisons", len(got))
+	}
+	for _, r := range got {
+		a, b, other := r.Sides[0].Plays, r.Sides[1].Plays, r.Sides[2].Plays
+		for i := range a {
+			if a[i].Worth != b[i].Worth || a[i].Whole.Asked != other[i].Whole.Asked || a[i].Seed != other[i].Seed {
+				t.Errorf("%s, play %d: sides met different worlds", r.Title, i)
+			}
+		}
+		for _, p := range r.Pairs()[0] {
+			if p.Seen || p.Mean != 0 {
+				t.Errorf("%s: %s differs between a subject and itself: %s", r.Title, p.Figure, p.Says)
+			}
+		}
+	}
+}
+
+func TestSweepPoints(t *testing.T) {
+	s := Sweep{Spec: small(t), Over: Vary{"load.of", []string{"0.9", "0.3"}}, Curves: Vary{"fleet.nodes", []string{"3", "6"}},
+		Seeds: Seeds(1, 2), Driver: scenario.Virtual, Figure: "mix", Subject: Subject{Name: Logic}}
+	got, err := s.Run(context.Background(), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range got.Curves {
+		if len(c.Points) != 2 || c.Points[0].X != 0.3 || c.Points[1].X != 0.9 {
+			t.Fatalf("curve %s has its points out of order", c.Name)
+		}
+		low, high := c.Points[0].Plays, c.Points[1].Plays
+		if len(low) != 2 || len(high) != 2 || low[0].Whole.Due >= high[0].Whole.Due {
+			t.Errorf("curve %s: the plays are not those of their points", c.Name)
+		}
+	}
+	if a, b := got.Curves[0].Points[0].Plays[0], got.Curves[1].Points[0].Plays[0]; a.Capacity >= b.Capacity {
+		t.Error("the second key was not varied")
+	}
+	s.Over.Values = append(s.Over.Values, "-1")
+	if _, err := s.Run(context.Background(), nil); err == nil {
+		t.Error("a value that the scenario refuses was played")
+	}
+}
+
+// A hunt finds a seeded fault by its rule, shrinks the play to what matters, and the file that it keeps plays it again.
+func TestHuntFindsShrinksAndKeeps(t *testing.T) {
+	h := Hunt{Seed: 5, Subject: Subject{Name: "mutant", Mutant: "answers-twice"}, Top: Logic, Most: 4, At: 4, Keep: 2}
+	got, err := h.Run(context.Background(), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	i := slices.IndexFunc(got.Worst, func(f Find) bool { return f.Rule == "one-answer" })
+	if got.Broken == 0 || i < 0 {
+		t.Fatalf("%d plays with a rule broken, kept %v", got.Broken, got.Worst)
+	}
+	f := got.Worst[i]
+	if f.Faults != 0 || f.Spec.Fleet.Nodes > h.Draw(f.Draw).Fleet.Nodes {
+		t.Errorf("the answer given twice needs no fault of the world, and %d of %d are left", f.Faults, f.Drawn)
+	}
+	kept, err := scenario.Parse("kept", f.File())
+	if err != nil {
+		t.Fatal(err)
+	}
+	p, err := Run(context.Background(), Job{Spec: kept, Seed: uint64(kept.Seed), Driver: scenario.Virtual, Subject: h.Subject})
+	if err != nil || p.Result().Worth.Mix != f.Got || p.Broken() == 0 {
+		t.Errorf("%v: the kept play is another", err)
+	}
+}
+
+// A longer hunt begins as a shorter one: a draw follows from the seed and its number.
+func TestDrawsAreTheirNumbers(t *testing.T) {
+	a, b := Hunt{Seed: 9}, Hunt{Seed: 9, Most: 3}
+	kinds := map[string]bool{}
+	for i := range 300 {
+		x, y := a.Draw(i), b.Draw(i)
+		if string(scenario.Encode(x)) != string(scenario.Encode(y)) {
+			t.Fatalf("draw %d differs", i)
+		}
+		for _, f := range x.Faults {
+			kinds[f.What] = true
+		}
+	}
+	for _, kind := range huntable {
+		if !kinds[kind] {
+			t.Errorf("300 draws without a %s", kind)
+		}
+	}
+}
+
+func TestKeepOneOfAKind(t *testing.T) {
+	h, got := Hunt{}, &Hunted{}
+	find := func(regret float64, kinds ...string) *Find {
+		f := &Find{Spec: &scenario.Scenario{}, Top: regret}
+		for _, k := range kinds {
+			f.Spec.Faults = append(f.Spec.Faults, scenario.Fault{What: k})
+		}
+		return f
+	}
+	rule := find(0, "cut")
+	rule.Rule = "drain"
+	for _, f := range []*Find{find(0.2, "hang"), find(0.3, "hang"), find(0.1, "hang"), find(0.5, "crash", "hang"), find(0.4, "hang",
+		"crash"), find(0.25, "cut"), rule} {
+		h.keep(got, f, 2)
+	}
+	var left []string
+	for _, f := range got.Worst {
+		left = append(left, f.What())
+	}
+	want := []string{"rule drain broken", "worth 0.000 where 0.500 can be had"}
+	if !slices.Equal(left, want) {
+		t.Errorf("kept %v", left)
+	}
+}
+
+// Yardsticks make a table: a line for each scenario, a cell for each policy, over all seeds.
+func TestYardsticksTable(t *testing.T) {
+	y := Yardsticks{Specs: []*scenario.Scenario{small(t), small(t, "load.of=0.9")}, Policies: []string{"random", "all-seeing"},
+		Seeds: Seeds(1, 3)}
+	y.Figure = mustHeadline(t, "in_time")
+	table, err := y.Run(context.Background(), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, line := range table {
+		if len(line.Cells) != 2 || line.Cells[0].Plays != 3 || line.Cells[0].Mean > line.Cells[1].Mean {
+			t.Errorf("%s: random %v, all-seeing %v", line.Scenario, line.Cells[0], line.Cells[1])
+		}
+	}
+	if text := y.Markdown(table); strings.Count(text, "\n") != 4 || !strings.Contains(text, "| all-seeing |") {
+		t.Errorf("table:\n%s", text)
+	}
+}
+
+// Fleets of any size have so many jobs and are as busy.
+func TestFleet(t *testing.T) {
+	for _, n := range []int{3, 100, 3000} {
+		f, err := Fleet(base(), n, 9000)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if jobs := f.Rate() * f.Length.D().Seconds(); f.Fleet.Nodes != n || jobs < 8900 && f.Length.D() > 200*time.Millisecond {
+			t.Errorf("%d nodes: %.0f jobs in %v", n, jobs, f.Length.D())
+		}
+	}
+}
+
+// Whatever panics in a play is an error that names the play.
+func TestPanicNamesThePlay(t *testing.T) {
+	_, err := Run(context.Background(), Job{Spec: small(t), Seed: 77, Driver: scenario.Virtual,
+		Watch: func(*seen.Sight) { panic("on purpose") }})
+	if !errors.Is(err, ErrStopped) || !strings.Contains(err.Error(), "seed 77") || !strings.Contains(err.Error(), "on purpose") {
+		t.Errorf("got %v", err)
+	}
+}
+
+func mustHeadline(t *testing.T, name string) score.Headline {
+	t.Helper()
+	h, ok := score.HeadlineOf(name)
+	if !ok {
+		t.Fatalf("no figure is called %s", name)
+	}
+	return h
+}
--- /dev/null
+++ b/internal/lab/experiment/hunt.go
@@ -0,0 +1,389 @@
+package experiment
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"runtime"
+	"slices"
+	"strings"
+	"time"
+
+	"valvecove/internal/lab/scenario"
+)
+
+// Hunt looks for plays that go badly: scenarios and seeds drawn at random, each held against the yardstick that sees
+// everything. The i-th draw follows from Seed and i alone, so that a hunt that is given more time finds all that a
+// shorter one did.
+type Hunt struct {
+	Seed    uint64
+	Subject Subject
+	Top     string // the yardstick; default all-seeing
+	Keep    int    // so many of the worst; default 8
+	At      int    // plays at once
+	Most    int    // draws; 0: until the context ends
+}
+
+// Find is a play that went badly.
+type Find struct {
+	Spec   *scenario.Scenario // its Seed is the play's
+	Rule   string             // that was broken; empty: none was
+	Got    float64            // the mixed worth, and the yardstick's
+	Top    float64
+	Faults int    // left of those drawn
+	Drawn  int    // faults that were drawn
+	Draw   int    // which draw it was
+	Error  string // what the play ended with, if it could not be played on
+}
+
+// Regret is how far a play stayed under the yardstick.
+func (f *Find) Regret() float64 { return math.Max(0, f.Top-f.Got) }
+
+// What says what is bad about a find.
+func (f *Find) What() string {
+	switch {
+	case f.Error != "":
+		return "it stopped: " + strings.SplitN(f.Error, "\n", 2)[0]
+	case f.Rule != "":
+		return "rule " + f.Rule + " broken"
+	}
+	return fmt.Sprintf("worth %.3f where %.3f can be had", f.Got, f.Top)
+}
+
+// kind tells finds of one sort, of which only the worst is kept: by the rule broken, or by the kinds of faults left.
+func (f *Find) kind() string {
+	if f.Error != "" {
+		return "!" + strings.SplitN(f.Error, "\n", 2)[0]
+	}
+	if f.Rule != "" {
+		return "rule " + f.Rule
+	}
+	var kinds []string
+	for _, x := range f.Spec.Faults {
+		if !slices.Contains(kinds, x.What) {
+			kinds = append(kinds, x.What)
+		}
+	}
+	slices.Sort(kinds)
+	return strings.Join(kinds, "+")
+}
+
+// File is the find as a scenario file that plays it again.
+func (f *Find) File() []byte {
+	head := fmt.Sprintf("# Kept by a hunt: %s. Draw %d, %d of %d faults left.\n", f.What(), f.Draw, f.Faults, f.Drawn)
+	return append([]byte(head), scenario.Encode(f.Spec)...)
+}
+
+// Hunted is what a hunt came to.
+type Hunted struct {
+	Plays  int
+	Broken int // of them, plays that broke a rule or stopped
+	Worst  []Find
+	Mean   float64 // regret
+}
+
+// shrinkPart of a regret must be left of it in a play that is to stand for the first.
+const shrinkPart = 0.8
+
+// most plays that shrinking one find may take.
+const mostShrinks = 150
+
+// Run hunts until the context ends or all draws are made, and shrinks what it keeps. told hears of each new find.
+func (h *Hunt) Run(ctx context.Context, told func(f *Find, plays int)) (*Hunted, error) {
+	at, keep := h.At, h.Keep
+	if at <= 0 {
+		at = runtime.GOMAXPROCS(0)
+	}
+	if keep <= 0 {
+		keep = 8
+	}
+	got, sum := &Hunted{}, 0.0
+	for i := 0; ctx.Err() == nil && (h.Most == 0 || i < h.Most); {
+		n := 8 * at
+		if h.Most > 0 {
+			n = min(n, h.Most-i)
+		}
+		finds := make([]*Find, n)
+		err := inParallel(ctx, at, n, func(k int) error {
+			f, err := h.look(context.WithoutCancel(ctx), h.Draw(i+k), i+k)
+			finds[k] = f
+			return err
+		})
+		if err != nil && ctx.Err() == nil {
+			return got, err
+		}
+		for _, f := range finds {
+			if f == nil {
+				continue
+			}
+			got.Plays++
+			sum += f.Regret()
+			if f.Rule != "" || f.Error != "" {
+				got.Broken++
+			}
+			if h.worth(got, f, keep) {
+				if err := h.shrink(context.WithoutCancel(ctx), f); err != nil {
+					return got, err
+				}
+				if h.keep(got, f, keep) && told != nil {
+					told(f, got.Plays)
+				}
+			}
+		}
+		i += n
+		got.Mean = sum / float64(max(1, got.Plays))
+	}
+	return got, nil
+}
+
+// bad orders finds: what stopped, then broken rules, then regret.
+func bad(f *Find) float64 {
+	switch {
+	case f.Error != "":
+		return 3
+	case f.Rule != "":
+		return 2
+	}
+	return f.Regret()
+}
+
+// worth tells whether a find may come among those kept.
+func (h *Hunt) worth(got *Hunted, f *Find, keep int) bool {
+	return bad(f) >= 2 && !slices.ContainsFunc(got.Worst, func(o Find) bool { return o.kind() == f.kind() }) ||
+		bad(f) < 2 && bad(f) > 0.05 && (len(got.Worst) < keep || bad(f) > bad(&got.Worst[len(got.Worst)-1]))
+}
+
+// keep puts a find, shrunk, among the worst, of which there is one of each kind.
+func (h *Hunt) keep(got *Hunted, f *Find, keep int) bool {
+	if i := slices.IndexFunc(got.Worst, func(o Find) bool { return o.kind() == f.kind() }); i >= 0 {
+		if bad(&got.Worst[i]) >= bad(f) {
+			return false
+		}
+		got.Worst = slices.Delete(got.Worst, i, i+1)
+	}
+	got.Worst = append(got.Worst, *f)
+	slices.SortStableFunc(got.Worst, func(a, b Find) int {
+		switch x, y := bad(&a), bad(&b); {
+		case x > y:
+			return -1
+		case x < y:
+			return 1
+		}
+		return 0
+	})
+	// Broken rules are all kept; of the others, the worst.
+	for len(got.Worst) > keep && bad(&got.Worst[len(got.Worst)-1]) < 2 {
+		got.Worst = got.Worst[:len(got.Worst)-1]
+	}
+	return slices.ContainsFunc(got.Worst, func(o Find) bool { return o.Spec == f.Spec })
+}
+
+// look plays a scenario, and the yardstick beside it.
+func (h *Hunt) look(ctx context.Context, spec *scenario.Scenario, draw int) (*Find, error) {
+	f := &Find{Spec: spec, Draw: draw, Drawn: len(spec.Faults), Faults: len(spec.Faults)}
+	p, err := Run(ctx, Job{Spec: spec, Seed: uint64(spec.Seed), Driver: scenario.Virtual, Subject: h.Subject})
+	if err != nil {
+		f.Error = err.Error()
+		return f, nil
+	}
+	for _, t := range p.Judged.Rules {
+		if t.Broken > 0 && f.Rule == "" {
+			f.Rule = t.Rule
+		}
+	}
+	f.Got = p.Result().Worth.Mix
+	top := h.Top
+	if top == "" {
+		top = "all-seeing"
+	}
+	t, err := Run(ctx, Job{Spec: spec, Seed: uint64(spec.Seed), Driver: scenario.Virtual, Unjudged: true,
+		Subject: Subject{Name: top, Policy: top}})
+	if err != nil {
+		return nil, err
+	}
+	f.Top = t.Result().Worth.Mix
+	return f, nil
+}
+
+// shrink looks for a smaller play that is as bad in the same way: without faults that don't matter, then with shorter
+// ones, fewer parties, and plainer settings.
+func (h *Hunt) shrink(ctx context.Context, f *Find) error {
+	left := mostShrinks
+	try := func(change func(s *scenario.Scenario)) (bool, error) {
+		if left--; left < 0 {
+			return false, nil
+		}
+		spec := f.Spec.Clone()
+		change(spec)
+		if spec.Check() != nil {
+			return false, nil
+		}
+		got, err := h.look(ctx, spec, f.Draw)
+		if err != nil {
+			return false, err
+		}
+		same := got.Rule == f.Rule && (got.Error != "") == (f.Error != "")
+		if f.Rule == "" && f.Error == "" {
+			same = same && got.Regret() >= shrinkPart*f.Regret()
+		}
+		if !same {
+			return false, nil
+		}
+		got.Drawn, got.Faults = f.Drawn, len(spec.Faults)
+		*f = *got
+		return true, nil
+	}
+	// Faults first, and again after each that could go: one may have mattered only beside another.
+	for again := true; again; {
+		again = false
+		for i := len(f.Spec.Faults) - 1; i >= 0; i-- {
+			ok, err := try(func(s *scenario.Scenario) { s.Faults = slices.Delete(s.Faults, i, i+1) })
+			if err != nil {
+				return err
+			}
+			again = again || ok
+		}
+	}
+	for _, change := range plainer(f.Spec) {
+		if _, err := try(change); err != nil {
+			return err
+		}
+	}
+	for _, change := range []func(s *scenario.Scenario){
+		func(s *scenario.Scenario) { s.Fleet.Nodes = max(1, s.Fleet.Nodes/2) },
+		func(s *scenario.Scenario) { s.Length /= 2 },
+	} {
+		for ok := true; ok; {
+			var err error
+			if ok, err = try(change); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// plainer are changes that bring one part of a scenario back to its default each.
+func plainer(spec *scenario.Scenario) []func(s *scenario.Scenario) {
+	all := []func(s *scenario.Scenario){
+		func(s *scenario.Scenario) { s.Clients = scenario.Default().Clients },
+		func(s *scenario.Scenario) { s.Discovery = scenario.Default().Discovery },
+		func(s *scenario.Scenario) { s.Net = scenario.Default().Net },
+		func(s *scenario.Scenario) { s.Fleet.Kinds = scenario.Default().Fleet.Kinds },
+		func(s *scenario.Scenario) { s.Schedulers.Count = 1 },
+		func(s *scenario.Scenario) { s.Load.Hints, s.Load.HintFactor = "exact", 0 },
+		func(s *scenario.Scenario) { s.Load.Shape, s.Load.Swing = "steady", 0 },
+	}
+	for i := range spec.Faults {
+		all = append(all, func(s *scenario.Scenario) { s.Faults[i].For /= 2 },
+			func(s *scenario.Scenario) { s.Faults[i].Spread = 0 })
+	}
+	return all
+}
+
+// Draw is the i-th scenario of a hunt, checked.
+func (h *Hunt) Draw(i int) *scenario.Scenario {
+	rng := rand.New(rand.NewPCG(h.Seed, uint64(i)))
+	for {
+		if s := draw(rng); s.Check() == nil {
+			s.Seed = int(rng.Int64N(1 << 53))
+			return s
+		}
+	}
+}
+
+// huntable are faults that virtual time shows well.
+var huntable = []string{"crash", "vanish", "hang", "pause", "slow", "errors", "full", "drain", "restart", "replace", "gone",
+	"no_notes", "early_202_crash", "handback", "cut", "cut_one_way", "delay", "refuse", "never_up", "half_open", "drop_idle",
+	"slow_read", "disco_down", "disco_late", "disco_wrong", "disco_old", "disco_slow", "disco_moves", "burst", "storm",
+	"sched_kill", "sched_term", "sched_freeze", "sched_reload"}
+
+func draw(rng *rand.Rand) *scenario.Scenario {
+	s := scenario.Default()
+	s.Name, s.About = "hunted", "Drawn at random."
+	s.Drivers = []string{scenario.Virtual}
+	between := func(low, high float64) float64 { return low + (high-low)*rng.Float64() }
+	pick := func(of ...string) string { return of[rng.IntN(len(of))] }
+	span := func(low, high time.Duration) scenario.Span {
+		return scenario.Span(time.Duration(between(float64(low), float64(high))).Round(time.Millisecond))
+	}
+	round := func(x float64) float64 { return math.Round(x*100) / 100 }
+	s.Length = span(10*time.Second, 25*time.Second)
+	s.Fleet.Nodes = int(4 * math.Exp(between(0, math.Log(12))))
+	s.Load.Of = round(between(0.25, 1.1))
+	s.Load.Shape = pick("steady", "bursty", "swell", "month_start")
+	s.Load.Swing = round(between(0.1, 0.6))
+	if s.Load.Shape == "steady" {
+		s.Load.Swing = 0
+	}
+	s.Load.Hints = pick("none", "exact", "rough", "rough", "wrong")
+	switch s.Load.Hints {
+	case "wrong":
+		s.Load.HintFactor = round(math.Exp(between(math.Log(0.05), math.Log(20))))
+	case "rough":
+		s.Load.HintFactor = round(between(0.2, 1.2))
+	}
+	s.Schedulers.Count = 1 + rng.IntN(4)
+	s.Clients.Retries = rng.IntN(4)
+	s.Clients.Honour = round(rng.Float64())
+	for k := range s.Fleet.Kinds {
+		kind := &s.Fleet.Kinds[k]
+		kind.Order = pick("fifo", "backfill")
+		kind.Queue = rng.IntN(30)
+		kind.StartMute = rng.IntN(5) == 0
+		kind.HandsBack = rng.IntN(3) == 0
+		kind.CancelStops = rng.IntN(4) == 0
+		kind.NoteTwice, kind.NoteLost, kind.NoteEarly = round(between(0, 0.1)), round(between(0, 0.1)), round(between(0, 0.1))
+	}
+	if rng.IntN(3) == 0 {
+		s.Discovery.Capacity = round(between(20, 200))
+	}
+	for range rng.IntN(5) {
+		s.Faults = append(s.Faults, drawFault(rng, s))
+	}
+	return s
+}
+
+func drawFault(rng *rand.Rand, s *scenario.Scenario) scenario.Fault {
+	f := scenario.Fault{What: huntable[rng.IntN(len(huntable))]}
+	length := s.Length.D()
+	at := func(d time.Duration) scenario.Span { return scenario.Span(d.Round(time.Millisecond)) }
+	f.At = at(time.Duration((0.1 + 0.6*rng.Float64()) * float64(length)))
+	f.For = at(time.Duration((0.05 + 0.35*rng.Float64()) * float64(length)))
+	switch f.What {
+	case "drain", "gone", "handback", "disco_moves", "sched_reload":
+		f.For = 0
+	case "slow", "burst", "storm", "disco_slow":
+		f.Size = math.Round((1.5+6*rng.Float64())*100) / 100
+	case "errors":
+		f.Size = math.Round((0.1+0.9*rng.Float64())*100) / 100
+	case "disco_late", "drop_idle", "half_open":
+		f.Size = math.Round((0.05+5*rng.Float64())*100) / 100
+	case "delay":
+		f.Size = math.Round(math.Exp(rng.Float64()*math.Log(400))*100) / 100
+	}
+	switch scenario.FaultKinds[f.What] {
+	case "node":
+		f.On.Share = math.Round((0.03+0.5*rng.Float64())*100) / 100
+		if rng.IntN(4) == 0 {
+			f.Spread = f.For / 2
+		}
+	case "net":
+		ends := [][2]string{{"schedulers", "nodes"}, {"schedulers", "discovery"}, {"schedulers", "clients"}}[rng.IntN(3)]
+		f.Between, f.And = ends[0], ends[1]
+		if f.And == "nodes" {
+			f.On.Share = math.Round((0.05+0.5*rng.Float64())*100) / 100
+		}
+	case "sched":
+		f.On.Schedulers = []int{rng.IntN(s.Schedulers.Count)}
+		if f.What == "sched_freeze" {
+			f.For = at(time.Duration((0.2 + 4*rng.Float64()) * float64(time.Second)))
+		}
+	case "clients":
+		if f.What == "burst" && rng.IntN(3) > 0 {
+			f.On.Tenant = s.Tenants[rng.IntN(len(s.Tenants))].Name
+		}
+	}
+	return f
+}
--- /dev/null
+++ b/internal/lab/experiment/sweep.go
@@ -0,0 +1,145 @@
+package experiment
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"math"
+	"slices"
+	"strconv"
+	"strings"
+
+	"valvecove/internal/lab/report"
+	"valvecove/internal/lab/scenario"
+)
+
+// Vary is a key of a scenario and the values it takes.
+type Vary struct {
+	Key    string
+	Values []string // as TOML has them
+}
+
+// ParseVary reads "key=v1,v2,v3" or "key=from..to/steps" (numbers, both ends included).
+func ParseVary(text string) (Vary, error) {
+	key, list, ok := cut(text)
+	if !ok {
+		return Vary{}, fmt.Errorf("%q: expected key=value,value or key=from..to/steps", text)
+	}
+	v := Vary{Key: key}
+	if from, rest, isRange := strings.Cut(list, ".."); isRange {
+		to, steps, ok := strings.Cut(rest, "/")
+		a, errA := strconv.ParseFloat(from, 64)
+		b, errB := strconv.ParseFloat(to, 64)
+		n, errN := strconv.Atoi(steps)
+		if !ok || errA != nil || errB != nil || errN != nil || n < 2 || n > 1000 {
+			return v, fmt.Errorf("%q: expected key=from..to/steps with numbers, and 2 to 1000 steps", text)
+		}
+		for i := range n {
+			x := a + (b-a)*float64(i)/float64(n-1)
+			v.Values = append(v.Values, strconv.FormatFloat(math.Round(x*1e9)/1e9, 'g', -1, 64))
+		}
+		return v, nil
+	}
+	for _, one := range splitValues(list) {
+		if one = strings.TrimSpace(one); one == "" {
+			return v, fmt.Errorf("%q: a value is empty", text)
+		}
+		v.Values = append(v.Values, one)
+	}
+	return v, nil
+}
+
+// splitValues parts a list at its commas, but not at those in brackets, braces or quotes.
+func splitValues(list string) []string {
+	var all []string
+	depth, quoted, from := 0, false, 0
+	for i, c := range list {
+		switch c {
+		case '"':
+			quoted = !quoted
+		case '[', '{':
+			depth++
+		case ']', '}':
+			depth--
+		case ',':
+			if depth == 0 && !quoted {
+				all = append(all, list[from:i])
+				from = i + 1
+			}
+		}
+	}
+	return append(all, list[from:])
+}
+
+// Sweep is one scenario with one key, or two, taking several values.
+type Sweep struct {
+	Spec    *scenario.Scenario
+	Over    Vary
+	Curves  Vary // a curve for each; no values: one curve
+	Seeds   []uint64
+	Driver  string
+	Subject Subject
+	Figure  string // the headline that is drawn
+	At      int
+	Job     Job
+}
+
+// Run plays a sweep.
+func (s *Sweep) Run(ctx context.Context, told func(done, of int)) (*report.Sweep, error) {
+	second := s.Curves.Values
+	if len(second) == 0 {
+		second = []string{""}
+	}
+	out := &report.Sweep{Title: s.Spec.Name, About: s.Spec.About, Param: s.Over.Key, Second: s.Curves.Key, Figure: s.Figure,
+		Scenario: string(scenario.Encode(s.Spec)), Build: s.Subject.Name}
+	numbers := true
+	for _, a := range s.Over.Values {
+		_, err := strconv.ParseFloat(a, 64)
+		numbers = numbers && err == nil
+	}
+	var jobs []Job
+	for _, b := range second {
+		curve := report.Curve{Name: b}
+		for k, a := range s.Over.Values {
+			point := report.Point{X: float64(k), Label: a}
+			if numbers {
+				point.X, _ = strconv.ParseFloat(a, 64)
+				point.Label = ""
+			}
+			curve.Points = append(curve.Points, point)
+			subject := s.Subject
+			subject.Set = append(subject.Set[:len(subject.Set):len(subject.Set)], s.Over.Key+"="+a)
+			if b != "" {
+				subject.Set = append(subject.Set, s.Curves.Key+"="+b)
+			}
+			if _, err := Change(s.Spec, subject.Set); err != nil {
+				return nil, err // before anything is played
+			}
+			for _, seed := range s.Seeds {
+				job := s.Job
+				job.Spec, job.Seed, job.Driver, job.Subject = s.Spec, seed, s.Driver, subject
+				jobs = append(jobs, job)
+			}
+		}
+		out.Curves = append(out.Curves, curve)
+	}
+	each := len(s.Seeds)
+	err := Batch(ctx, jobs, s.At, func(i int, p *Played) error {
+		if told != nil {
+			told(i+1, len(jobs))
+		}
+		point := &out.Curves[i/each/len(s.Over.Values)].Points[i/each%len(s.Over.Values)]
+		point.Broken += p.Broken()
+		if p.Void() == "" {
+			point.Plays = append(point.Plays, p.Result())
+		}
+		return nil
+	})
+	if err != nil {
+		return nil, err
+	}
+	for i := range out.Curves {
+		slices.SortStableFunc(out.Curves[i].Points, func(a, b report.Point) int { return cmp.Compare(a.X, b.X) })
+	}
+	return out, nil
+}
