--- /dev/null
+++ b/internal/lab/world/faults_test.go
@@ -0,0 +1,172 @@
+package world
+
+import (
+	"maps"
+	"math"
+	"reflect"
+	"slices"
+	"testing"
+	"time"
+
+	"valvecove/internal/lab/scenario"
+	"valvecove/internal/lab/seen"
+	"valvecove/internal/steps"
+)
+
+// However faults overlap, once the last of them is over all is as it was before the first.
+func FuzzFaults(f *testing.F) { steps.Fuzz(f, runFaults) }
+
+func runFaults(s *steps.Steps) {
+	spec := quiet(6, 2)
+	spec.Name, spec.Discovery.Capacity = "faults", 100
+	kinds := slices.Sorted(maps.Keys(scenario.FaultKinds))
+	ends, last := 0, time.Duration(0)
+	for s.More() && len(spec.Faults) < 30 {
+		x := scenario.Fault{What: kinds[s.Pick(len(kinds))], At: scenario.Span(4+s.Pick(60)) * scenario.Span(time.Second) / 4}
+		x.For = scenario.Span(1+s.Pick(40)) * scenario.Span(time.Second) / 8
+		switch scenario.FaultKinds[x.What] {
+		case "net":
+			x.Between, x.And = "schedulers", []string{"nodes", "clients", "discovery"}[s.Pick(3)]
+			if x.And == "discovery" && x.What == "drop_idle" {
+				x.And = "nodes"
+			}
+		case "node":
+			x.On.Share = float64(s.Pick(10)) / 10
+		}
+		switch x.What {
+		case "drain", "gone", "early_202_crash", "sched_term":
+			continue // they change the fleet for good, or end when something else happens
+		case "handback", "sched_reload", "disco_moves":
+			x.For = 0
+		case "slow", "disco_slow", "burst", "storm", "half_open", "disco_late", "delay", "drop_idle":
+			x.Size = float64(2 + s.Pick(4))
+		case "errors":
+			x.Size = 0.5
+		case "reset_at":
+			x.Size = float64(1 + s.Pick(99))
+		}
+		spec.Faults = append(spec.Faults, x)
+		last = max(last, (x.At + x.For).D())
+		ends++
+	}
+	f := newFate(s.T, spec, uint64(s.Pick(4)))
+	f.run(500 * time.Millisecond)
+	before := f.state()
+	f.run(last + 60*time.Second) // drains, notices, lists and restarts take their time
+	if after := f.state(); !reflect.DeepEqual(before, after) {
+		s.Check(false, "%+v\nwas before\n%+v\nfaults: %s", after, before, scenario.Encode(spec))
+	}
+	on, off := map[string]int{}, map[string]int{}
+	for _, x := range f.all(0, seen.FaultOn) {
+		on[x.Text]++
+	}
+	for _, x := range f.all(0, seen.FaultOff) {
+		off[x.Text]++
+		s.Check(off[x.Text] <= on[x.Text], "%q ends %d times", x.Text, off[x.Text])
+	}
+	s.Check(maps.Equal(on, off), "began: %v, ended: %v, of %s", on, off, scenario.Encode(spec))
+}
+
+// state is what faults may change, but for what they leave behind by their nature: new processes and machines.
+func (f *fate) state() (all []any) {
+	for i, n := range f.w.nodes {
+		t := f.w.Truth(i)
+		t.Speed = math.Round(1000 * t.Speed / n.pace)
+		all = append(all, t, n.drag, n.errors, n.refusing, n.never, n.slowly, n.resets, n.hung, n.shut, n.muted, n.state)
+	}
+	for _, s := range f.w.scheds {
+		all = append(all, s.alive, s.ready, s.frozen, s.termed, f.w.front.admitted[s.n])
+	}
+	d := f.w.disco
+	return append(all, len(f.w.net.cuts), len(f.w.net.lags), len(f.w.net.drops), d.downs, d.olds, d.behind, len(d.slows),
+		slices.Clone(d.wrongs), slices.Clone(d.cuts), len(d.held), len(f.w.clients.storms), len(f.came(0, 255)))
+}
+
+// Targets are all that match what is named, less all but a share; the seed says which, and nothing else does.
+func TestTargets(t *testing.T) {
+	spec := quiet(40, 3)
+	spec.Name, spec.Fleet.Zones = "targets", []string{"a", "b"}
+	at := scenario.Span(time.Second)
+	spec.Faults = []scenario.Fault{
+		{What: "full", At: at, On: scenario.Target{Names: []string{"w-3", "w-12"}}},
+		{What: "full", At: at, On: scenario.Target{Zone: "b", Cells: []int{0, 9}}},
+		{What: "full", At: at, On: scenario.Target{Kind: "slow-4c"}},
+		{What: "full", At: at, On: scenario.Target{Share: 0.21}},
+		{What: "full", At: at, On: scenario.Target{Share: 0.21}},
+		{What: "full", At: at, On: scenario.Target{Names: []string{"w-5"}, Share: 0.01}},
+		{What: "sched_freeze", At: at, For: at, On: scenario.Target{Share: 0.5}},
+	}
+	struck := func(seed uint64, less int) (all [][]int) {
+		short := spec.Clone()
+		short.Faults = short.Faults[:len(short.Faults)-less]
+		f := newFaults(newFate(t, short, seed).w)
+		for i := range short.Faults {
+			x := &fault{Fault: &short.Faults[i], f: f}
+			x.aim(i)
+			all = append(all, append(x.nodes, x.scheds...))
+		}
+		return all
+	}
+	one, other := struck(1, 0), struck(2, 0)
+	if !slices.Equal(one[0], []int{3, 12}) || len(one[1]) != 4 || len(one[2]) != 20 || len(one[3]) != 8 ||
+		!slices.IsSorted(one[3]) || !slices.Equal(one[5], []int{5}) || len(one[6]) != 2 {
+		t.Errorf("struck: %v", one)
+	}
+	for _, n := range one[1] {
+		if n%2 == 0 {
+			t.Errorf("w-%d is not in zone b", n)
+		}
+	}
+	if slices.Equal(one[3], one[4]) || slices.Equal(one[3], other[3]) {
+		t.Errorf("the same is drawn for two faults, or by two seeds: %v, %v, %v", one[3], one[4], other[3])
+	}
+	if again := struck(1, 2); !reflect.DeepEqual(again, one[:5]) {
+		t.Errorf("fewer faults draw %v, and were %v", again, one)
+	}
+}
+
+// Faults that overlap on a worker node add up, and each takes away what it added.
+func TestOverlap(t *testing.T) {
+	s := scenario.Span(time.Second)
+	spec := quiet(1, 1)
+	spec.Name = "overlap"
+	spec.Faults = []scenario.Fault{
+		{What: "slow", At: 2 * s, For: 4 * s, Size: 2}, {What: "slow", At: 4 * s, For: 4 * s, Size: 3},
+		{What: "errors", At: 2 * s, For: 4 * s, Size: 0.7}, {What: "errors", At: 4 * s, For: 4 * s, Size: 0.2},
+		{What: "reset_at", At: 2 * s, For: 6 * s, Size: 9}, {What: "reset_at", At: 4 * s, For: 2 * s, Size: -5},
+		{What: "refuse", At: 2 * s, For: 4 * s}, {What: "refuse", At: 4 * s, For: 4 * s}}
+	f := newFate(t, spec, 1)
+	n := f.w.nodes[0]
+	for _, want := range [][]any{{1.0, -1.0, 0, false}, {2.0, 0.7, 9, true}, {6.0, 0.7, -5, true}, {3.0, 0.2, 9, true},
+		{1.0, -1.0, 0, false}} {
+		f.run(time.Second)
+		if got := []any{n.drag, n.errors, n.resets, n.refusing}; !slices.Equal(got, want) {
+			t.Errorf("at %v it is %v, and should be %v", f.w.now, got, want)
+		}
+		f.run(time.Second)
+	}
+}
+
+// Worker nodes are struck in turn, for as long each, and the fault is over with the last of them.
+func TestSpread(t *testing.T) {
+	s := scenario.Span(time.Second)
+	spec := quiet(4, 1)
+	spec.Name = "spread"
+	spec.Faults = []scenario.Fault{{What: "hang", At: 2 * s, For: 3 * s, Spread: 8 * s},
+		{What: "crash", At: 20 * s, For: 2 * s, On: scenario.Target{Names: []string{"w-1"}}},
+		{What: "crash", At: 30 * s, On: scenario.Target{Names: []string{"w-1"}}}}
+	f := newFate(t, spec, 1)
+	f.run(time.Minute)
+	var got []int
+	for _, x := range f.all(0, seen.FaultOn, seen.NodeHang, seen.NodeWell, seen.NodeDown, seen.NodeUp, seen.FaultOff) {
+		got = append(got, int(x.At.Seconds()))
+	}
+	if want := []int{2, 2, 4, 5, 6, 7, 8, 9, 11, 11, 20, 20, 22, 22, 30, 30}; !slices.Equal(got, want) {
+		t.Errorf("%v, and should be at %v", got, want)
+	}
+	for _, x := range f.all(0, seen.FaultOn)[1:2] {
+		if x.Text != "crash: w-1, for 2s" {
+			t.Errorf("told as %q", x.Text)
+		}
+	}
+}
--- /dev/null
+++ b/internal/lab/world/harness_fate_test.go
@@ -0,0 +1,165 @@
+package world
+
+import (
+	"testing"
+	"time"
+
+	"valvecove/internal/lab/edge"
+	"valvecove/internal/lab/scenario"
+	"valvecove/internal/lab/seen"
+	"valvecove/internal/ledger"
+)
+
+// fate is a whole world with hardly a client, and schedulers that do nothing but follow discovery.
+type fate struct {
+	t      testing.TB
+	w      *World
+	spec   *scenario.Scenario
+	scheds []*follower
+	sights []seen.Sight
+	ins    []edge.In // all that came
+	outs   []edge.Out
+	exit   bool // what follows SIGTERM is the process's own end
+}
+
+// follower is a scheduler that keeps a list by what it is told.
+type follower struct {
+	up, frozen bool
+	list       map[string]ledger.Host
+	gen        int64
+	heard      time.Duration // when its watch spoke last
+	mute       bool          // it never asks
+}
+
+// quiet is a play of such a world: of so many worker nodes, and without chance in the network.
+func quiet(nodes, scheds int) *scenario.Scenario {
+	s := scenario.Default()
+	s.Fleet.Nodes, s.Schedulers.Count, s.Length = nodes, scheds, scenario.Span(5*time.Minute)
+	s.Load.Of, s.Load.Rate, s.Schedulers.StartOver = 0, 1e-6, 0
+	return s
+}
+
+func newFate(t testing.TB, spec *scenario.Scenario, seed uint64) *fate {
+	if err := spec.Check(); err != nil && spec.Name != "" {
+		t.Fatal(err)
+	}
+	f := &fate{t: t, spec: spec}
+	for range spec.Schedulers.Count {
+		f.scheds = append(f.scheds, &follower{})
+	}
+	f.w = New(spec, seed, 1000*time.Hour, func(s *seen.Sight) { f.sights = append(f.sights, *s) })
+	return f
+}
+
+// run plays for a while.
+func (f *fate) run(d time.Duration) {
+	for to := f.w.now + d; ; {
+		at, ok := f.w.Next()
+		if len(f.outs) > 0 {
+			at = f.w.now
+		} else if !ok || at > to {
+			at = to
+		}
+		at = min(at, f.w.now+500*time.Millisecond) // followers look at their watches
+		outs := f.outs
+		f.outs = nil
+		from := len(f.ins)
+		f.ins = f.w.Step(at, outs, f.ins)
+		for i := range f.ins[from:] {
+			f.take(&f.ins[from+i])
+		}
+		for i, s := range f.scheds { // as the program, it takes a watch for lost that is silent for 3 s
+			if s.up && !s.frozen && !s.mute && at-s.heard > 3*time.Second {
+				f.ask(i, at)
+			}
+		}
+		if next, ok := f.w.Next(); at >= to && len(f.outs) == 0 && (!ok || next > to) {
+			return
+		}
+	}
+}
+
+// do has something happen now.
+func (f *fate) do(what func()) {
+	f.w.after(0, what)
+	f.run(0)
+}
+
+func (f *fate) ask(i int, now time.Duration) {
+	s := f.scheds[i]
+	s.heard = now
+	f.outs = append(f.outs, edge.Out{Kind: edge.Watch, Sched: i, After: time.Duration(s.gen)})
+}
+
+func (f *fate) take(in *edge.In) {
+	if in.Kind >= edge.Hear {
+		return
+	}
+	s := f.scheds[in.Sched]
+	if !s.up && in.Kind != edge.Start {
+		f.t.Fatalf("at %v, scheduler %d does not run and hears %d", f.w.now, in.Sched, in.Kind)
+	}
+	switch in.Kind {
+	case edge.Start:
+		s.up, s.frozen, s.list, s.gen = true, false, map[string]ledger.Host{}, in.Boot.Known.Generation
+		for _, h := range in.Boot.Known.Hosts {
+			s.list[h.ID] = h
+		}
+		f.outs = append(f.outs, edge.Out{Kind: edge.Ready, Sched: in.Sched})
+		if !s.mute {
+			f.ask(in.Sched, f.w.now)
+		}
+	case edge.Kill:
+		s.up = false
+	case edge.Terminate:
+		if f.exit {
+			s.up = false
+			f.outs = append(f.outs, edge.Out{Kind: edge.Exited, Sched: in.Sched})
+		}
+	case edge.Freeze, edge.Resume:
+		s.frozen = in.Kind == edge.Freeze
+		s.heard = f.w.now
+	case edge.Reload:
+		s.gen = 0
+		f.ask(in.Sched, f.w.now)
+	case edge.Unlisted:
+		s.heard = f.w.now - 2*time.Second // and asks again in a second
+	case edge.Listed, edge.Quiet:
+		if s.heard = f.w.now; in.Kind == edge.Quiet {
+			return
+		}
+		if in.List.Reset {
+			s.list = map[string]ledger.Host{}
+		} else if g := in.List.Generation; g < s.gen || g == s.gen && len(in.List.Hosts) > 0 {
+			f.t.Fatalf("at %v, generation %d follows %d", f.w.now, g, s.gen)
+		}
+		s.gen = in.List.Generation
+		for _, h := range in.List.Hosts {
+			if s.list[h.ID] = h; h.State == "removed" {
+				delete(s.list, h.ID)
+			}
+		}
+	}
+}
+
+// all are the sights of some kinds since an index.
+func (f *fate) all(from int, kinds ...seen.What) (list []seen.Sight) {
+	for _, s := range f.sights[from:] {
+		for _, k := range kinds {
+			if s.What == k {
+				list = append(list, s)
+			}
+		}
+	}
+	return list
+}
+
+// came are the Ins of a kind since an index.
+func (f *fate) came(from int, kind edge.InKind) (list []edge.In) {
+	for _, in := range f.ins[from:] {
+		if in.Kind == kind {
+			list = append(list, in)
+		}
+	}
+	return list
+}
