--- a/internal/lab/judge/judge.go
+++ b/internal/lab/judge/judge.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"math"
 	"slices"
 	"strings"
@@ -138,6 +139,7 @@
 	mostTold    = 16      // breaches of a rule that are told in full
 	mostOvers   = 256     // overlaps looked at at once
 	mostConns   = 1 << 20 // whose requests are counted
+	mostBad     = 1 << 14 // bad clients remembered that have had their answer
 )
 
 // safeKept is how long safe jobs are remembered, besides what a late attempt may take: they are most.
@@ -272,6 +274,9 @@
 		return
 	case seen.OddBegan:
 		j.counts.Bad++
+		if len(j.bad) > mostBad {
+			maps.DeleteFunc(j.bad, func(_ uint64, b badClient) bool { return b.over })
+		}
 		j.bad[s.Conn] = badClient{at: s.At, kind: s.Text}
 		return
 	case seen.OddEnded:
