--- a/internal/lab/world/nodes.go
+++ b/internal/lab/world/nodes.go
@@ -118,10 +118,7 @@
 	f := &fleet{w: w, dice: newDice(w.seed, "attempts"), keys: newKeyMemory(len(spec.Classes)),
 		slack: fallSlack * spec.MeanCost()}
 	f.find = func(call string) *try { return w.clients.find(call) }
-	f.told = func(sched int, n *node) bool {
-		d, ok := any(w.disco).(interface{ told(sched int, n *node) bool })
-		return ok && d.told(sched, n)
-	}
+	f.told = func(sched int, n *node) bool { return w.disco.told(sched, n) }
 	f.saw = func(n *node, what lifeEvent) { w.disco.saw(n, what) }
 	for i := range spec.Classes {
 		c := &spec.Classes[i]
