Look again at a job whose run fails past its aim, and answer it at once

Checked: not the world and not the ledger, which told the module at once. Cause: the one look at a job's aim found it running and promised no other; when that run failed, was lost or was withdrawn, the job was held to its deadline. Change: the outcome of such a run looks again. A test fails without it.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -818,6 +818,10 @@
 		d.shrink(w, a)
 	}
 	d.forget(w)
+	if j.passed && !j.closed { // its run went on when its aim was looked at: without another look it is held for good
+		j.passed = false
+		d.alarm(alarm{at: d.now, what: aimPast, job: j})
+	}
 	switch {
 	case e.Closed || j.closed || e.Result == OK:
 		d.close(j)
@@ -857,8 +861,8 @@
 // late acts when no worker could meet an unstarted job's aim any more. It gives way to jobs that can still
 // earn in full (else all would wait past tau); where being late earns nothing it is refused in time.
 func (d *Dispatcher) late(j *job) {
-	running := slices.ContainsFunc(j.attempts, func(a *attempt) bool { return !a.ended && a.started })
-	if j.closed || running || j.late && !d.lateIsNil(j) {
+	j.passed = slices.ContainsFunc(j.attempts, func(a *attempt) bool { return !a.ended && a.started })
+	if j.closed || j.passed || j.late && !d.lateIsNil(j) {
 		return
 	}
 	// Expectations err by the spread: within twice that the job is offered what is free now.
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -199,6 +199,26 @@
 }
 
 // Under overload jobs worth more than most are held over tau sooner.
+// A job that runs when its aim is looked at has its look when that run fails: past reach of its aim it is refused then,
+// and not at its deadline, seconds later.
+func TestJobWhoseRunFailsPastItsAimIsAnsweredAtOnce(t *testing.T) {
+	s := newScene(t, testSettings())
+	s.workers(1)
+	s.step(s.job(1, 2, 300*ms)) // an answer past its aim of 1 s earns nothing
+	s.now += ms
+	s.step(Started{Job: 1, Worker: 1})
+	s.take()
+	s.wait(1500 * ms)
+	if got := taken[Refuse](s); len(got) > 0 {
+		t.Fatal("it was refused as it ran")
+	}
+	s.step(s.done(1, 0, 1, Failed))
+	s.wait(2 * ms)
+	if got := taken[Refuse](s); len(got) != 1 || got[0].Job != 1 {
+		t.Fatalf("its run has failed past its aim: %v, expected a refusal", got)
+	}
+}
+
 func TestWorthyJobsArePromotedSooner(t *testing.T) {
 	set := testSettings()
 	set.Classes[0].Worth, set.Classes[1].Worth, set.Classes[2].Worth = 1, 8, 1
--- a/logic/snapshot.go
+++ b/logic/snapshot.go
@@ -354,7 +354,7 @@
 	c.span(&j.Left, &j.Hint)
 	c.float(&j.Slots, &j.Memory, &j.need, &j.score, &j.work)
 	c.at(&j.arrived, &j.deadline, &j.aim, &j.promote, &j.askUntil)
-	c.flag(&j.Retry, &j.spare, &j.late, &j.closed, &j.stream, &j.aged)
+	c.flag(&j.Retry, &j.spare, &j.late, &j.closed, &j.stream, &j.aged, &j.passed)
 	c.int(&j.out)
 	if j.Class < 0 || j.Class >= len(d.set.Classes) {
 		c.bad, j.Class = true, 0
--- a/logic/state.go
+++ b/logic/state.go
@@ -58,6 +58,7 @@
 	score, work            float64 // chance of running long; expected seconds at speed 1
 	spare, late            bool    // cannot earn in full any more: goes after those that can; its aim is past reach
 	closed, stream, aged   bool    // aged: it has an entry in the pile by arrival
+	passed                 bool    // it ran when its aim was looked at, and is not looked at again
 	index                  int     // in the heap of held jobs, or -1
 	attempts               []*attempt
 	promote                time.Duration // when it counts as held over tau
