--- a/internal/lab/seen/seen.go
+++ b/internal/lab/seen/seen.go
@@ -9,16 +9,16 @@
 
 // At clients.
 const (
-	Due      What = iota // a job fell due: Job, Class, Tenant, Work, Slots, Aim (span until its answer earns), Deadline (span until its client gives up for good), Over (beyond its tenant's share), Key, Span (how late the lab was with it)
-	Asked                // a try's last byte was written: Call, Job, Try, Sched, Conn, Key, Budget; Again as told on the wire. Twice for one Call where the scheduler closed its connection unread: then the second counts
-	Answered             // the last byte of an answer came: Call, Status, After, Text (its body)
-	Lost                 // its connection ended without an answer: Call
-	Left                 // the client went away of its own accord before its deadline: Call
-	GaveUp               // its time is up, unanswered: Call
-	Settled              // the job is over for its client: Job; Status of its last answer, 0 for none
-	OddBegan             // a bad client connected: Conn, Text (its kind)
-	OddEnded             // it had its answer (Status) or was closed (Status 0): Conn. Again for each 200 that follows
-	Unreached            // a try found no scheduler, and was not asked: Call, Job, Try, Sched (-1: the front had none)
+	Due       What = iota // a job fell due: Job, Class, Tenant, Work, Slots, Aim (span until its answer earns), Deadline (span until its client gives up for good), Over (beyond its tenant's share), Key, Span (how late the lab was with it)
+	Asked                 // a try's last byte was written: Call, Job, Try, Sched, Conn, Key, Budget; Again as told on the wire. Twice for one Call where the scheduler closed its connection unread: then the second counts
+	Answered              // the last byte of an answer came: Call, Status, After, Text (its body)
+	Lost                  // its connection ended without an answer: Call
+	Left                  // the client went away of its own accord before its deadline: Call
+	GaveUp                // its time is up, unanswered: Call
+	Settled               // the job is over for its client: Job; Status of its last answer, 0 for none
+	OddBegan              // a bad client connected: Conn, Text (its kind)
+	OddEnded              // it had its answer (Status) or was closed (Status 0): Conn. Again for each 200 that follows
+	Unreached             // a try found no scheduler, and was not asked: Call, Job, Try, Sched (-1: the front had none)
 )
 
 // At worker nodes. Node is the machine, Boot counts its processes.
