Tell schedulers in virtual time when the connection for the watch is up, so that they give up as real ones do

A real scheduler gives a connection to discovery half a second, and its call four more; without a word of the connection the model gave both four seconds, and came back to a discovery that it had been cut off from up to 3.5 s later than a real one. WatchUp says when it is up; live it is the kernel's business.

--- a/internal/lab/edge/edge.go
+++ b/internal/lab/edge/edge.go
@@ -53,6 +53,7 @@
 	Listed                      // news on the watch of discovery: List
 	Unlisted                    // the watch ended, or a call to discovery failed
 	Quiet                       // an empty line on the watch: nothing has changed. One comes every 2 s; it is for the scheduler's side to notice that none does, or that a call stays without an answer
+	WatchUp                     // the connection for the watch is up; live, a kernel's business
 )
 
 // What concerns a live driver only, as there a kernel connects and accepts; in virtual time it means nothing.
--- a/internal/lab/live/driver.go
+++ b/internal/lab/live/driver.go
@@ -8,6 +8,8 @@
 	"runtime"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"valvecove/internal/due"
 	"valvecove/internal/lab/edge"
 	"valvecove/internal/lab/scenario"
@@ -251,6 +253,7 @@
 func (d *driver) run(ctx context.Context, end time.Duration) error {
 	runtime.LockOSThread()
 	defer runtime.UnlockOSThread()
+	defer d.keepOff()()
 	defer context.AfterFunc(ctx, d.ring)()
 	d.begins(d.began)
 	for d.fault == nil && ctx.Err() == nil && (d.opt.Stay || !d.over && d.worldTime(d.now) < end) {
@@ -273,6 +276,22 @@
 	return d.fault
 }
 
+// keepOff keeps the loop's thread off the schedulers' cores, where there are others, until it is undone.
+func (d *driver) keepOff() (undo func()) {
+	var all, rest unix.CPUSet
+	if len(d.opt.Cores) == 0 || unix.SchedGetaffinity(0, &all) != nil {
+		return func() {}
+	}
+	rest = all
+	for _, core := range d.opt.Cores {
+		rest.Clear(core)
+	}
+	if rest.Count() == 0 || unix.SchedSetaffinity(0, &rest) != nil {
+		return func() {}
+	}
+	return func() { _ = unix.SchedSetaffinity(0, &all) }
+}
+
 // serve does what others want done in the loop, and what is due in it.
 func (d *driver) serve() {
 	for more := true; more; {
@@ -358,6 +377,7 @@
 		d.quiet(in)
 	case edge.Unlisted:
 		d.unlist(in)
+	case edge.WatchUp:
 	case edge.Hear:
 		if in.Node < len(d.nodes) {
 			d.own(d.nodes[in.Node].hear(in.Mode))
--- a/internal/lab/virtual/process.go
+++ b/internal/lab/virtual/process.go
@@ -19,7 +19,8 @@
 	lastWords = 300 * time.Millisecond
 
 	ownDescriptors = 24
-	fullFor        = time.Second     // when to come back to a scheduler that holds all the queries it can
+	fullFor        = time.Second // when to come back to a scheduler that holds all the queries it can
+	upWithin       = 500 * time.Millisecond
 	firstLine      = 4 * time.Second // a call to discovery may wait its turn for a while
 	nextLine       = 3 * time.Second // discovery writes one every 2 s
 )
@@ -107,6 +108,10 @@
 		if p.watching {
 			p.expect(nextLine)
 		}
+	case edge.WatchUp:
+		if p.watching {
+			p.expect(firstLine)
+		}
 	case edge.Unlisted:
 		p.lost()
 	case edge.Reload:
@@ -190,7 +195,7 @@
 // watch asks for the watch, and leaves the one before.
 func (p *process) watch(after int64) {
 	p.watching = true
-	p.expect(firstLine)
+	p.expect(upWithin)
 	p.emit(edge.Out{Kind: edge.Watch, After: time.Duration(after)})
 }
 
--- a/internal/lab/world/discovery.go
+++ b/internal/lab/world/discovery.go
@@ -325,7 +325,12 @@
 	if !ok {
 		return // it never comes up, and the scheduler has patience of its own
 	}
-	d.w.after(way+back, func() { d.w.net.send(me, it, func() { d.called(c) }) })
+	d.w.after(way+back, func() {
+		if c.stage == watchAsking {
+			d.w.in(edge.In{Kind: edge.WatchUp, Sched: s.n})
+		}
+		d.w.net.send(me, it, func() { d.called(c) })
+	})
 }
 
 // leave forgets a scheduler's watch or call, as nobody is at its other end.
