--- a/internal/lab/live/lateness.go
+++ b/internal/lab/live/lateness.go
@@ -7,17 +7,18 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 )
 
-// Bounds of the lab's own lateness. A client's answer counts until 50 ms after its deadline and a drain's grace is
-// 500 ms: a lab that is late by half of the former now and then can still tell who was late, one beyond that can't.
+// Bounds of the lab's own lateness. Live, an answer counts until 50 ms after its deadline: a lab that was later than
+// that at any time may have put somebody else's answer beyond it, and one that is often half as late does not play
+// the delays that the scenario names.
 const (
-	VoidMost = 100 * time.Millisecond // no turn of the world may be later
-	Void999  = 25 * time.Millisecond  // nor one in a thousand
-	tellLate = 5 * time.Millisecond   // a turn as late as that is a sight
+	VoidMost = 50 * time.Millisecond // nothing may be done later
+	Void999  = 25 * time.Millisecond // nor one thing in a thousand
+	tellLate = 5 * time.Millisecond  // a turn as late as that is a sight
 )
 
-// Lateness is how late the lab was: the spans from when the world wanted to run to when it did.
+// Lateness is how late the lab was: the spans from when things were on the world's agenda to when they were done.
 type Lateness struct {
-	Turns               int64
+	Turns               int64 // instants of the agenda
 	P50, P99, P999, Max time.Duration
 }
 
