--- a/internal/lab/world/discovery_test.go
+++ b/internal/lab/world/discovery_test.go
@@ -268,6 +268,21 @@
 	}
 }
 
+// A call is answered by what changed since the generation that it names; by the whole list, where that says nothing.
+func TestSince(t *testing.T) {
+	f := newFate(t, quiet(6, 1), 1)
+	for _, n := range f.w.nodes[:4] {
+		f.do(n.drain)
+		f.run(3 * time.Second)
+	}
+	d := f.w.disco
+	for after, want := range map[int64]int{0: -6, d.gen + 1: -6, d.gen - history - 1: -6, d.gen: 0, d.gen - 3: 3} {
+		if m := d.since(after); m.reset != (want < 0) || len(m.entries) != max(want, -want) || m.gen != d.gen {
+			t.Errorf("after %d of %d: %+v", after, d.gen, m)
+		}
+	}
+}
+
 // Calls are handled in turn, by the lines of their lists, and fail once they have waited too long.
 func TestCapacity(t *testing.T) {
 	spec := quiet(10, 3)
