Find workers and held jobs by index, learn against what is held now, refuse no idle fleet

Causes, each checked in the module alone: (1) each asked job waited for probe answers that could not come; now only one whose pick is being asked and has not been heard. (2) Sizes were corrected against what held at the send: with n out the gain was n x 0.03; now against what is held now, which bounds it whatever is out, and the common scale of sizes and speeds is pinned. (3) What is thought to miss its aim was refused with workers idle, so nothing was learnt; now some go all the same. (4) Ready workers were walked for every job; they now lie in lanes by zone, kind, warmth and doubt, in rows by slots in use, and of long rows some are drawn. Held jobs lie by what they need, so that a class without room holds up no other. What is timed while this process is late itself teaches nothing and blames nobody.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -23,6 +23,8 @@
 	speedRate   = 0.2                    // a worker's speed follows its last five or so jobs
 	sizeRate    = 0.03                   // sizes follow many workers, so that no slow one bends them
 	keysKept    = 10000                  // bounds the memory of keys
+	rescaleMost = 0.1                    // in one go: jobs in hand keep the sizes they came with
+	speedBand   = 1.0                    // mean log speed of the fleet, at most: the rest is sizes
 	forgetSpeed = 10 * time.Second       // without news a learned speed drifts back to that of its kind
 	forgetTail  = 60 * time.Second       // a class that had far heavier jobs may have more
 	promptPart  = 4                      // a start within this part of the class's aim is prompt
@@ -54,6 +56,12 @@
 	priceSlot   = 0.05                   // a price this high weighs like one slot in use
 	linkSlot    = 0.2                    // so does a handshake price this high
 	hadIt       = 1000.0                 // and a worker that has had the job like more than any
+	drawn       = 48                     // workers of one row that are all looked at
+	drawnOf     = 16                     // and of a longer one
+	looked      = 256                    // and of all rows
+	trialShare  = 0.2                    // jobs that go though thought late, for each turned away
+	trialBurst  = 4.0                    // and at once
+	lateSelf    = 20 * time.Millisecond  // so late for its own timer a process says nothing of workers
 )
 
 // New returns a dispatcher that knows nothing but its settings.
@@ -62,15 +70,7 @@
 	d := &Dispatcher{set: set, rng: rand.New(src), src: src, jobs: map[uint64]*job{},
 		workers: map[uint64]*worker{}, kinds: map[int]*kind{},
 		busy: map[int]float64{}, keyWork: map[uint64]float64{}, spread: firstSpread, copies: copyBurst}
-	d.alarms.less = func(a, b alarm) bool { return a.at < b.at }
-	d.oldest.less = func(a, b *job) bool { return a.promote < b.promote }
-	d.held.place = func(j *job, i int) { j.index = i }
-	d.held.less = func(a, b *job) bool {
-		if a.spare != b.spare {
-			return b.spare
-		}
-		return cmp.Or(cmp.Compare(a.score, b.score), cmp.Compare(a.arrived, b.arrived)) < 0
-	}
+	d.furnish()
 	aims := 0.0
 	for _, c := range set.Classes {
 		aims += c.Aim.Seconds() / float64(len(set.Classes))
@@ -84,11 +84,20 @@
 	d.weights = make([]float64, len(set.Classes)+2)
 	d.weights[len(set.Classes)] = 1 // prior: the chance of running long rises with the hint
 	d.startBest = max(set.ConnectTimeout/promptPart, time.Millisecond)
-	d.quota = slices.Clone(set.TenantQuota)
-	d.alarm(alarm{what: upkeep})
+	d.probeBest = d.startBest
+	d.quota, d.quotaAt = slices.Clone(set.TenantQuota), make([]time.Duration, len(set.TenantQuota))
+	d.alarm(&d.tick, 0)
 	return d
 }
 
+// before is the order in which held jobs leave.
+func before(a, b *job) bool {
+	if a.spare != b.spare {
+		return b.spare
+	}
+	return cmp.Or(cmp.Compare(a.score, b.score), cmp.Compare(a.arrived, b.arrived)) < 0
+}
+
 // Step takes in what happened at now and returns dst with the actions it calls for appended.
 func (d *Dispatcher) Step(now time.Duration, events []Event, dst []Action) []Action {
 	d.now, d.dst = max(now, d.now), dst
@@ -116,6 +125,8 @@
 			d.close(d.jobs[e.Job])
 		case Probed:
 			d.probedBack(e)
+		case TimerFired:
+			d.woke()
 		}
 	}
 	if d.armed <= d.now {
@@ -157,8 +168,9 @@
 	j.spare = d.overShare(j)
 	d.jobs[e.ID] = j
 	d.probes = min(d.probes+min(probeWidth, probeLoss/max(d.set.ProbePrice, 1e-9)), float64(len(d.order)))
-	d.alarm(alarm{at: j.deadline, what: deadline, job: j})
-	d.alarm(alarm{at: j.aim - seconds(j.work/math.Exp(d.best)), what: aimPast, job: j})
+	j.name()
+	d.alarm(&j.ends, j.deadline)
+	d.alarm(&j.past, j.aim-seconds(j.work/math.Exp(d.best)))
 	d.ask(j)
 	d.hold(j)
 }
@@ -167,60 +179,109 @@
 	if j.index >= 0 || j.closed || j.stream {
 		return
 	}
-	d.held.add(j)
-	if !j.aged { // once: an entry stays behind when its job leaves
+	j.shape = shapeOf(d.groups[j.Class], slotBucket(j), len(j.attempts) > 0)
+	d.roll.shapes[j.shape].held.add(j)
+	if d.roll.n++; !j.aged { // once: an entry stays behind when its job leaves
 		j.aged = true
 		// Jobs worth more than most are over tau sooner: under overload capacity goes to what earns most.
 		worthy := min(1, (d.meanWorth+1e-9)/(max(j.class.Worth, 0)+1e-9))
 		j.promote = j.arrived + seconds(tauFactor*d.muShort*worthy)
-		d.oldest.add(j)
+		d.roll.shapes[j.shape].oldest.add(j)
 	}
 }
 
 func (d *Dispatcher) unhold(j *job) {
 	if j.index >= 0 {
-		d.held.remove(j.index)
+		d.roll.shapes[j.shape].held.remove(j.index)
+		d.roll.n--
 	}
 }
 
 // release sends held jobs while some worker can start them now. Jobs held over tau leave first, oldest
-// first; else the lowest chance of running long leaves. A job that fits nowhere is looked past.
+// first; else the lowest chance of running long leaves. A job that fits nowhere is looked past, and where
+// that is for want of room, with all that need the same.
 func (d *Dispatcher) release() {
-	if d.held.empty() || d.backedUp() {
-		return
+	for _, w := range d.touched {
+		d.settle(w)
 	}
-	var aside []*job
-	d.roomy = d.roomy[:0] // found once a step: a scan of a large fleet for each job would cost too much
-	for _, w := range d.order {
-		if w.Ready && d.now >= w.restUntil && (w.used == 0 || w.used+1 <= w.room) {
-			d.roomy = append(d.roomy, w)
-		}
+	d.touched = d.touched[:0]
+	if d.roll.n == 0 {
+		return
 	}
+	d.countLate()
 	if d.kept != nil && d.keptFor.index < 0 {
 		d.kept, d.keptFor = nil, nil
 	}
-	for !d.held.empty() && len(aside) < skipLimit && !d.backedUp() {
-		j := d.held.first()
-		for !d.oldest.empty() && (d.oldest.first().index < 0 || d.oldest.first().spare) {
-			d.oldest.take().aged = false
-		}
-		if !d.oldest.empty() && d.now > d.oldest.first().promote {
-			j = d.oldest.first()
+	for i := range d.roll.shapes {
+		d.roll.shapes[i].blocked = false
+	}
+	for len(d.aside) < skipLimit && !d.backedUp() {
+		j := d.next()
+		if j == nil {
+			break
 		}
-		w := d.choose(j)
+		w, roomless := d.choose(j)
 		if w == nil && j.need > 1 && d.now > j.promote {
 			d.keep(j)
 		}
-		if w != nil {
+		switch {
+		case w != nil:
 			d.unhold(j)
 			d.send(j, w)
-			continue
+			d.settle(w)
+		case roomless:
+			d.roll.shapes[j.shape].blocked = true
+		default:
+			d.unhold(j)
+			d.aside = append(d.aside, j)
 		}
-		d.held.remove(j.index)
-		aside = append(aside, j)
 	}
-	for _, j := range aside {
+	for i, j := range d.aside {
 		d.hold(j)
+		d.aside[i] = nil
+	}
+	d.aside = d.aside[:0]
+}
+
+// next is the job that leaves next, of those whose shape has not been found to fit nowhere.
+func (d *Dispatcher) next() (first *job) {
+	var old *job
+	for i := range d.roll.shapes {
+		sh := &d.roll.shapes[i]
+		if sh.blocked || sh.held.empty() {
+			continue
+		}
+		if j := sh.held.first(); first == nil || before(j, first) {
+			first = j
+		}
+		for !sh.oldest.empty() && (sh.oldest.first().index < 0 || sh.oldest.first().spare) {
+			sh.oldest.take().aged = false
+		}
+		if !sh.oldest.empty() && (old == nil || sh.oldest.first().promote < old.promote) {
+			old = sh.oldest.first()
+		}
+	}
+	if old != nil && d.now > old.promote && !d.roll.shapes[old.shape].blocked {
+		return old
+	}
+	return first
+}
+
+// settle puts a worker where choices find it, if it may have room, and out of their way if not.
+func (d *Dispatcher) settle(w *worker) {
+	w.touched = false
+	cold := d.coldShare(w) < 1
+	if d.workers[w.ID] == w && w.Ready && d.now >= w.restUntil && (w.used == 0 || w.used+1 <= w.room) {
+		d.shelf.put(w, laneKey{w.Zone, w.Kind, cold, w.pause > 0})
+	} else {
+		d.shelf.drop(w)
+	}
+	wake := w.restUntil
+	if warm := max(w.BootAt, w.back) + d.set.Cold; cold && (wake <= d.now || warm < wake) {
+		wake = warm
+	}
+	if wake > d.now && w.Ready {
+		d.alarm(&w.wake, wake)
 	}
 }
 
@@ -231,7 +292,12 @@
 		return
 	}
 	d.kept, d.keptFor = nil, j
-	for _, w := range d.order {
+	from, n := 0, len(d.order) // of a large fleet some are as good as all
+	if n > looked {
+		from, n = d.rng.IntN(n), looked
+	}
+	for i := range n {
+		w := d.order[(from+i)%len(d.order)]
 		small := w.tooBig == 0 || j.need < w.tooBig
 		may := w.Ready && small && open(j, w) && d.maySend(j, w) && !d.suspect(w)
 		if may && (d.kept == nil || w.used/w.pace < d.kept.used/d.kept.pace) {
@@ -243,41 +309,69 @@
 // choose picks the ready worker with the fewest of our slots in use, of those that can start the job now;
 // ties are drawn by strength. Departures: one on which the job would miss its aim is passed over while the
 // aim can still be met; crossings, new connections and workers likely to be busy weigh like slots in use.
-func (d *Dispatcher) choose(j *job) *worker {
-	var pick *worker
-	best, sum, known := math.Inf(1), 0.0, true
-	for _, w := range d.roomy {
-		run := d.expectedRun(j, w)
-		cost, weight := w.used, cmp.Or(finite(w.Size), 1)*w.pace
-		if w.Zone != d.set.Zone {
-			cost += d.set.CrossPrice / priceSlot
-		}
-		if len(w.out) >= w.links {
-			cost += d.set.HandshakePrice / linkSlot // no idle connection
+// Of many that are alike some are looked at, drawn anew each time. roomless: nothing but room is wanting.
+func (d *Dispatcher) choose(j *job) (pick *worker, roomless bool) {
+	reports := len(d.set.Report) > 0
+	for _, l := range d.shelf.lanes {
+		if l.next, l.base = 0, 0; !openTo(j, l.kind, l.zone) {
+			l.base = math.Inf(1)
+			continue
 		}
-		free, fresh := d.freeSlots(w)
-		if weight *= max(free, 1); !fresh {
-			weight /= max(free, 1)
-			cost += busyWeight * d.busy[w.Zone]
+		if l.zone != d.set.Zone {
+			l.base = d.set.CrossPrice / priceSlot
 		}
-		if slices.ContainsFunc(j.attempts, func(a *attempt) bool { return a.worker == w }) {
-			cost += hadIt // one that has not had this job comes first
+		if !reports {
+			l.base += busyWeight * d.busy[l.zone]
 		}
-		if cost > best || !j.spare && d.now+run > j.aim || !open(j, w) || !d.roomFor(j, w) ||
-			!d.maySend(j, w) || !d.healthyFor(j, w) || !d.coldAllows(j, w) {
-			continue
+	}
+	best, sum, known, looks := math.Inf(1), 0.0, true, 0
+	roomless = true
+	for looks < looked {
+		row, base := d.shelf.cheapest()
+		if row == nil || base > best {
+			break
 		}
-		if cost < best {
-			best, sum = cost, 0
+		from, n := 0, len(row)
+		if n > drawn {
+			from, n = d.rng.IntN(n), drawnOf
 		}
-		if sum += weight; d.rng.Float64()*sum < weight {
-			pick, known = w, fresh
+		for i := range n {
+			w := row[(from+i)%len(row)]
+			looks++
+			cost, weight, fresh := base-math.Floor(w.used)+w.used, cmp.Or(finite(w.Size), 1)*w.pace, false
+			if len(w.out) >= w.links {
+				cost += d.set.HandshakePrice / linkSlot // no idle connection
+			}
+			if reports {
+				free := 0.0
+				if free, fresh = d.freeSlots(w); fresh {
+					weight *= max(free, 1)
+				} else {
+					cost += busyWeight * d.busy[w.Zone]
+				}
+			}
+			if j.had(w) {
+				cost += hadIt // one that has not had this job comes first
+			}
+			if cost > best || !d.roomFor(j, w) {
+				continue
+			}
+			if roomless = false; !j.spare && d.now+d.expectedRun(j, w) > j.aim || !d.maySend(j, w) ||
+				!d.healthyFor(j, w) || !d.coldAllows(j, w) {
+				continue
+			}
+			if cost < best {
+				best, sum = cost, 0
+			}
+			if sum += weight; d.rng.Float64()*sum < weight {
+				pick, known = w, fresh
+			}
 		}
 	}
-	if !known && d.now < j.askUntil {
-		return nil // asked workers have not answered yet
+	if pick != nil && d.now < j.askUntil && (reports && !known || !reports && pick.unheard()) {
+		return nil, false // asked workers have not answered yet
 	}
-	return pick
+	return pick, roomless && pick == nil && looks < looked
 }
 
 // ---- Predictor: chance of running long, and size ----
@@ -309,12 +403,17 @@
 func (d *Dispatcher) learn(a *attempt, run time.Duration) {
 	j, w := a.job, a.worker
 	r := math.Log(max(run.Seconds(), 1e-4))
+	if d.excused(a) {
+		return
+	}
 	d.outran(a, run)
 	if d.coldShare(w) < 1 {
 		return
 	}
-	d.spread += muRate * (min(math.Abs(math.Log(j.work)-r-w.speed), featureClip) - d.spread)
-	d.learnSpeed(w, math.Log(j.work)-r)
+	// Against what is held now: each of the many that are out would else correct the same old error again.
+	size := math.Log(d.expectedWork(j))
+	d.spread += muRate * (min(math.Abs(size-r-w.speed), featureClip) - d.spread)
+	d.learnSpeed(w, size-r)
 	own := r + w.speed // log of work as this run shows it
 	g := -d.chanceLong(j)
 	if own > d.cutLog {
@@ -332,7 +431,7 @@
 	if j.Key != 0 {
 		d.keyWork[j.Key] = math.Exp(own)
 	}
-	d.sizeLog[j.Class][slotBucket(j)] += sizeRate * clip(own-math.Log(j.work), featureClip/2)
+	d.sizeLog[j.Class][slotBucket(j)] += sizeRate * clip(own-size, featureClip/2)
 	step := muRate * 2
 	if own < d.cutLog {
 		step = -step * longShare / (1 - longShare)
@@ -367,28 +466,23 @@
 			return false
 		}
 	}
+	if w.reported == 0 {
+		return true
+	}
 	free, fresh := d.freeSlots(w)
 	return !fresh || free >= min(j.need, 1)
 }
 
-// freeSlots is what a worker's last report leaves after what we sent since, and whether that is news still.
-func (d *Dispatcher) freeSlots(w *worker) (free float64, fresh bool) {
-	free = w.free
-	for _, a := range w.out {
-		if a.sent > w.reported-reportLag {
-			free -= a.job.need
-		}
-	}
-	return free, w.reported > 0 && d.now-w.reported < reportFresh
-}
-
 // promptBy is how soon a start comes where there is room, by the least delay seen: a mean follows queues.
-func (d *Dispatcher) promptBy(j *job) time.Duration { return 2*d.startBest + j.class.Aim/promptPart }
+func (d *Dispatcher) promptBy(j *job) time.Duration { return d.promptWithin(j.class) }
+
+func (d *Dispatcher) promptWithin(c *Class) time.Duration { return 2*d.startBest + c.Aim/promptPart }
 
 // grow answers a start. The paper's design says nothing of a late one; without an answer a room that has
 // grown too far stays so, and the worker's own queue brings back head-of-line blocking.
 func (d *Dispatcher) grow(w *worker, a *attempt, prompt bool) {
 	d.noteBusy(w, !prompt)
+	d.touch(w)
 	if prompt {
 		if w.rest = 0; a.limited {
 			w.room++
@@ -409,12 +503,13 @@
 func (d *Dispatcher) leave(w *worker, least time.Duration) {
 	w.rest = min(max(least, 2*w.rest), longPause)
 	w.restUntil = d.now + w.rest
-	d.alarm(alarm{at: w.restUntil}) // held jobs are looked at again then
+	d.touch(w) // held jobs are looked at again then
 }
 
 func (d *Dispatcher) shrink(w *worker, a *attempt) {
 	if a.sent >= w.cut { // what is older is the same piece of news: one crash, one full queue
 		w.cut, w.room = d.now, max(1, math.Floor(w.room/2))
+		d.touch(w)
 	}
 }
 
@@ -428,32 +523,7 @@
 
 // backedUp is the room of the whole fleet: hundreds of dispatchers with a job here and there fill all queues
 // though no room is above one. Jobs waiting far longer than late starts do are lost, not queued.
-func (d *Dispatcher) backedUp() bool {
-	wait := 0.0
-	for _, a := range d.unstarted {
-		last := a.job.index < 0 && !a.job.closed && a.number == len(a.job.attempts)-1
-		if age := d.now - a.sent; last && age > d.promptBy(a.job) && age < silence*d.lateStart {
-			wait += a.job.need
-		}
-	}
-	return wait > waitShare*(d.used-wait)
-}
-
-func (d *Dispatcher) report(w *worker, r []float64) {
-	for i, f := range d.set.Report {
-		if f == FieldFreeSlots && i < len(r) && !math.IsNaN(r[i]) {
-			w.free, w.reported = max(0, r[i]), d.now
-			d.noteBusy(w, w.free < 0.5)
-			d.seenSlots(w, math.Floor(w.free))
-		}
-	}
-}
-
-func (d *Dispatcher) seenSlots(w *worker, n float64) {
-	if k := d.kind(w.Kind); d.coldShare(w) == 1 && n > k.slots {
-		k.slots, k.over = n, 0
-	}
-}
+func (d *Dispatcher) backedUp() bool { return d.waiting > waitShare*(d.used-d.waiting) }
 
 // slots is what a worker of this kind can run at once: the most of ours that was seen to run on one, once a
 // few that were sent beyond it have come late. Room alone drifts past it: where one job ends as the next
@@ -483,13 +553,6 @@
 	return trial && d.now >= max(w.badUntil, d.trialAt) && len(w.out) == 0
 }
 
-func (d *Dispatcher) kind(i int) *kind {
-	if d.kinds[i] == nil {
-		d.kinds[i] = &kind{}
-	}
-	return d.kinds[i]
-}
-
 func (d *Dispatcher) blame(w *worker, broken bool, why string) {
 	w.broken = w.broken || broken
 	if d.now < w.badUntil {
@@ -497,7 +560,8 @@
 	}
 	w.pause = min(max(firstPause, 2*w.pause), longPause)
 	w.badUntil = d.now + w.pause/2 + time.Duration(d.rng.Int64N(int64(w.pause)))
-	d.alarm(alarm{at: w.badUntil})
+	d.alarm(&w.wake, w.badUntil)
+	d.touch(w)
 	d.do(Log{fmt.Sprintf("worker %d %s: set aside for about %v", w.ID, why, w.pause)})
 }
 
@@ -507,9 +571,10 @@
 	if w.lost {
 		w.lost, w.back = false, d.now
 	}
-	if w.streak == 0 {
+	if w.streak == 0 && w.pause > 0 {
 		w.pause, w.badUntil, w.broken = 0, 0, false
 	}
+	d.touch(w)
 }
 
 func (d *Dispatcher) learnSpeed(w *worker, got float64) {
@@ -527,10 +592,14 @@
 	if a.ended { // a job that has ended still shows by its attempts how a worker fares
 		return
 	}
+	if d.wokeAt == d.now { // what tells of it may have come meanwhile, and be read in a moment
+		d.alarm(&a.due, d.now+min(d.wokeLate, upkeepEvery))
+		return
+	}
 	switch run := d.now - a.start; {
 	case !a.started:
 		if wait := d.now - a.sent; wait < silence*d.lateStart {
-			d.alarm(alarm{at: a.sent + silence*d.lateStart, what: overlate, attempt: a})
+			d.alarm(&a.due, a.sent+silence*d.lateStart)
 		} else if d.linkNews(a, false); w.heard < a.sent {
 			d.blame(w, false, "silent")
 		}
@@ -539,7 +608,7 @@
 		return
 	default:
 		d.outran(a, run)
-		d.learnSpeed(w, min(w.speed, math.Log(j.work/run.Seconds())))
+		d.learnSpeed(w, min(w.speed, math.Log(d.expectedWork(j)/run.Seconds())))
 	}
 	d.rescue(j)
 }
@@ -548,6 +617,7 @@
 	if w := d.workers[e.Worker]; w != nil {
 		w.probing = false
 		if e.Result == OK {
+			d.probeBest = min(d.probeBest, d.now-w.probed)
 			d.alive(w)
 			d.report(w, e.Report)
 		} else if e.Result != Full && e.Result != NotSent {
@@ -638,10 +708,12 @@
 }
 
 // open is rule 5: a class bound to kinds or zones goes nowhere else, at no attempt, whatever is down or full.
-func open(j *job, w *worker) bool {
+func open(j *job, w *worker) bool { return openTo(j, w.Kind, w.Zone) }
+
+func openTo(j *job, kind, zone int) bool {
 	c := j.class
-	return (c.Kinds == nil || slices.Contains(c.Kinds, w.Kind)) &&
-		(c.Zones == nil || slices.Contains(c.Zones, w.Zone))
+	return (c.Kinds == nil || slices.Contains(c.Kinds, kind)) &&
+		(c.Zones == nil || slices.Contains(c.Zones, zone))
 }
 
 func (d *Dispatcher) send(j *job, w *worker) {
@@ -654,7 +726,7 @@
 	d.used += j.need
 	a.limited = w.used+1 > w.room
 	if !a.started {
-		d.unstarted = append(d.unstarted, a)
+		d.unstarted.add(j.Class, a)
 	}
 	if d.coldShare(w) < 1 {
 		w.ledger = append(w.ledger, spend{d.now, d.coldCost(j)})
@@ -672,7 +744,8 @@
 		// A late start is news at once, but a job is moved only when waiting on begins to endanger its aim.
 		wait = max(d.promptBy(j), (j.aim-d.now-a.expect)/movePart)
 	}
-	d.alarm(alarm{at: d.now + wait, what: overlate, attempt: a})
+	a.due = alarm{what: overlate, attempt: a}
+	d.alarm(&a.due, d.now+wait)
 }
 
 // link guards against connections dropped unseen while idle: what is sent on one gets no answer, or breaks.
@@ -708,34 +781,25 @@
 	}
 }
 
-// find returns an attempt that is still out; an event about any other is void.
-func (d *Dispatcher) find(id uint64, number int, at uint64) *attempt {
-	if j := d.jobs[id]; j != nil && number >= 0 && number < len(j.attempts) {
-		if a := j.attempts[number]; !a.ended && a.worker.ID == at {
-			return a
-		}
-	}
-	return nil
-}
-
 func (d *Dispatcher) started(a *attempt) {
 	if a == nil || a.started {
 		return
 	}
 	j, w := a.job, a.worker
 	a.started, a.start = true, d.now
-	d.unstarted = slices.DeleteFunc(d.unstarted, func(o *attempt) bool { return o == a })
 	d.alive(w)
 	delay := d.now - a.sent
 	prompt := delay <= d.promptBy(j)
 	d.startBest = min(d.startBest, delay)
 	d.linkNews(a, true)
-	if d.grow(w, a, prompt); !prompt {
-		d.lateStart += (delay - d.lateStart) / 10
+	if prompt || !d.excused(a) {
+		if d.grow(w, a, prompt); !prompt {
+			d.lateStart += (delay - d.lateStart) / 10
+		}
 	}
 	w.running += j.Slots
 	d.seenSlots(w, w.running)
-	d.alarm(alarm{at: d.now + d.overlong(a), what: overlate, attempt: a})
+	d.alarm(&a.due, d.now+d.overlong(a))
 	if j.closed {
 		return
 	}
@@ -772,8 +836,9 @@
 	j.out--
 	w.ended = d.now
 	w.used, d.used = max(0, w.used-j.need), max(0, d.used-j.need)
-	w.out = slices.DeleteFunc(w.out, func(o *attempt) bool { return o == a })
-	d.unstarted = slices.DeleteFunc(d.unstarted, func(o *attempt) bool { return o == a })
+	w.out = leave(w.out, a)
+	d.unset(&a.due)
+	d.touch(w)
 	// A report is older than the end that it comes with: the slots that this leaves are not in it yet.
 	d.report(w, e.Report)
 	if a.started {
@@ -818,9 +883,9 @@
 		d.shrink(w, a)
 	}
 	d.forget(w)
-	if j.passed && !j.closed { // its run went on when its aim was looked at: without another look it is held for good
+	if j.passed && !j.closed { // it ran when its aim was looked at: without another look it is held for good
 		j.passed = false
-		d.alarm(alarm{at: d.now, what: aimPast, job: j})
+		d.alarm(&j.past, d.now)
 	}
 	switch {
 	case e.Closed || j.closed || e.Result == OK:
@@ -838,6 +903,9 @@
 		return
 	}
 	d.unhold(j)
+	d.unset(&j.ends)
+	d.unset(&j.past)
+	d.unset(&j.answered)
 	if j.closed = true; j.out == 0 {
 		delete(d.jobs, j.ID)
 	}
@@ -868,14 +936,19 @@
 	// Expectations err by the spread: within twice that the job is offered what is free now.
 	least := seconds(j.work / math.Exp(d.best+2*d.spread))
 	if d.lateIsNil(j) && d.mayRefuse(j) && (j.late && j.out == 0 || d.now+least > j.aim) {
-		d.end(j)
-		return
+		// Where workers idle, some go all the same: what shuts jobs out must not shut out its own correction.
+		if d.trials += trialShare; j.late || d.trials < 1 || d.shelf.idle == 0 {
+			d.trials = min(d.trials, trialBurst)
+			d.end(j)
+			return
+		}
+		d.trials--
 	}
 	if j.index >= 0 {
 		j.spare, j.late = true, true
-		d.held.reorder(j.index)
+		d.roll.shapes[j.shape].held.reorder(j.index)
 	}
-	d.alarm(alarm{at: d.now + sweepEvery, what: aimPast, job: j})
+	d.alarm(&j.past, d.now+sweepEvery)
 }
 
 // lateIsNil tells whether an answer past the aim earns less than its miss costs where few misses are borne.
@@ -889,15 +962,12 @@
 	if j.Tenant < 0 || j.Tenant >= len(d.quota) || d.set.TenantQuota[j.Tenant] <= 0 {
 		return false
 	}
-	for i, q := range d.set.TenantQuota {
-		rate := q / float64(max(1, d.set.Replicas))
-		d.quota[i] = min(d.quota[i]+rate*(d.now-d.quotaAt).Seconds(), max(2*rate, quotaBurst))
-	}
-	d.quotaAt = d.now
-	if d.quota[j.Tenant] < 1 {
+	left, rate := &d.quota[j.Tenant], d.set.TenantQuota[j.Tenant]/float64(max(1, d.set.Replicas))
+	*left = min(*left+rate*(d.now-d.quotaAt[j.Tenant]).Seconds(), max(2*rate, quotaBurst))
+	if d.quotaAt[j.Tenant] = d.now; *left < 1 {
 		return true
 	}
-	d.quota[j.Tenant]--
+	*left--
 	return false
 }
 
@@ -916,46 +986,11 @@
 	if e.Kind != ListCached && d.asked {
 		d.asked, d.follows, d.askWait = false, true, 0
 	}
-	if e.Kind != ListDelta {
-		for _, w := range d.order {
-			w.listed = false
-		}
-	}
-	for _, x := range e.Workers {
-		w := d.workers[x.ID]
-		if w == nil {
-			if x.Gone {
-				continue
-			}
-			w = &worker{room: 1, pace: math.Exp(d.kind(x.Kind).speed)}
-			d.workers[x.ID] = w
-			d.order = append(d.order, w)
-		}
-		if x.BootAt > w.BootAt && w.ID != 0 { // a new process: what we knew of the old one is void
-			w.room, w.pause, w.badUntil, w.streak, w.tooBig, w.reported = 1, 0, 0, 0, 0, 0
-			w.lost, w.back, w.learned = false, 0, 0
-		}
-		w.Worker, w.listed = x, !x.Gone
-		w.Ready = x.Ready && w.listed
-	}
-	for _, w := range slices.Clone(d.order) {
-		if !w.listed {
-			w.Ready = false
-			d.forget(w)
-		}
-	}
-}
-
-func (d *Dispatcher) forget(w *worker) {
-	if w.listed || len(w.out) > 0 || d.workers[w.ID] != w {
-		return
-	}
-	delete(d.workers, w.ID)
-	d.order = slices.DeleteFunc(d.order, func(o *worker) bool { return o == w })
+	d.enter(e)
 }
 
 func (d *Dispatcher) sweep() {
-	d.alarm(alarm{at: d.now + upkeepEvery, what: upkeep})
+	d.alarm(&d.tick, d.now+upkeepEvery)
 	if d.set.MustSubscribe && !d.follows && !d.asked && d.now >= d.askAt {
 		d.asked = true
 		d.do(Subscribe{})
@@ -971,14 +1006,20 @@
 		d.busy[z] *= 1 - upkeepEvery.Seconds()/forgetSpeed.Seconds()
 	}
 	d.best = -featureClip
+	sum := 0.0
 	for _, w := range d.order {
+		was := w.speed
 		if w.learned == 0 {
-			w.speed = d.kind(w.Kind).speed
+			w.speed = w.kin.speed
 		} else if d.now-w.learned > sweepEvery {
-			w.speed += (d.kind(w.Kind).speed - w.speed) * upkeepEvery.Seconds() / forgetSpeed.Seconds()
+			w.speed += (w.kin.speed - w.speed) * upkeepEvery.Seconds() / forgetSpeed.Seconds()
+		}
+		if w.speed != was {
+			w.pace = math.Exp(w.speed)
 		}
-		if w.pace = math.Exp(w.speed); w.Ready {
+		if w.Ready {
 			ready++
+			sum += w.speed
 			d.best = max(d.best, w.speed)
 			if w.broken {
 				broken++
@@ -989,6 +1030,10 @@
 		}
 	}
 	d.mistrust, d.mistrustAll = 2*bad > ready, broken == ready
+	// Runs show but the quotient of size and speed: the two must not drift off together.
+	if mean := sum / float64(max(1, ready)); math.Abs(mean) > speedBand {
+		d.rescale(clip(mean-clip(mean, speedBand), rescaleMost))
+	}
 }
 
 // ask probes a few workers for a job, of those drawn at random the ones not asked for longest: an order
@@ -1011,17 +1056,12 @@
 		d.probes--
 		d.do(Probe{Worker: pick.ID})
 		j.askUntil = d.now + 2*d.startBest + j.class.Aim/(4*promptPart)
-		d.alarm(alarm{at: j.askUntil})
+		d.alarm(&j.answered, j.askUntil)
 	}
 }
 
-func (d *Dispatcher) alarm(a alarm) {
-	a.at = max(a.at, d.now+1)
-	d.alarms.add(a)
-}
-
 // look does what an alarm is for. After any, held jobs are looked at.
-func (d *Dispatcher) look(a alarm) {
+func (d *Dispatcher) look(a *alarm) {
 	switch a.what {
 	case upkeep:
 		d.sweep()
@@ -1031,5 +1071,7 @@
 		d.late(a.job)
 	case overlate:
 		d.overdue(a.attempt)
+	case woken:
+		d.touch(a.worker)
 	}
 }
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -744,12 +744,16 @@
 	for range 100 {
 		s.wait(ms)
 	}
-	if n := len(s.d.oldest.items); n > 10 {
+	n := 0
+	for _, sh := range s.d.roll.shapes {
+		n += len(sh.oldest.items)
+	}
+	if n > 10 {
 		t.Fatalf("%d entries for 10 held jobs", n)
 	}
 	s.wait(10 * time.Second)
-	if len(s.d.jobs) != 1 || len(s.d.held.items) != 0 { // job 1 has its answer but is still out
-		t.Fatalf("%d jobs and %d held ones remembered after all deadlines", len(s.d.jobs), len(s.d.held.items))
+	if len(s.d.jobs) != 1 || s.d.roll.n != 0 { // job 1 has its answer but is still out
+		t.Fatalf("%d jobs and %d held ones remembered after all deadlines", len(s.d.jobs), s.d.roll.n)
 	}
 }
 
@@ -885,8 +889,8 @@
 			t.Fatalf("job %d was sent", a.Job)
 		}
 	}
-	if sends == 0 || len(s.d.held.items) != 0 {
-		t.Fatalf("%d sends of job 1, %d jobs held at the end", sends, len(s.d.held.items))
+	if sends == 0 || s.d.roll.n != 0 {
+		t.Fatalf("%d sends of job 1, %d jobs held at the end", sends, s.d.roll.n)
 	}
 }
 
@@ -905,9 +909,11 @@
 	j.Tenant = 1
 	s.step(j)
 	over := 0
-	for _, h := range s.d.held.items {
-		if h.spare {
-			over++
+	for _, sh := range s.d.roll.shapes {
+		for _, h := range sh.held.items {
+			if h.spare {
+				over++
+			}
 		}
 	}
 	if over == 0 || s.d.jobs[50].spare {
--- /dev/null
+++ b/logic/members.go
@@ -0,0 +1,202 @@
+package logic
+
+import (
+	"math"
+	"time"
+)
+
+// What is here keeps the books that decisions go by: members and their places, attempts, alarms, and how late we are.
+
+// alarm sets one to go off at an instant, in place of when it would have.
+func (d *Dispatcher) alarm(a *alarm, at time.Duration) {
+	if a.at = max(at, d.now+1); a.index > 0 {
+		d.alarms.reorder(a.index - 1)
+	} else {
+		d.alarms.add(a)
+	}
+}
+
+func (d *Dispatcher) unset(a *alarm) {
+	if a.index > 0 {
+		d.alarms.remove(a.index - 1)
+	}
+}
+
+func (d *Dispatcher) touch(w *worker) {
+	if !w.touched {
+		w.touched = true
+		d.touched = append(d.touched, w)
+	}
+}
+
+func (d *Dispatcher) forget(w *worker) {
+	if w.listed || len(w.out) > 0 || d.workers[w.ID] != w {
+		return
+	}
+	delete(d.workers, w.ID)
+	d.shelf.drop(w)
+	d.unset(&w.wake)
+	last := d.order[len(d.order)-1]
+	d.order[w.place], last.place = last, w.place
+	d.order[len(d.order)-1] = nil
+	d.order = d.order[:len(d.order)-1]
+}
+
+// find returns an attempt that is still out; an event about any other is void.
+func (d *Dispatcher) find(id uint64, number int, at uint64) *attempt {
+	if j := d.jobs[id]; j != nil && number >= 0 && number < len(j.attempts) {
+		if a := j.attempts[number]; !a.ended && a.worker.ID == at {
+			return a
+		}
+	}
+	return nil
+}
+
+func (d *Dispatcher) kind(i int) *kind {
+	if d.kinds[i] == nil {
+		d.kinds[i] = &kind{}
+	}
+	return d.kinds[i]
+}
+
+// woke measures how late this process is for its own timer. What it times meanwhile says nothing of workers.
+func (d *Dispatcher) woke() {
+	if late := d.now - d.armed; d.armed > 0 && late > lateSelf {
+		d.wokeAt, d.wokeLate = d.now, late
+	}
+}
+
+// excused tells whether we ourselves were late while an attempt was out.
+func (d *Dispatcher) excused(a *attempt) bool { return a.sent < d.wokeAt && d.wokeAt > 0 }
+
+// countLate counts the slots of those that wait.
+func (d *Dispatcher) countLate() {
+	d.unstarted.sort(d.now, func(class int) time.Duration { return d.promptWithin(&d.set.Classes[class]) },
+		func(a *attempt) bool { return a.started || a.ended || d.now-a.sent >= silence*d.lateStart })
+	d.waiting = 0
+	for _, a := range d.unstarted.over {
+		if a.job.index < 0 && !a.job.closed && a.number == len(a.job.attempts)-1 {
+			d.waiting += a.job.need
+		}
+	}
+}
+
+// freeSlots is what a worker's last report leaves after what we sent since, and whether that is news still.
+func (d *Dispatcher) freeSlots(w *worker) (free float64, fresh bool) {
+	free = w.free
+	for _, a := range w.out {
+		if a.sent > w.reported-reportLag {
+			free -= a.job.need
+		}
+	}
+	return free, w.reported > 0 && d.now-w.reported < reportFresh
+}
+
+// enter takes in the entries of a list. A worker that is gone is forgotten once nothing of ours is out there.
+func (d *Dispatcher) enter(e WorkerList) {
+	if e.Kind != ListDelta {
+		for _, w := range d.order {
+			w.listed = false
+		}
+	}
+	for _, x := range e.Workers {
+		w := d.workers[x.ID]
+		if w == nil {
+			if x.Gone {
+				continue
+			}
+			w = &worker{room: 1, pace: math.Exp(d.kind(x.Kind).speed), place: len(d.order)}
+			w.wake = alarm{what: woken, worker: w}
+			d.workers[x.ID] = w
+			d.order = append(d.order, w)
+		}
+		if x.BootAt > w.BootAt && w.ID != 0 { // a new process: what we knew of the old one is void
+			w.room, w.pause, w.badUntil, w.streak, w.tooBig, w.reported = 1, 0, 0, 0, 0, 0
+			w.lost, w.back, w.learned = false, 0, 0
+		}
+		w.Worker, w.listed = x, !x.Gone
+		w.Ready = x.Ready && w.listed
+		w.kin = d.kind(x.Kind)
+		d.touch(w)
+		if e.Kind == ListDelta {
+			d.forget(w)
+		}
+	}
+	for i := len(d.order) - 1; i >= 0 && e.Kind != ListDelta; i-- { // each that goes leaves its place to the last
+		if w := d.order[i]; !w.listed {
+			w.Ready = false
+			d.touch(w)
+			d.forget(w)
+		}
+	}
+}
+
+// furnish makes what holds jobs, workers and alarms.
+func (d *Dispatcher) furnish() {
+	d.tick.what = upkeep
+	d.alarms.less = func(a, b *alarm) bool { return a.at < b.at }
+	d.alarms.place = func(a *alarm, i int) { a.index = i + 1 }
+	d.groups = groupsOf(d.set.Classes)
+	d.roll.shapes = make([]shape, perClass*len(d.set.Classes))
+	for i := range d.roll.shapes {
+		sh := &d.roll.shapes[i]
+		sh.held.less, sh.held.place = before, func(j *job, i int) { j.index = i }
+		sh.oldest.less = func(a, b *job) bool { return a.promote < b.promote }
+	}
+	d.unstarted.young, d.unstarted.from = make([][]*attempt, len(d.set.Classes)), make([]int, len(d.set.Classes))
+}
+
+// name tells a job's alarms what they are part of.
+func (j *job) name() {
+	j.ends, j.past, j.answered = alarm{what: deadline, job: j}, alarm{what: aimPast, job: j}, alarm{job: j}
+}
+
+// had tells whether a worker was sent the job before.
+func (j *job) had(w *worker) bool {
+	for _, a := range j.attempts {
+		if a.worker == w {
+			return true
+		}
+	}
+	return false
+}
+
+// unheard tells whether a worker was asked by a probe and has said nothing since.
+func (w *worker) unheard() bool { return w.probing && w.heard < w.probed }
+
+// rescale takes so much, in logs, off all speeds and all sizes: expected runs stay what they are.
+func (d *Dispatcher) rescale(by float64) {
+	for _, w := range d.order {
+		w.speed -= by
+		w.pace = math.Exp(w.speed)
+	}
+	for _, k := range d.kinds {
+		k.speed -= by
+	}
+	for i := range d.sizeLog {
+		for b := range d.sizeLog[i] {
+			d.sizeLog[i][b] -= by
+		}
+	}
+	for key := range d.keyWork {
+		d.keyWork[key] *= math.Exp(-by)
+	}
+	d.cutLog -= by
+	d.best -= by
+}
+
+func (d *Dispatcher) report(w *worker, r []float64) {
+	for i, f := range d.set.Report {
+		if f == FieldFreeSlots && i < len(r) && !math.IsNaN(r[i]) {
+			w.free, w.reported = max(0, r[i]), d.now
+			d.noteBusy(w, w.free < 0.5)
+			d.seenSlots(w, math.Floor(w.free))
+		}
+	}
+}
+
+func (d *Dispatcher) seenSlots(w *worker, n float64) {
+	if k := d.kind(w.Kind); d.coldShare(w) == 1 && n > k.slots {
+		k.slots, k.over = n, 0
+	}
+}
--- a/logic/snapshot.go
+++ b/logic/snapshot.go
@@ -200,6 +200,7 @@
 		*j = c.jobs[place]
 	} else {
 		*j = &job{index: -1, closed: true, class: &Class{}}
+		(*j).name()
 	}
 }
 
@@ -216,6 +217,7 @@
 		*w = c.workers[rank]
 	} else {
 		*w = &worker{}
+		(*w).wake = alarm{what: woken, worker: *w}
 	}
 }
 
@@ -234,6 +236,7 @@
 		*a = j.attempts[number]
 	} else {
 		*a = &attempt{job: j, ended: true, worker: &worker{}}
+		(*a).due = alarm{what: overlate, attempt: *a}
 	}
 }
 
@@ -241,15 +244,17 @@
 	c.span(&d.now)
 	c.now = d.now
 	c.random(d)
-	c.at(&d.born, &d.armed, &d.trialAt, &d.quotaAt, &d.askAt, &d.idleAt)
-	c.span(&d.startBest, &d.lateStart, &d.askWait, &d.idleMost, &d.idleBad)
-	c.float(&d.cutLog, &d.muShort, &d.meanWorth, &d.meanCost, &d.arrivals, &d.spread, &d.best, &d.used, &d.copies, &d.probes)
+	c.at(&d.born, &d.armed, &d.trialAt, &d.askAt, &d.idleAt, &d.wokeAt)
+	c.span(&d.startBest, &d.lateStart, &d.askWait, &d.idleMost, &d.idleBad, &d.probeBest, &d.wokeLate)
+	c.float(&d.cutLog, &d.muShort, &d.meanWorth, &d.meanCost, &d.arrivals, &d.spread, &d.best, &d.used, &d.copies, &d.probes,
+		&d.trials, &d.waiting)
 	c.flag(&d.mistrust, &d.mistrustAll, &d.asked, &d.follows)
 	fixed(c, d.sizeLog, func(x *[4]float64) { c.float(&x[0], &x[1], &x[2], &x[3]) })
 	for _, part := range [][]float64{d.tail, d.weights, d.quota} {
 		fixed(c, part, func(x *float64) { c.float(x) })
 	}
 	fixed(c, d.fullLeft, func(x *time.Duration) { c.span(x) })
+	fixed(c, d.quotaAt, func(x *time.Duration) { c.at(x) })
 	table(c, d.kinds, func(i *int, k **kind) {
 		if *k == nil {
 			*k = &kind{}
@@ -264,36 +269,112 @@
 	})
 	c.population(d)
 	c.keys(d)
+	c.shelf(d)
 	// Heaps are held as they lie: jobs that are equal in rank leave by their place.
-	list(c, &d.held.items, func(j **job) { c.job(j) })
-	list(c, &d.oldest.items, func(j **job) {
-		c.job(j)
-		c.at(&(*j).promote)
-	})
-	list(c, &d.alarms.items, func(a *alarm) {
-		c.at(&a.at)
-		c.int((*int)(&a.what))
-		switch a.what {
-		case deadline, aimPast:
-			c.job(&a.job)
-		case overlate:
-			c.attempt(&a.attempt)
-		}
+	fixed(c, d.roll.shapes, func(sh *shape) {
+		list(c, &sh.held.items, func(j **job) { c.job(j) })
+		list(c, &sh.oldest.items, func(j **job) {
+			c.job(j)
+			c.at(&(*j).promote)
+		})
 	})
-	list(c, &d.unstarted, func(a **attempt) { c.attempt(a) })
+	if !c.writing {
+		d.tick.index = 0 // New has set it
+	}
+	list(c, &d.alarms.items, func(a **alarm) { c.alarm(d, a) })
+	for class := range d.unstarted.young {
+		young := d.unstarted.young[class][d.unstarted.from[class]:]
+		list(c, &young, func(a **attempt) { c.attempt(a) })
+		d.unstarted.young[class], d.unstarted.from[class] = young, 0
+	}
+	list(c, &d.unstarted.over, func(a **attempt) { c.attempt(a) })
 	keeps := d.kept != nil
 	if c.flag(&keeps); keeps {
 		c.worker(&d.kept)
 		c.job(&d.keptFor)
 	}
 	if !c.writing {
-		for i, j := range d.held.items {
-			j.index = i
+		for k := range d.roll.shapes {
+			for i, j := range d.roll.shapes[k].held.items {
+				j.index, j.shape = i, k
+				d.roll.n++
+			}
+		}
+		for i, a := range d.alarms.items {
+			c.bad = c.bad || a.index != 0 // twice in the heap
+			a.index = i + 1
 		}
 		c.bad = c.bad || len(d.alarms.items) == 0
 	}
 }
 
+// alarm is an alarm by what it is part of.
+func (c *codec) alarm(d *Dispatcher, a **alarm) {
+	x := alarm{}
+	if c.writing {
+		x = **a
+	}
+	c.at(&x.at)
+	c.int((*int)(&x.what))
+	var j *job
+	w := x.worker
+	switch x.what {
+	case heldJobs, deadline, aimPast:
+		j = x.job
+		c.job(&j)
+	case overlate:
+		c.attempt(&x.attempt)
+	case woken:
+		c.worker(&w)
+	}
+	if c.writing {
+		return
+	}
+	switch x.what {
+	case heldJobs:
+		*a = &j.answered
+	case deadline:
+		*a = &j.ends
+	case aimPast:
+		*a = &j.past
+	case overlate:
+		*a = &x.attempt.due
+	case woken:
+		*a = &w.wake
+	case upkeep:
+		*a = &d.tick
+	default:
+		c.bad = true
+		*a = &alarm{}
+	}
+	(*a).at = x.at
+}
+
+// shelf walks the workers that may have room, row by row as they lie: draws go by their place.
+func (c *codec) shelf(d *Dispatcher) {
+	list(c, &d.shelf.lanes, func(l **lane) {
+		if !c.writing {
+			*l = &lane{}
+		}
+		c.int(&(*l).zone)
+		c.int(&(*l).kind)
+		c.flag(&(*l).cold, &(*l).doubtful)
+		list(c, &(*l).rows, func(row *[]*worker) {
+			list(c, row, func(w **worker) { c.worker(w) })
+		})
+		for r, row := range (*l).rows {
+			for spot, w := range row {
+				if !c.writing {
+					c.bad = c.bad || w.lane != nil
+					w.lane, w.row, w.spot = *l, r, spot
+					d.shelf.count(w, 1)
+				}
+			}
+		}
+	})
+	list(c, &d.touched, func(w **worker) { c.worker(w) })
+}
+
 func (c *codec) random(d *Dispatcher) {
 	const size = 20 // of the generator's own form
 	if c.writing {
@@ -332,19 +413,22 @@
 		list(c, &j.attempts, func(a **attempt) {
 			if !c.writing {
 				*a = &attempt{job: j}
+				(*a).due = alarm{what: overlate, attempt: *a}
 			}
 			c.oneAttempt(*a)
 		})
 	}
-	for _, w := range d.order {
+	for i, w := range d.order {
 		if c.oneWorker(w); !c.writing {
 			d.workers[w.ID] = w
+			w.place, w.kin, w.wake = i, d.kind(w.Kind), alarm{what: woken, worker: w}
 		}
 	}
 }
 
 func (c *codec) oneJob(d *Dispatcher, j *job) {
 	if !c.writing {
+		j.name()
 		defer func() { d.jobs[j.ID] = j }()
 	}
 	c.uint(&j.ID)
@@ -378,7 +462,7 @@
 	c.int(&w.Kind)
 	c.int(&w.Cell)
 	c.int(&w.Zone)
-	c.flag(&w.Ready, &w.Gone, &w.listed, &w.lost, &w.probing, &w.broken)
+	c.flag(&w.Ready, &w.Gone, &w.listed, &w.lost, &w.probing, &w.broken, &w.touched)
 	c.float(&w.Size, &w.used, &w.room, &w.speed, &w.pace, &w.seen, &w.free, &w.running, &w.tooBig)
 	c.at(&w.BootAt, &w.heard, &w.learned, &w.cut, &w.restUntil, &w.badUntil, &w.back, &w.reported, &w.probed, &w.ended)
 	c.span(&w.rest, &w.pause)
--- a/logic/state.go
+++ b/logic/state.go
@@ -7,46 +7,54 @@
 
 // Dispatcher decides for one instance; see Step.
 type Dispatcher struct {
-	set                     Settings
-	rng                     *rand.Rand
-	src                     *rand.PCG     // under rng: all of its state
-	now, born               time.Duration // born: the first step
-	dst                     []Action
-	jobs                    map[uint64]*job
-	workers                 map[uint64]*worker
-	order                   []*worker  // map order decides nothing
-	held                    pile[*job] // by chance of running long, what can earn in full first
-	oldest                  pile[*job] // the same by arrival; may hold jobs that have left
-	alarms                  pile[alarm]
-	armed                   time.Duration // when the caller's timer is due; 0: none
-	sizeLog                 [][4]float64  // correction to sizes, by class and slots
-	tail                    []float64     // by class: how far jobs have lately outrun what was expected
-	weights                 []float64     // of the logistic model: a bias per class, then hint and slots
-	cutLog                  float64       // log of the run time past which a job is long
-	muShort, meanWorth      float64
-	meanCost, arrivals      float64            // work times slots of the mean job
-	keyWork                 map[uint64]float64 // by key: the work that its last run showed
-	keysAway                int                // keys known too, whose work a snapshot left out
-	fullLeft                []time.Duration    // by class: the time that a first try leaves
-	spread                  float64            // mean distance, in logs, of run times from what was expected
-	startBest               time.Duration      // least delay of any start notice: the way there and back
-	kinds                   map[int]*kind
-	best                    float64         // log speed of the fastest ready worker
-	used                    float64         // our slots in use at all workers
-	unstarted               []*attempt      // attempts that are out and have not started
-	lateStart               time.Duration   // mean delay of late starts
-	busy                    map[int]float64 // by zone: how likely a worker has no free slot
-	roomy                   []*worker       // those that may have room, in this step
-	kept                    *worker         // takes nothing but keptFor, a large job
-	keptFor                 *job
-	trialAt                 time.Duration // no suspect is tried before
-	mistrust, mistrustAll   bool          // most workers look bad; every worker looks broken
-	copies, probes          float64       // budgets
-	quota                   []float64
-	asked, follows          bool
-	quotaAt, askAt, askWait time.Duration
-	idleMost, idleBad       time.Duration // links idle longer are closed first; least age that fared badly
-	idleAt                  time.Duration // when idleMost was set
+	set                   Settings
+	rng                   *rand.Rand
+	src                   *rand.PCG     // under rng: all of its state
+	now, born             time.Duration // born: the first step
+	dst                   []Action
+	jobs                  map[uint64]*job
+	workers               map[uint64]*worker
+	order                 []*worker // map order decides nothing
+	tick                  alarm     // of the upkeep
+	roll                  roll      // the held jobs
+	groups                []int     // by class: the first that may go to the same workers
+	alarms                pile[*alarm]
+	shelf                 shelf         // the workers that may have room
+	touched               []*worker     // to be put in their place there before the next choice
+	aside                 []*job        // that fit nowhere, in this step
+	armed                 time.Duration // when the caller's timer is due; 0: none
+	sizeLog               [][4]float64  // correction to sizes, by class and slots
+	tail                  []float64     // by class: how far jobs have lately outrun what was expected
+	weights               []float64     // of the logistic model: a bias per class, then hint and slots
+	cutLog                float64       // log of the run time past which a job is long
+	muShort, meanWorth    float64
+	meanCost, arrivals    float64            // work times slots of the mean job
+	keyWork               map[uint64]float64 // by key: the work that its last run showed
+	keysAway              int                // keys known too, whose work a snapshot left out
+	fullLeft              []time.Duration    // by class: the time that a first try leaves
+	spread                float64            // mean distance, in logs, of run times from what was expected
+	startBest             time.Duration      // least delay of any start notice: the way there and back
+	kinds                 map[int]*kind
+	best                  float64         // log speed of the fastest ready worker
+	used                  float64         // our slots in use at all workers
+	unstarted             lateness        // attempts that are out and have not started
+	waiting               float64         // slots of those that are late, as of this step
+	lateStart             time.Duration   // mean delay of late starts
+	busy                  map[int]float64 // by zone: how likely a worker has no free slot
+	kept                  *worker         // takes nothing but keptFor, a large job
+	keptFor               *job
+	trialAt               time.Duration // no suspect is tried before
+	mistrust, mistrustAll bool          // most workers look bad; every worker looks broken
+	copies, probes        float64       // budgets
+	trials                float64       // jobs that may go though they are thought to miss their aim
+	quota                 []float64
+	quotaAt               []time.Duration
+	asked, follows        bool
+	askAt, askWait        time.Duration
+	probeBest             time.Duration // least delay of any answer to a probe
+	wokeAt, wokeLate      time.Duration // when this process was last late itself, and by how much
+	idleMost, idleBad     time.Duration // links idle longer are closed first; least age that fared badly
+	idleAt                time.Duration // when idleMost was set
 }
 
 // job is a request that is owed a final answer, or whose attempts are still out.
@@ -57,9 +65,10 @@
 	arrived, deadline, aim time.Duration
 	score, work            float64 // chance of running long; expected seconds at speed 1
 	spare, late            bool    // cannot earn in full any more: goes after those that can; its aim is past reach
-	closed, stream, aged   bool    // aged: it has an entry in the pile by arrival
 	passed                 bool    // it ran when its aim was looked at, and is not looked at again
-	index                  int     // in the heap of held jobs, or -1
+	closed, stream, aged   bool    // aged: it has an entry in the pile by arrival
+	index, shape           int     // in the heap of held jobs of its shape, or -1
+	ends, past, answered   alarm   // at its deadline; its aim; when workers asked for it should have answered
 	attempts               []*attempt
 	promote                time.Duration // when it counts as held over tau
 	out                    int           // attempts outstanding
@@ -78,6 +87,7 @@
 	idle           time.Duration // how long its connection had been idle; 0: a new one
 	result         Result
 	expect         time.Duration // expected run on this worker
+	due            alarm         // when it should have started, or ended
 }
 
 // worker is what is known of one worker.
@@ -103,6 +113,11 @@
 	ledger           []spend
 	links            int           // connections that we have open
 	ended            time.Duration // when an attempt last ended
+	wake             alarm         // when it may have room again by itself, or is warm
+	kin              *kind
+	lane             *lane // where it is on the shelf; nil: it is not
+	row, spot, place int   // there, and in the order
+	touched          bool
 }
 
 // spend is work sent to a cold worker.
@@ -118,15 +133,17 @@
 	over               int
 }
 
-// alarm is a look that the dispatcher has promised itself.
+// alarm is a look that the dispatcher has promised itself. Each is part of what it is about, and set once at a time.
 type alarm struct {
 	at      time.Duration
+	index   int // in the heap and one more; 0: not set
 	what    look
 	job     *job
 	attempt *attempt
+	worker  *worker
 }
 
-// look is what an alarm is for. Alarms are data, so that a snapshot can hold them.
+// look is what an alarm is for.
 type look int
 
 const (
@@ -135,4 +152,5 @@
 	deadline
 	aimPast
 	overlate
+	woken
 )
