--- a/cmd/covelab/main.go
+++ b/cmd/covelab/main.go
@@ -9,6 +9,7 @@
 	"io"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/alecthomas/kong"
@@ -56,6 +57,7 @@
 }
 
 func main() {
+	debug.SetGCPercent(400) // plays leave much behind and hold little
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	context.AfterFunc(ctx, stop) // a second signal ends it at once: a play in virtual time does not look up
 	code := run(ctx, os.Args[1:], &streams{os.Stdin, os.Stdout, os.Stderr})
--- a/internal/lab/experiment/elsewhere.go
+++ b/internal/lab/experiment/elsewhere.go
@@ -27,7 +27,7 @@
 	if job.Driver != scenario.Virtual {
 		return nil, fmt.Errorf("%s: another build's lab plays in virtual time only; live, name its scheduler", job.Subject.Name)
 	}
-	args := []string{"play", "--driver", scenario.Virtual, "--seed", strconv.FormatUint(job.Seed, 10), "--json", "-"}
+	args := []string{"play", "-", "--driver", scenario.Virtual, "--seed", strconv.FormatUint(job.Seed, 10), "--json", "-"}
 	if job.Subject.Policy != "" {
 		args = append(args, "--policy", job.Subject.Policy)
 	}
