Write no query to a worker node once a late note has ended its attempt

Seen by a reader, and proven with sockets: a note is matched by query and host, so one that comes late, of an attempt before at the same host, ends the attempt that is on its way there. The carrier is not told of it: a link that was still connecting, or had written a part, wrote on. After 'returned' the module may have sent the query elsewhere by then, so a payout could have reached two worker nodes; after 'done' it was a send for a query that was over.

A server link now closes in place of writing when its attempt has ended before its last byte was written; the lab's model of links does the same.

--- a/internal/lab/virtual/links.go
+++ b/internal/lab/virtual/links.go
@@ -312,7 +312,11 @@
 
 // up and down are told by the other side, answered too.
 func (k *serverLink) up() {
-	if k.state == connecting {
+	switch {
+	case k.state != connecting:
+	case k.errand.kind == carrying && k.errand.attempt.Ended(): // by a late note of an attempt before
+		k.end(nil)
+	default:
 		k.write()
 	}
 }
--- a/internal/lab/virtual/links_test.go
+++ b/internal/lab/virtual/links_test.go
@@ -339,6 +339,12 @@
 			b.step(edge.In{Kind: edge.LinkDown, Conn: conn, Reset: true}) // means nothing any more
 			b.step(edge.In{Kind: edge.Told, Note: &ledger.Note{ID: "c", From: "w-1", State: "lost"}})
 		}, logic.Reset},
+		{"told late of an attempt before", func(b *bench, conn edge.Conn) {
+			b.step(edge.In{Kind: edge.Told, Note: &ledger.Note{ID: "c", From: "w-1", State: "returned"}})
+			if b.step(edge.In{Kind: edge.LinkUp, Conn: conn}); len(b.order) > 0 || b.outs[0].Kind != edge.Hangup {
+				b.fail("it is sent all the same: %+v", b.outs)
+			}
+		}, logic.Full},
 		{"silent", func(b *bench, conn edge.Conn) {
 			b.step(edge.In{Kind: edge.LinkUp, Conn: conn})
 			b.now += time.Second
@@ -349,10 +355,11 @@
 		b.start()
 		b.step(edge.In{Kind: edge.Asked, Conn: 1, Ask: &edge.Ask{Call: "c", Budget: time.Second}})
 		b.act(logic.Send{Job: 1, Worker: hostNumber("w-1")})
+		b.order[0].up = true // where the story says so
 		c.far(b, b.order[0].conn)
 		o, _ := b.script.Heard[len(b.script.Heard)-1].(logic.Outcome)
-		if o.Result != c.want {
-			t.Errorf("%s: %v, expected %v", c.name, o.Result, c.want)
+		if o.Result != c.want || b.wrong != "" {
+			t.Errorf("%s: %v, expected %v; %s", c.name, o.Result, c.want, b.wrong)
 		}
 	}
 }
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -83,6 +83,11 @@
 	ended    bool
 }
 
+// Ended tells whether it has its outcome. A note may bring that about before a carrier has written all of it: one that
+// is told late, of an attempt before at the same host. A carrier then writes no more, as the query may be over, or out
+// at another host by now.
+func (a *Attempt) Ended() bool { return a.ended }
+
 type attemptKey struct{ call, from string }
 
 // Ledger is one scheduler's memory. It is used by one goroutine.
--- a/internal/link/servers.go
+++ b/internal/link/servers.go
@@ -292,7 +292,17 @@
 	}
 }
 
+// needless tells whether what it was to write has ended before its last byte was written, by a late note of an attempt
+// before: what is written on would be a send after the query was over, or one more than the module knows of.
+func (k *serverLink) needless() bool {
+	return k.errand.kind == carrying && k.stage < ledger.AllWritten && k.errand.attempt.Ended()
+}
+
 func (k *serverLink) ready(events uint32) {
+	if k.state != gone && k.needless() {
+		k.end(nil)
+		return
+	}
 	switch k.state {
 	case connecting:
 		if err := k.connected(); err != nil {
--- a/internal/link/servers_test.go
+++ b/internal/link/servers_test.go
@@ -254,6 +254,42 @@
 	}
 }
 
+// A note that comes late, of an attempt before at the same host, ends the one that is on its way: what the link has not
+// written by then is not written, and the worker node never has it whole.
+func TestLateNoteStopsTheSend(t *testing.T) {
+	for name, size := range map[string]int{"connecting": 0, "partly written": maxBody} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(&steps.Steps{T: t})
+			q, err := w.loop.Ledger.Take(w.now, ledger.Arrival{Call: "q", Job: logic.Job{Left: 5 * time.Second},
+				Parcel: ledger.Parcel{Verb: "POST", Path: "/a", Body: make([]byte, size)}, Asker: nobody{}})
+			if err != nil {
+				t.Fatal(err)
+			}
+			w.module.Next = append(w.module.Next, logic.Send{Job: q.ID, Worker: w.worker()})
+			if w.loop.Ledger.Step(w.now); size > 0 {
+				w.turn()
+			}
+			if known, err := w.loop.Ledger.Tell(ledger.Note{ID: "q", From: "s-0", State: "returned"}); !known || err != nil {
+				t.Fatalf("the note is known %v, %v", known, err)
+			}
+			p, m := w.dialed[0], Message{}
+			for !p.ended && len(p.got) < 2*maxBody {
+				before := len(p.got)
+				w.turn()
+				if p.read(1 << 20); len(p.got) == before {
+					break
+				}
+			}
+			if _, err := m.ParseRequest(p.got); err == nil || !p.ended {
+				t.Errorf("%d bytes came, whole %v, and the link is closed %v", len(p.got), err == nil, p.ended)
+			}
+			if len(w.loop.servers.carried) != 0 || w.loop.servers.open != 0 {
+				t.Error("the link is still kept")
+			}
+		})
+	}
+}
+
 // A watch takes lines in any pieces and tells each group once, in order; one that ends, breaks off or falls
 // silent is told as lost.
 func FuzzWatch(f *testing.F) {
