Give a machine that takes another's place an address of its own

Cause: the new machine listened where the old one had. Discovery lists a start sooner than it notices a silence, so a scheduler has both ids up for a while; it keeps its cold budget for the new one, and what it sent to the old one arrived at the new one as well.

A dial now says which machine in a worker node's place it is for. Live, a machine that takes a place has listeners of its own, and where the first one was nothing comes up any more. To yardsticks a machine whose place was taken is one that is never met.

--- a/internal/lab/edge/edge.go
+++ b/internal/lab/edge/edge.go
@@ -79,6 +79,7 @@
 	Status   int
 	Disco    int
 	Mode     int
+	Machine  int // Hear: which machine in Node's place; 0: the first
 	Bytes    int
 	Conn     Conn
 	NoteID   uint64
@@ -144,15 +145,18 @@
 	Sched  int
 	Node   int
 	Status int
-	Conn   Conn
-	NoteID uint64
-	Call   string
-	Key    string
-	Result string        // body of an answer
-	Budget time.Duration // X-Budget-Ms
-	First  time.Duration // when the first byte was written
-	After  time.Duration // Retry-After; 0: none. With Watch: the generation, as a number
-	Load   bool          // the probe asked for the load report
+	// Dial: at which machine in Node's place, the first being 0. One that took another's place has an id and an address
+	// of its own.
+	Machine int
+	Conn    Conn
+	NoteID  uint64
+	Call    string
+	Key     string
+	Result  string        // body of an answer
+	Budget  time.Duration // X-Budget-Ms
+	First   time.Duration // when the first byte was written
+	After   time.Duration // Retry-After; 0: none. With Watch: the generation, as a number
+	Load    bool          // the probe asked for the load report
 }
 
 // Scheduler is one scheduler as the world meets it. Step takes what has reached it and appends what comes from it.
--- a/internal/lab/live/driver.go
+++ b/internal/lab/live/driver.go
@@ -380,7 +380,7 @@
 	case edge.WatchUp:
 	case edge.Hear:
 		if in.Node < len(d.nodes) {
-			d.own(d.nodes[in.Node].hear(in.Mode))
+			d.own(d.nodes[in.Node].hear(in.Machine, in.Mode))
 		}
 	case edge.HearDisco:
 		d.own(d.hearDisco(in.Disco, in.Mode))
--- a/internal/lab/live/live_test.go
+++ b/internal/lab/live/live_test.go
@@ -389,15 +389,15 @@
 	s := r.connect(0)
 	conn := r.want(edge.Dial).Conn
 	r.do(edge.In{Kind: edge.LinkUp, Conn: conn})
-	hear := func(mode int) {
+	hear := func(machine, mode int) {
 		done := make(chan struct{})
-		r.do(edge.In{Kind: edge.Hear, Node: 0, Mode: mode})
+		r.do(edge.In{Kind: edge.Hear, Node: 0, Machine: machine, Mode: mode})
 		r.d.send(func() { close(done) })
 		<-done
 	}
 	at := r.d.places.node(0, 0).String()
 	for _, mode := range []int{edge.Refuse, edge.NeverUp, edge.Refuse, edge.NeverUp} {
-		hear(mode)
+		hear(0, mode)
 		_, err := net.DialTimeout("tcp", at, 50*time.Millisecond)
 		var late net.Error
 		refused, silent := errors.Is(err, syscall.ECONNREFUSED), errors.As(err, &late) && late.Timeout()
@@ -411,9 +411,19 @@
 			t.Errorf("mode %d: the open link has no answer", mode)
 		}
 	}
-	hear(edge.Open)
+	hear(0, edge.Open)
 	r.connect(0)
 	r.want(edge.Dial)
+	// The machine that takes its place is found elsewhere, and where the first was there is nobody.
+	hear(0, edge.NeverUp)
+	hear(1, edge.Open)
+	r.connect(2 + 0)
+	if o := r.want(edge.Dial); o.Node != 0 || o.Machine != 1 {
+		t.Errorf("the second machine is dialled by %+v", o)
+	}
+	if _, err := net.DialTimeout("tcp", at, 50*time.Millisecond); err == nil {
+		t.Error("the first machine is there still")
+	}
 }
 
 // A note is a call of its own, and its outcome is told whatever becomes of it.
@@ -493,7 +503,7 @@
 	list := &ledger.HostGroup{Generation: 43, Hosts: []ledger.Host{
 		{ID: "w-1.1", Zone: "a", Kind: "m", State: "up", Weight: 1}}}
 	want := fmt.Sprintf(`{"generation":43,"reset":false,"instances":[{"instanceId":"w-1.1","hostPort":"%v","zone":"a",`+
-		`"machineType":"m","cell":0,"lifecycle":"up","weight":1,"startedAtMs":0}]}`, r.d.places.node(1, 0))
+		`"machineType":"m","cell":0,"lifecycle":"up","weight":1,"startedAtMs":0}]}`, r.d.places.node(2+1, 0)) // after the first two
 	go func() {
 		if o := r.want(edge.Watch); o.After != 41 {
 			t.Errorf("%+v", o)
--- a/internal/lab/live/nodes.go
+++ b/internal/lab/live/nodes.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"net/netip"
 	"strconv"
 	"strings"
 	"time"
@@ -12,51 +13,83 @@
 	"valvecove/internal/ledger"
 )
 
-// node is the stand-in for a worker node: a listener for each scheduler. What it does is the world's to say; it
-// speaks HTTP.
+// node is the stand-in for a worker node, and for the machines that take its place. What it does is the world's to
+// say; it speaks HTTP.
 type node struct {
-	d         *driver
-	n         int
-	id        string // as discovery told it last
+	d        *driver
+	n        int
+	id       string // as discovery told it last
+	machines []*machine
+}
+
+// machine has a listener for each scheduler.
+type machine struct {
 	mode      int
-	listeners []*listener // by scheduler
+	listeners []*listener
 }
 
 // newNode opens a worker node. On a fault the node holds what there is to close.
 func newNode(d *driver, n int) (*node, error) {
-	k := &node{d: d, n: n, mode: edge.Refuse}
-	for sched := range d.scheds {
-		l, err := d.listenAt(d.places.node(n, sched), func(fd int) { k.accept(sched, fd) }, d.fail)
-		if err != nil {
-			return k, err
+	k := &node{d: d, n: n}
+	return k, k.hear(0, edge.Open)
+}
+
+// hear has one of its machines accept by a mode. Those before it stay as they were told to be last.
+func (n *node) hear(which, mode int) error {
+	if which >= len(n.machines) {
+		if err := n.d.places.holds((which+1)*n.d.spec.Fleet.Nodes, 1); err != nil {
+			return ownFault{err}
 		}
-		k.listeners = append(k.listeners, l)
 	}
-	return k, k.hear(edge.Open)
+	for which >= len(n.machines) {
+		if err := n.open(len(n.machines)); err != nil {
+			return ownFault{err}
+		}
+	}
+	m := n.machines[which]
+	m.mode = mode
+	for _, l := range m.listeners {
+		if err := l.hear(mode); err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
-func (n *node) hear(mode int) error {
-	n.mode = mode
-	for _, l := range n.listeners {
-		if err := l.hear(mode); err != nil {
+// open gives a machine its addresses. It refuses until it is told how it accepts.
+func (n *node) open(which int) error {
+	m := &machine{mode: edge.Refuse}
+	n.machines = append(n.machines, m)
+	for sched := range n.d.scheds {
+		l, err := n.d.listenAt(n.addr(which, sched), func(fd int) { n.accept(which, sched, fd) }, n.d.fail)
+		if err != nil {
 			return err
 		}
+		m.listeners = append(m.listeners, l)
 	}
 	return nil
 }
 
+// addr is where a scheduler reaches one of its machines.
+func (n *node) addr(which, sched int) netip.AddrPort {
+	return n.d.places.node(n.n+which*n.d.spec.Fleet.Nodes, sched)
+}
+
 func (n *node) close() {
-	for _, l := range n.listeners {
-		l.close()
+	for _, m := range n.machines {
+		for _, l := range m.listeners {
+			l.close()
+		}
 	}
 }
 
-// nodeOf finds the worker node that an entry of the list stands for; below 0: none.
-func (d *driver) nodeOf(h *ledger.Host) int {
-	if n := virtual.NodeOf(h.ID); n < len(d.nodes) {
-		return n
+// nodeOf finds the worker node that an entry of the list stands for, and which of its machines; nil: there is none.
+func (d *driver) nodeOf(h *ledger.Host) (n *node, which int) {
+	i, which := virtual.NodeOf(h.ID)
+	if i < 0 || i >= len(d.nodes) {
+		return nil, 0
 	}
-	return -1
+	return d.nodes[i], which
 }
 
 // link is a connection from a scheduler to a worker node. The kernel accepts it at once, the world when it does:
@@ -64,6 +97,7 @@
 type link struct {
 	sock
 	node    *node
+	machine int
 	sched   int
 	id      edge.Conn
 	open    bool
@@ -79,16 +113,16 @@
 // mostAhead is how much a scheduler may send ahead of an answer.
 const mostAhead = 256 << 10
 
-func (n *node) accept(sched, fd int) {
+func (n *node) accept(which, sched, fd int) {
 	s := n.d.scheds[sched]
 	s.links++
-	k := &link{node: n, sched: sched, id: edge.LinkConn(sched, s.links)}
+	k := &link{node: n, machine: which, sched: sched, id: edge.LinkConn(sched, s.links)}
 	if err := n.d.adopt(&k.sock, fd, k); err != nil {
 		n.d.fail(err)
 		return
 	}
 	n.d.links[k.id] = k
-	k.tell(edge.Out{Kind: edge.Dial})
+	k.tell(edge.Out{Kind: edge.Dial, Machine: which})
 }
 
 func (k *link) tell(o edge.Out) {
@@ -198,7 +232,7 @@
 		k.answered(400, "", nil)
 		return
 	case oddPath(path): // a bad client's: a worker node can't use it
-		if k.node.mode != edge.NeverUp {
+		if k.node.machines[k.machine].mode != edge.NeverUp {
 			k.answered(400, "", nil)
 		}
 		return
--- a/internal/lab/live/processes.go
+++ b/internal/lab/live/processes.go
@@ -410,9 +410,10 @@
 func (d *driver) localHosts(sched int, g ledger.HostGroup) ledger.HostGroup {
 	hosts := make([]ledger.Host, len(g.Hosts))
 	for i, h := range g.Hosts {
-		if n := d.nodeOf(&h); n >= 0 {
-			h.Addr = d.places.node(n, sched).String()
-			d.nodes[n].id = h.ID
+		if n, machine := d.nodeOf(&h); n != nil {
+			if h.Addr = n.addr(machine, sched).String(); machine == len(n.machines)-1 {
+				n.id = h.ID
+			}
 		}
 		hosts[i] = h
 	}
--- a/internal/lab/virtual/links.go
+++ b/internal/lab/virtual/links.go
@@ -54,6 +54,7 @@
 type hostLinks struct {
 	worker  uint64
 	node    int // the world's number; -1: unknown
+	machine int // which one in its place
 	addr    string
 	started int64
 	epoch   int           // counts processes: a link to an earlier one is of no use
@@ -113,7 +114,8 @@
 func (s *serverLinks) host(worker uint64) *hostLinks {
 	h, now := s.hosts[worker], s.p.ledger.Host(worker)
 	if h == nil {
-		h = &hostLinks{worker: worker, node: NodeOf(now.ID)}
+		h = &hostLinks{worker: worker}
+		h.node, h.machine = NodeOf(now.ID)
 		s.hosts[worker] = h
 		s.order = append(s.order, h)
 	}
@@ -125,16 +127,19 @@
 	return h
 }
 
-// NodeOf is the world's number of the worker node whose id discovery tells ("w-12", or "w-12.1" for a machine that
-// took its place); -1: it is none.
-func NodeOf(id string) int {
+// NodeOf is the world's number of the worker node whose id discovery tells, and which machine in its place that is:
+// "w-12" is the first, 0, "w-12.1" the one that took its place. node -1: it is none.
+func NodeOf(id string) (node, machine int) {
 	digits, ok := strings.CutPrefix(id, "w-")
-	digits, _, _ = strings.Cut(digits, ".")
-	n, err := strconv.Atoi(digits)
-	if !ok || err != nil || n < 0 {
-		return -1
+	digits, later, took := strings.Cut(digits, ".")
+	node, err := strconv.Atoi(digits)
+	if took && err == nil {
+		machine, err = strconv.Atoi(later)
 	}
-	return n
+	if !ok || err != nil || node < 0 || machine < 0 {
+		return -1, 0
+	}
+	return node, machine
 }
 
 // ---- What the ledger wants ----
@@ -244,7 +249,7 @@
 	}
 	k.conn = s.p.newConn()
 	s.links[k.conn] = k
-	s.p.emit(edge.Out{Kind: edge.Dial, Conn: k.conn, Node: k.host.node})
+	s.p.emit(edge.Out{Kind: edge.Dial, Conn: k.conn, Node: k.host.node, Machine: k.host.machine})
 	k.await(s.dial)
 }
 
--- a/internal/lab/virtual/process.go
+++ b/internal/lab/virtual/process.go
@@ -334,13 +334,14 @@
 
 // ---- What a yardstick may see: process is its Oracle ----
 
-// Node is the world's number of a worker.
+// Node is the world's number of a worker's machine.
 func (p *process) Node(worker uint64) (node int, ok bool) {
-	node = NodeOf(p.ledger.Host(worker).ID)
-	return node, node >= 0 && node < p.s.spec.Fleet.Nodes && p.s.model.see != nil
+	node, machine := NodeOf(p.ledger.Host(worker).ID)
+	all := p.s.spec.Fleet.Nodes
+	return node + machine*all, node >= 0 && node < all && p.s.model.see != nil
 }
 
-// View shows the true state of a worker node.
+// View shows the true state of a machine.
 func (p *process) View(node int) world.View { return p.s.model.see.View(p.s.n, node) }
 
 // Work tells the true work of a query that came in since the last step.
--- a/internal/lab/virtual/scheduler.go
+++ b/internal/lab/virtual/scheduler.go
@@ -23,7 +23,7 @@
 
 // Seer is the world as far as yardsticks may see it; *world.World is one.
 type Seer interface {
-	View(sched, node int) world.View
+	View(sched, place int) world.View
 	Work(call string) (work, slots float64, ok bool)
 }
 
--- a/internal/lab/virtual/transcript.go
+++ b/internal/lab/virtual/transcript.go
@@ -11,7 +11,7 @@
 // AppendIn writes something that reached a scheduler as a line, each field in it.
 func AppendIn(b []byte, now time.Duration, in *edge.In) []byte {
 	b = number(append(b, "in"...), int64(now), int64(in.Kind), int64(in.Sched), int64(in.Node), int64(in.Conn),
-		int64(in.Status), int64(in.Disco), int64(in.Mode), int64(in.Bytes), int64(in.NoteID), flag(in.Reset),
+		int64(in.Status), int64(in.Disco), int64(in.Mode), int64(in.Machine), int64(in.Bytes), int64(in.NoteID), flag(in.Reset),
 		flag(in.Rejected))
 	if a := in.Ask; a != nil {
 		b = text(b, a.Call, a.Key)
@@ -45,7 +45,7 @@
 
 // AppendOut does the same with something that came from one.
 func AppendOut(b []byte, now time.Duration, o *edge.Out) []byte {
-	b = number(append(b, "out"...), int64(now), int64(o.Kind), int64(o.Sched), int64(o.Node), int64(o.Status),
+	b = number(append(b, "out"...), int64(now), int64(o.Kind), int64(o.Sched), int64(o.Node), int64(o.Machine), int64(o.Status),
 		int64(o.Conn), int64(o.NoteID), int64(o.Budget), int64(o.First), int64(o.After), flag(o.Load))
 	return append(text(b, o.Call, o.Key, o.Result), '\n')
 }
--- a/internal/lab/world/discovery.go
+++ b/internal/lab/world/discovery.go
@@ -151,7 +151,7 @@
 		zone = zones[n.zone]
 	}
 	d.of[n.n] = len(d.list)
-	d.list = append(d.list, listing{node: n.n, host: ledger.Host{ID: n.id, Addr: d.w.NodeAddr(n.n), Zone: zone,
+	d.list = append(d.list, listing{node: n.n, host: ledger.Host{ID: n.id, Addr: d.w.NodeAddr(n.place()), Zone: zone,
 		Kind: n.kind.Name, Cell: n.cell, Weight: weight}})
 	return &d.list[len(d.list)-1]
 }
--- a/internal/lab/world/discovery_test.go
+++ b/internal/lab/world/discovery_test.go
@@ -96,7 +96,7 @@
 		e := &d.list[d.of[n.n]]
 		if up := n.state == nodeUp && !n.gone; up {
 			state := map[bool]string{false: "up", true: "draining"}[n.draining]
-			want[n.id] = ledger.Host{ID: n.id, Addr: f.w.NodeAddr(n.n), Zone: "a", Kind: n.kind.Name, Cell: n.cell,
+			want[n.id] = ledger.Host{ID: n.id, Addr: f.w.NodeAddr(n.place()), Zone: "a", Kind: n.kind.Name, Cell: n.cell,
 				State: state, Weight: e.host.Weight, StartedMs: n.startedMs()}
 		}
 	}
--- a/internal/lab/world/node_life.go
+++ b/internal/lab/world/node_life.go
@@ -193,7 +193,7 @@
 func (n *node) hear() {
 	if m := n.mode(); m != n.heard {
 		n.heard = m
-		n.w.ins = append(n.w.ins, edge.In{Kind: edge.Hear, Node: n.n, Mode: m})
+		n.w.ins = append(n.w.ins, edge.In{Kind: edge.Hear, Node: n.n, Machine: n.machine, Mode: m})
 	}
 }
 
@@ -306,9 +306,9 @@
 	n.fleet.saw(n, lifeGone)
 }
 
-// replace: the machine vanishes for good. After back another, of the same kind, takes its place, in the same cell and
-// at the same address: the old id is off the list, and the new machine, cold, has one of its own. Connections to the
-// old one stay open and silent; a scheduler that was not told of the new one can't reach it.
+// replace: the machine vanishes for good. After back another, of the same kind, takes its place in the same cell, cold,
+// with an id and an address of its own, and the old id goes off the list. What is sent to the old one, over connections
+// that were open or by trying anew, meets with silence.
 func (n *node) replace(back time.Duration) {
 	if n.gone {
 		return
@@ -327,7 +327,7 @@
 		for _, l := range n.ghosts {
 			l.place = -1
 		}
-		n.known, n.ghosts = map[int]bool{}, nil
+		n.ghosts = nil
 		n.start()
 	})
 }
--- a/internal/lab/world/node_links.go
+++ b/internal/lab/world/node_links.go
@@ -30,7 +30,7 @@
 	l := &nodeLink{n: n, machine: n.machine, place: -1, fresh: true}
 	l.c = n.w.open(&conn{id: o.Conn, sched: o.Sched, node: n.n, boot: n.boot, far: n, part: l})
 	way, back, ok := n.w.net.reach(party{aSched, o.Sched}, n.party())
-	if !ok || !n.addressed(o.Sched) {
+	if !ok || o.Machine != n.machine {
 		l.machine = -1 // to nowhere
 		return
 	}
@@ -42,19 +42,6 @@
 	})
 }
 
-// addressed tells whether a scheduler means the machine that there is: it knows the one before until it has been told
-// otherwise.
-func (n *node) addressed(sched int) bool {
-	if n.machine == 0 || n.known[sched] {
-		return true
-	}
-	if !n.fleet.told(sched, n) {
-		return false
-	}
-	n.known[sched] = true
-	return true
-}
-
 // knocked is the arrival of an attempt to connect. The kernel takes it, so a pause changes nothing.
 func (n *node) knocked(l *nodeLink, back time.Duration) {
 	c := l.c
--- a/internal/lab/world/nodes.go
+++ b/internal/lab/world/nodes.go
@@ -35,10 +35,9 @@
 	errors   float64 // share of attempts that end with an error; < 0: the kind's
 	refusing bool
 	never    bool
-	slowly   bool         // requests are read slowly
-	resets   int          // bytes after which new connections are reset
-	known    map[int]bool // schedulers that have been told of a machine that took another's place
-	heard    int          // mode of accepting that was last told
+	slowly   bool // requests are read slowly
+	resets   int  // bytes after which new connections are reset
+	heard    int  // mode of accepting that was last told
 
 	// Its process.
 	state    nodeState
@@ -200,7 +199,11 @@
 // size is the work that it does a second once it is warm, on standard cores, were it not slowed.
 func (n *node) size() float64 { return min(n.kind.Cores, float64(n.kind.Slots)) * n.pace }
 
-// NodeAddr is where worker node i listens, and any machine that takes its place: a loopback address of its own.
+// place numbers machines: the first ones as their worker nodes, those that took their places after all of these.
+func (n *node) place() int { return n.n + n.machine*len(n.w.nodes) }
+
+// NodeAddr is where a machine listens, by its place (see node.place; of the first ones: their worker node's number): a
+// loopback address of its own.
 func (w *World) NodeAddr(i int) string {
 	if w.Addrs != nil {
 		return w.Addrs(i)
--- a/internal/lab/world/nodes_test.go
+++ b/internal/lab/world/nodes_test.go
@@ -436,18 +436,19 @@
 	if r.pass(time.Second); p.state != nodeUp || p.boot != 2 || p.id != "w-2" {
 		t.Fatalf("%+v", p)
 	}
-	// Another machine takes its place. Who has not been told of it knows the old address only.
+	// Another machine takes its place. Where the first was there is silence, whoever has been told of what.
 	x := r.w.nodes[3]
-	r.told, r.life = false, nil
+	r.told, r.life = true, nil
 	x.replace(time.Second)
 	r.pass(2 * time.Second)
-	old := r.dial(0, 3)
+	old, fresh := r.dial(0, 3), r.dial(0, 3)
+	r.outs[1].Machine = 1
 	r.pass(time.Second)
 	r.last(old, 0)
-	r.told = true
-	fresh := r.dial(0, 3)
-	r.pass(time.Second)
 	r.last(fresh, edge.LinkUp)
+	if x.place() != len(r.w.nodes)+3 || r.w.View(0, 3).Met || !r.w.View(0, x.place()).Knocks {
+		t.Fatalf("it is at %d, and is seen as %+v and %+v", x.place(), r.w.View(0, 3), r.w.View(0, x.place()))
+	}
 	x.remove()
 	x.crash(time.Second)
 	r.pass(time.Minute)
--- a/internal/lab/world/view.go
+++ b/internal/lab/world/view.go
@@ -15,9 +15,13 @@
 	Errors float64       // share of attempts that end with an error
 }
 
-// View shows worker node i to a scheduler.
-func (w *World) View(sched, i int) View {
+// View shows the machine at a place (see NodeAddr) to a scheduler. One whose place another took is never met.
+func (w *World) View(sched, place int) View {
+	i := place % len(w.nodes)
 	n := w.nodes[i]
+	if n.place() != place {
+		return View{}
+	}
 	v := View{Truth: w.Truth(i), Errors: n.kind.ErrorRate}
 	if n.errors >= 0 {
 		v.Errors = n.errors
@@ -27,7 +31,7 @@
 	}
 	v.Up = n.state == nodeUp && !n.hung && !n.shut && !n.muted && !n.dies
 	me := party{aSched, sched}
-	v.Met = w.net.cutBy(me, n.party()) == nil && w.net.cutBy(n.party(), me) == nil && n.addressed(sched)
+	v.Met = w.net.cutBy(me, n.party()) == nil && w.net.cutBy(n.party(), me) == nil
 	v.Knocks = v.Met && n.mode() == edge.Open && (n.kind.Conns <= 0 || len(n.links) < n.kind.Conns)
 	return v
 }
--- a/internal/lab/world/world.go
+++ b/internal/lab/world/world.go
@@ -25,8 +25,8 @@
 	Spec  *scenario.Scenario
 	Epoch time.Duration // Unix time of the play's start
 
-	// Addrs gives worker nodes other addresses than NodeAddr's own; nil: it doesn't.
-	Addrs func(node int) string
+	// Addrs gives machines other addresses than NodeAddr's own; nil: it doesn't.
+	Addrs func(place int) string
 
 	seed  uint64
 	now   time.Duration
--- a/internal/lab/yardstick/yardstick.go
+++ b/internal/lab/yardstick/yardstick.go
@@ -18,9 +18,9 @@
 
 // Oracle is what only a yardstick in the lab may know.
 type Oracle interface {
-	// Node is the world's number of the worker node that a module knows as worker; not ok: there is none.
+	// Node is the world's number of the machine that a module knows as worker; not ok: there is none.
 	Node(worker uint64) (node int, ok bool)
-	// View is a worker node's true state, and what passes between it and the scheduler.
+	// View is a machine's true state, and what passes between it and the scheduler.
 	View(node int) world.View
 	// Work is the true work of a job that arrived in the present step: seconds on a standard core, and slots. Runs
 	// vary about it by the noise of the job's class.
