--- a/cmd/covelab/experiments.go
+++ b/cmd/covelab/experiments.go
@@ -242,6 +242,7 @@
 	Seeds     int      `help:"Live plays of each." default:"3"`
 	First     uint64   `help:"The first seed." default:"1"`
 	More      int      `help:"Further plays in virtual time, for its spread." default:"27"`
+	At        int      `help:"Live plays at once; those that were late are void." default:"1"`
 	Binary    string   `help:"The scheduler's program." type:"path"`
 	JSON      string   `name:"json" help:"Write all as JSON to a file, or to standard output for -." placeholder:"FILE"`
 }
@@ -262,7 +263,7 @@
 		return err
 	}
 	defer done()
-	work := experiment.Agreement{Specs: specs, Seeds: experiment.Seeds(c.First, max(1, c.Seeds)), MoreVirtual: c.More,
+	work := experiment.Agreement{Specs: specs, Seeds: experiment.Seeds(c.First, max(1, c.Seeds)), MoreVirtual: c.More, LiveAt: c.At,
 		Subject: experiment.Subject{Name: "valvecove", Binary: job.Subject.Binary}, Job: job}
 	table, err := work.Run(ctx, counter(s.err, "agree"))
 	if err != nil {
--- a/internal/lab/experiment/agree.go
+++ b/internal/lab/experiment/agree.go
@@ -15,6 +15,7 @@
 	Specs       []*scenario.Scenario
 	Seeds       []uint64 // of the live plays
 	MoreVirtual int      // further seeds in virtual time, which cost little, for its spread
+	LiveAt      int      // live plays at once; default 1. Those that were late are void
 	Subject     Subject
 	Job         Job
 }
@@ -53,7 +54,7 @@
 	return true
 }
 
-// Run plays them: virtual ones side by side, live ones one after another.
+// Run plays them: virtual ones first.
 func (a *Agreement) Run(ctx context.Context, told func(done, of int)) ([]Agreed, error) {
 	var virtual, lives []Job
 	for _, spec := range a.Specs {
@@ -90,7 +91,7 @@
 	if err := collect(0, len(a.Seeds)+a.MoreVirtual, 0, virtual); err != nil {
 		return nil, err
 	}
-	if err := collect(1, len(a.Seeds), 1, lives); err != nil {
+	if err := collect(1, len(a.Seeds), max(1, a.LiveAt), lives); err != nil {
 		return nil, err
 	}
 	for i, spec := range a.Specs {
