Copy only attempts that may be lost, and fewer: sharing schedulers copied each other down

Cause: a late start was taken for a lost job. With others on the same worker nodes starts are late because these are busy, so each copied its jobs to the next busy one, which made all later still; and runs of heavy jobs were copied for being long. Now an unstarted attempt is copied only if its worker has shown no sign of work since, a started one only if it has told of no progress for one and a half intervals; copies are a twentieth of sends, no fifth.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -44,7 +44,7 @@
 	hashFactor  = 0x9e3779b97f4a7c15     // golden ratio in 64 bits: spreads ids
 	coldMargin  = 0.4                    // part of the cold budget used: sizes have heavy tails
 	overTries   = 2                      // late starts on a worker that runs as many as any ever did
-	copyShare   = 0.2                    // copies per first send, so that they feed no overload
+	copyShare   = 0.05                   // copies per first send, so that they feed no overload
 	copyBurst   = 10.0                   // and as many saved up
 	probeLoss   = 0.006                  // part of the result that probes may cost
 	probeWidth  = 3                      // workers asked for a job where nothing known is fresh
@@ -115,7 +115,7 @@
 		case Started:
 			d.started(d.find(e.Job, e.Attempt, e.Worker))
 		case Progressed:
-			d.started(d.find(e.Job, e.Attempt, e.Worker)) // its start notice may have been lost
+			d.progressed(d.find(e.Job, e.Attempt, e.Worker))
 		case StreamBegun:
 			if a := d.find(e.Job, e.Attempt, e.Worker); a != nil {
 				a.job.stream = true
@@ -513,14 +513,6 @@
 	}
 }
 
-// noteBusy learns by zone how likely a worker is to have no free slot, as we see too little of each worker.
-// It weighs like slots in use, so that a crossing is paid where the own zone is the fuller.
-func (d *Dispatcher) noteBusy(w *worker, busy bool) {
-	if d.busy[w.Zone] *= 1 - busyRate; busy {
-		d.busy[w.Zone] += busyRate
-	}
-}
-
 // backedUp is the room of the whole fleet: hundreds of dispatchers with a job here and there fill all queues
 // though no room is above one. Jobs waiting far longer than late starts do are lost, not queued.
 func (d *Dispatcher) backedUp() bool { return d.waiting > waitShare*(d.used-d.waiting) }
@@ -610,7 +602,11 @@
 		d.outran(a, run)
 		d.learnSpeed(w, min(w.speed, math.Log(d.expectedWork(j)/run.Seconds())))
 	}
-	d.rescue(j)
+	if d.stuck(a) {
+		d.rescue(j)
+	} else if a.started { // it is looked at again once it has been silent for too long
+		d.alarm(&a.due, a.told+d.set.Progress*3/2)
+	}
 }
 
 func (d *Dispatcher) probedBack(e Probed) {
@@ -664,12 +660,6 @@
 
 func (d *Dispatcher) coldCost(j *job) float64 { return j.work * j.Slots * d.tail[j.Class] }
 
-// outran remembers for a while by how much a job has outrun its expectation. One far heavier than its hint
-// can push a cold worker over alone: its class is budgeted as if each were.
-func (d *Dispatcher) outran(a *attempt, run time.Duration) {
-	d.tail[a.job.Class] = max(d.tail[a.job.Class], run.Seconds()/max(a.expect.Seconds(), 1e-3))
-}
-
 // ---- Attempts, and the one place that knows rules 1 and 2 ----
 
 var neverRan = [...]bool{Full: true, NoConnect: true, NotSent: true}
@@ -788,6 +778,7 @@
 	j, w := a.job, a.worker
 	a.started, a.start = true, d.now
 	d.alive(w)
+	a.told, w.worked = d.now, d.now
 	delay := d.now - a.sent
 	prompt := delay <= d.promptBy(j)
 	d.startBest = min(d.startBest, delay)
@@ -809,6 +800,16 @@
 	d.unhold(j)
 }
 
+// stuck tells whether an overdue attempt may be lost. One that waits at a worker which gets on with others
+// is queued there, one that tells of progress is long: copies of them add to the load that made them late,
+// and many dispatchers on one fleet would copy each other's jobs into the ground.
+func (d *Dispatcher) stuck(a *attempt) bool {
+	if !a.started {
+		return a.worker.worked <= a.sent
+	}
+	return d.now-a.told >= d.set.Progress*3/2
+}
+
 // rescue puts a job that is stuck on one worker back among the held, to be started elsewhere.
 func (d *Dispatcher) rescue(j *job) {
 	if j.closed || j.out > 1 || d.copies < 1 || j.class.Effect == Unsafe ||
@@ -847,7 +848,7 @@
 	}
 	switch e.Result {
 	case OK:
-		w.streak = 0
+		w.streak, w.worked = 0, d.now
 		d.alive(w)
 		if !d.set.TellsStart {
 			d.grow(w, a, d.now-a.sent <= j.class.Aim+seconds(j.class.Stretch*j.work))
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -1036,3 +1036,53 @@
 		t.Fatalf("expected the unstarted job to be refused, got %v", ends)
 	}
 }
+
+// A job that waits at a worker which gets on with others is queued there, not lost: it is not copied, however late.
+// Only where the worker has given no sign of work since is it sent elsewhere.
+func TestQueuedJobIsNotCopied(t *testing.T) {
+	for _, works := range []bool{true, false} {
+		s := newScene(t, testSettings())
+		s.workers(2)
+		s.d.leave(s.d.workers[2], 200*ms)
+		s.busy(1)
+		s.d.workers[1].room = 5
+		s.d.touch(s.d.workers[1])
+		s.step(s.job(2, 0, 300*ms))
+		expectJobs(t, taken[Send](s), 2)
+		s.wait(100 * ms)
+		if works {
+			s.step(s.done(1, 0, 1, OK))
+		}
+		s.wait(1500 * ms)
+		copies := 0
+		for _, a := range taken[Send](s) {
+			if a.Job == 2 && a.Worker == 2 {
+				copies++
+			}
+		}
+		if (copies == 0) != works {
+			t.Errorf("its worker gets on %v: %d copies", works, copies)
+		}
+	}
+}
+
+// A run that takes longer than expected and tells of its progress is but long; one that falls silent is copied.
+func TestLongRunIsNotCopied(t *testing.T) {
+	for _, tells := range []bool{true, false} {
+		set := testSettings()
+		set.Progress = 500 * ms
+		set.Classes[0].Aim = 4 * time.Second
+		s := newScene(t, set)
+		s.workers(2)
+		s.busy(1)
+		for range 6 {
+			s.wait(400 * ms)
+			if tells {
+				s.step(Progressed{Job: 1, Worker: 1, Share: 0.1})
+			}
+		}
+		if copies := len(taken[Send](s)); (copies == 0) != tells {
+			t.Errorf("it tells of its progress %v: %d copies", tells, copies)
+		}
+	}
+}
--- a/logic/members.go
+++ b/logic/members.go
@@ -200,3 +200,25 @@
 		k.slots, k.over = n, 0
 	}
 }
+
+// progressed takes in a share done: its start notice may have been lost.
+func (d *Dispatcher) progressed(a *attempt) {
+	if a != nil {
+		d.started(a)
+		a.told, a.worker.worked = d.now, d.now
+	}
+}
+
+// noteBusy learns by zone how likely a worker is to have no free slot, as we see too little of each worker.
+// It weighs like slots in use, so that a crossing is paid where the own zone is the fuller.
+func (d *Dispatcher) noteBusy(w *worker, busy bool) {
+	if d.busy[w.Zone] *= 1 - busyRate; busy {
+		d.busy[w.Zone] += busyRate
+	}
+}
+
+// outran remembers for a while by how much a job has outrun its expectation. One far heavier than its hint
+// can push a cold worker over alone: its class is budgeted as if each were.
+func (d *Dispatcher) outran(a *attempt, run time.Duration) {
+	d.tail[a.job.Class] = max(d.tail[a.job.Class], run.Seconds()/max(a.expect.Seconds(), 1e-3))
+}
--- a/logic/snapshot.go
+++ b/logic/snapshot.go
@@ -451,7 +451,7 @@
 	c.worker(&a.worker)
 	c.int(&a.zone)
 	c.int(&a.cell)
-	c.at(&a.sent, &a.start)
+	c.at(&a.sent, &a.start, &a.told)
 	c.flag(&a.started, &a.ended, &a.limited)
 	c.span(&a.idle, &a.expect)
 	c.int((*int)(&a.result))
@@ -464,7 +464,8 @@
 	c.int(&w.Zone)
 	c.flag(&w.Ready, &w.Gone, &w.listed, &w.lost, &w.probing, &w.broken, &w.touched)
 	c.float(&w.Size, &w.used, &w.room, &w.speed, &w.pace, &w.seen, &w.free, &w.running, &w.tooBig)
-	c.at(&w.BootAt, &w.heard, &w.learned, &w.cut, &w.restUntil, &w.badUntil, &w.back, &w.reported, &w.probed, &w.ended)
+	c.at(&w.BootAt, &w.heard, &w.learned, &w.cut, &w.restUntil, &w.badUntil, &w.back, &w.reported, &w.probed, &w.ended,
+		&w.worked)
 	c.span(&w.rest, &w.pause)
 	c.int(&w.streak)
 	c.int(&w.breaks)
--- a/logic/state.go
+++ b/logic/state.go
@@ -82,6 +82,7 @@
 	worker         *worker
 	zone, cell     int // of the worker when sent
 	sent, start    time.Duration
+	told           time.Duration // when it last told of itself
 	started, ended bool
 	limited        bool          // room was what limited us
 	idle           time.Duration // how long its connection had been idle; 0: a new one
@@ -99,6 +100,7 @@
 	pace             float64 // speed itself
 	seen             float64 // runs learned from
 	heard, learned   time.Duration
+	worked           time.Duration // last sign that it gets on with work
 	cut              time.Duration // last halving: older attempts are the same piece of news
 	rest, restUntil  time.Duration // after late starts with a room of one
 	badUntil, pause  time.Duration
