--- /dev/null
+++ b/scenarios/race_test.go
@@ -0,0 +1,5 @@
+//go:build race
+
+package scenarios
+
+const raced = true
