Say where live plays end, as measured

Measured on eight cores that other work had taken as well: 2,000 jobs a second over 40 worker nodes and 630 over 300 are played with p99.9 of lateness of 12 and 16 ms; 4,000 over 80 and 2,100 over 1,000 come out void.

--- a/internal/lab/live/doc.go
+++ b/internal/lab/live/doc.go
@@ -23,7 +23,9 @@
 //
 // A play needs a listener for each pair of a worker node and a scheduler, and as many descriptors again as its
 // schedulers may hold; Play refuses one that this process's limit does not allow. Beyond scenario.LiveNodes worker
-// nodes only virtual time goes on.
+// nodes only virtual time goes on. A job takes about 160 us of the loop: on eight cores that other work had taken too,
+// 2,000 jobs a second over 40 worker nodes, and 630 over 300, were played with one thing in a thousand late by 12 and
+// 16 ms; 4,000 over 80 came out void, and so did 2,100 over 1,000.
 //
 // # Its own lateness
 //
--- a/internal/lab/live/live_test.go
+++ b/internal/lab/live/live_test.go
@@ -503,7 +503,8 @@
 	list := &ledger.HostGroup{Generation: 43, Hosts: []ledger.Host{
 		{ID: "w-1.1", Zone: "a", Kind: "m", State: "up", Weight: 1}}}
 	want := fmt.Sprintf(`{"generation":43,"reset":false,"instances":[{"instanceId":"w-1.1","hostPort":"%v","zone":"a",`+
-		`"machineType":"m","cell":0,"lifecycle":"up","weight":1,"startedAtMs":0}]}`, r.d.places.node(2+1, 0)) // after the first two
+		`"machineType":"m","cell":0,"lifecycle":"up","weight":1,"startedAtMs":0}]}`,
+		r.d.places.node(2+1, 0)) // after the first two
 	go func() {
 		if o := r.want(edge.Watch); o.After != 41 {
 			t.Errorf("%+v", o)
--- a/internal/lab/live/play.go
+++ b/internal/lab/live/play.go
@@ -22,7 +22,7 @@
 	Args     []string       // of it, before any that the scenario's operators' file brings
 	Env      []string       // further variables of its environment, beside PATH, TMPDIR and the platform's own
 	Dir      string         // for its configuration and logs, which stay; empty: one that is removed at the end
-	Cores    []int          // processor cores for the schedulers, dealt out in turn, that the loop keeps off; empty: any
+	Cores    []int          // processor cores for the schedulers, dealt out in turn; the loop keeps off. Empty: any
 	Watch    seen.Watcher   // called in the play's own goroutine, so it must not wait for anything
 	Progress func(Progress) // called every 250 ms from a goroutine of its own; what it has not taken in is skipped
 	Begun    func(Places)   // called once all is open and no scheduler runs yet, in the play's own goroutine
--- a/internal/lab/live/unseen.go
+++ b/internal/lab/live/unseen.go
@@ -25,7 +25,7 @@
 	for i, span := range []scenario.Span{net.Delay, net.Cross, net.Client, net.Handshake} {
 		if d := span.D(); d > 0 && d < finest {
 			key := [...]string{"delay", "cross", "client", "handshake"}[i]
-			all = append(all, fmt.Sprintf("net.%s is %v: below %v it can't be told from what sockets take.", key, d, finest))
+			all = append(all, fmt.Sprintf("net.%s is %v: below %v sockets hide it.", key, d, finest))
 		}
 	}
 	told := map[string]bool{}
