Write figures that there are none of as null

Seen: an agreement of 330 plays ended without its table, since JSON knows no NaN. The table itself is not touched by it now, and a test marshals a cell of nothing.

--- a/internal/lab/experiment/agree.go
+++ b/internal/lab/experiment/agree.go
@@ -102,6 +102,10 @@
 				return nil, fmt.Errorf("no figure is called %s", name)
 			}
 			both := Both{Figure: name, Virtual: cell(h.Each(results[i][0])), Live: cell(h.Each(results[i][1]))}
+			if both.Live.Plays == 0 || both.Virtual.Plays == 0 {
+				agreed[i].Figures = append(agreed[i].Figures, both) // nothing to compare
+				continue
+			}
 			both.Bound = 3*both.Virtual.SD/math.Sqrt(float64(max(1, both.Live.Plays))) + Allowance
 			both.Within = math.Abs(both.Virtual.Mean-both.Live.Mean) <= both.Bound
 			agreed[i].Figures = append(agreed[i].Figures, both)
--- a/internal/lab/experiment/experiment_test.go
+++ b/internal/lab/experiment/experiment_test.go
@@ -256,6 +256,10 @@
 			t.Errorf("%s: random %v, all-seeing %v", line.Scenario, line.Cells[0], line.Cells[1])
 		}
 	}
+	table[0].Cells[0] = cell(nil)
+	if b, err := json.Marshal(table); err != nil || !strings.Contains(string(b), `"mean":null`) {
+		t.Errorf("%v: %s", err, b)
+	}
 	if text := y.Markdown(table); strings.Count(text, "\n") != 4 || !strings.Contains(text, "| all-seeing |") {
 		t.Errorf("table:\n%s", text)
 	}
--- a/internal/lab/experiment/table.go
+++ b/internal/lab/experiment/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"math"
 	"slices"
@@ -16,10 +17,10 @@
 
 // Cell is a figure over several plays.
 type Cell struct {
-	Mean   float64 `json:"mean"`
-	SD     float64 `json:"sd"`
-	Plays  int     `json:"plays"`
-	Broken int     `json:"rules_broken"`
+	Mean   float64 // NaN: there was none
+	SD     float64
+	Plays  int
+	Broken int // rules
 }
 
 func cell(all []float64) Cell {
@@ -39,6 +40,20 @@
 	return c
 }
 
+// MarshalJSON writes null for a mean of nothing.
+func (c Cell) MarshalJSON() ([]byte, error) {
+	out := struct {
+		Mean   *float64 `json:"mean"`
+		SD     float64  `json:"sd"`
+		Plays  int      `json:"plays"`
+		Broken int      `json:"rules_broken"`
+	}{nil, c.SD, c.Plays, c.Broken}
+	if c.Plays > 0 {
+		out.Mean = &c.Mean
+	}
+	return json.Marshal(out)
+}
+
 func (c Cell) String() string {
 	if c.Plays == 0 {
 		return "–"
