Say what forwarders and planners tell each other, as values

Package tier has the messages of both, sessions by epoch, attempts counted per query, times as spans, and the order of words about a worker node; what carries them and what decides by them follow, each apart.

--- /dev/null
+++ b/internal/tier/tier.go
@@ -0,0 +1,188 @@
+// Package tier is what forwarders and planners say to each other, as values: no bytes (package frame), no sockets and
+// no decisions. A forwarder holds clients' queries, carries attempts to worker nodes, and answers; a planner decides
+// for many forwarders where each query goes, and sees heads and figures only, never bodies.
+//
+// # Sessions
+//
+// A forwarder has a session with each planner that it can reach, and each of its queries is with one planner at a time,
+// or with the forwarder's own module. A session has an epoch, given by the forwarder: a number that only grows over all
+// its sessions and all its processes. Whatever belongs to a session says its epoch; what says an older one is void. In a
+// session messages come in order and once, as the connection that carries them does it; when the connection ends, so
+// does the session, and all that was on its way may have arrived or not.
+//
+// # Queries and attempts
+//
+// A forwarder's number of a query is unique within its process and never used twice; heads carry it. A planner's orders
+// name it and count the query's attempts: those that the head told of first, from 0, then those that the planner has
+// ordered, each order one more. Every order to send ends in exactly one Ended of that number, one refused by the guard
+// included, unless the session ends or the query is over for the planner (Over, or another planner's).
+//
+// Times on the wire are spans, never instants: clocks differ. Spans in a message count from its sending.
+package tier
+
+import (
+	"time"
+
+	"valvecove/logic"
+)
+
+// Epoch numbers a session.
+type Epoch uint64
+
+// Kind says what a message is.
+type Kind uint8
+
+// What a forwarder tells a planner.
+const (
+	Hello    Kind = iota + 1 // it opens a session: Name, Process, Epoch, Version
+	Head                     // a query is offered: Query, Head
+	Ended                    // an attempt has ended: Query, Attempt, Result; Why where the guard refused the order
+	Started                  // a worker node told that an attempt has begun: Query, Attempt
+	Progress                 // or how far it is: Query, Attempt, Share
+	Over                     // a query has had its answer otherwise than by this planner, or its client has left: Query
+	Probed                   // a probe has ended: Worker, Result
+	Asked                    // are you there: Number; the planner answers with Here
+)
+
+// What a planner tells a forwarder.
+const (
+	Welcome  Kind = iota + 32 // the session is open: Name, Process, Version, Credit
+	Credit                    // so many heads may be open with it in all: Credit
+	Send                      // order: send Query to Worker as attempt Attempt, wait for it Patience (0: its deadline)
+	Refuse                    // order: answer it with a throttle, to come back After
+	Fail                      // order: answer it with a failure
+	Cancel                    // order: give up Attempt
+	Probe                     // order: probe Worker
+	Free                      // order: close idle links to Worker
+	Move                      // order: offer Query to planner Name instead; the planner knows nothing of it any more
+	Here                      // Number, and how late the planner is itself: Late
+	Snapshot                  // what the planner's module knows, for a forwarder that has to go on alone: Age, Bytes
+	Bye                       // the planner stops: everything is to be offered elsewhere; its open orders stand
+)
+
+// What both tell, and planners tell each other.
+const (
+	Word  Kind = iota + 64 // what is known of a worker node: Word
+	Greet                  // a planner opens a session with another: Name, Process, Epoch, Version
+	Load                   // how a planner stands: Load
+)
+
+// Message is any of them. Fields that its kind does not name are zero.
+type Message struct {
+	Kind     Kind
+	Epoch    Epoch
+	Query    uint64
+	Worker   uint64 // by the number that its id hashes to; all schedulers agree on it
+	Number   uint64
+	Process  uint64 // when the sender's process started, Unix time in ns: tells one from the one before
+	Attempt  int
+	Credit   int
+	Version  int
+	Result   logic.Result
+	Why      Why
+	Share    float64
+	Patience time.Duration
+	After    time.Duration
+	Late     time.Duration
+	Age      time.Duration
+	Name     string
+	Head     *HeadOf
+	Word     *WordOf
+	Load     *LoadOf
+	Bytes    []byte
+}
+
+// HeadOf is what a planner hears of a query.
+type HeadOf struct {
+	Class    int
+	Tenant   int
+	Key      uint64 // of what it is about; 0: none
+	Left     time.Duration
+	Waited   time.Duration // since it came to the forwarder
+	Hint     time.Duration
+	Slots    float64
+	Memory   float64
+	Retry    bool
+	Attempts []Past // made so far, by whomever, in order
+}
+
+// Past is an attempt that was made before the head was offered.
+type Past struct {
+	Worker uint64
+	Ago    time.Duration // since it was sent
+	Began  time.Duration // since it was told to have started; 0: it was not
+	Ended  bool
+	Result logic.Result // if it has
+	MayRun bool         // it may have run, or may yet; the forwarder's book says so
+}
+
+// WordOf is what somebody knows of a worker node. Of two words about one worker node the one with the later start of its
+// process is the newer, then the one with the higher list generation; on a tie the one that allows less wins.
+type WordOf struct {
+	Worker     uint64
+	StartedMs  int64 // the node's own start time by the list
+	Generation int64 // of the list that said so; 0: not by a list
+	State      State
+}
+
+// State of a worker node, those that allow less being greater.
+type State uint8
+
+// States.
+const (
+	Up State = iota
+	Draining
+	Gone
+)
+
+// Newer tells whether w takes the place of o.
+func (w WordOf) Newer(o WordOf) bool {
+	if w.StartedMs != o.StartedMs {
+		return w.StartedMs > o.StartedMs
+	}
+	if w.Generation != o.Generation {
+		return w.Generation > o.Generation
+	}
+	return w.State > o.State
+}
+
+// LoadOf is how a planner stands.
+type LoadOf struct {
+	Heads      int           // open
+	Held       int           // of them without an attempt out
+	Forwarders int           // that have a session with it
+	Late       time.Duration // how late it is for its own timers, of late
+	Slots      float64       // in use by its orders
+	Room       float64       // slots that it takes to be free
+}
+
+// Why is why a guard refused an order.
+type Why uint8
+
+// Reasons.
+const (
+	NotRefused   Why = iota
+	OldEpoch         // of a session that is over
+	NoSuchQuery      // over, or never offered to this planner
+	NotYours         // it is with another planner now
+	MayHaveRun       // unsafe, and an attempt may have run
+	OutsideGroup     // keyed, and not in the cell or zone of the attempt that may have run
+	PastWindow       // keyed, and the window is over
+	NodeDrains       // by the newest word
+	NoSuchNode       // not on the forwarder's own list
+	TwiceAtNode      // the worker node has an attempt of it
+	SecondCopy       // one is out, and there may be no second
+	TooManyTries     // try limit
+	PastDeadline     // its time is up
+	NotHarmless      // a refusal of what may have run
+)
+
+var whys = [...]string{"", "old epoch", "no such query", "not yours", "may have run", "outside its group", "past its window",
+	"node drains", "no such node", "twice at a node", "second copy", "too many tries", "past its deadline", "not harmless"}
+
+func (w Why) String() string {
+	if int(w) < len(whys) {
+		return whys[w]
+	}
+	return "unknown"
+}
