--- /dev/null
+++ b/docs/docs_test.go
@@ -0,0 +1,193 @@
+// Package docs holds the pages; its tests keep them in step with the program.
+package docs
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"reflect"
+	"regexp"
+	"strconv"
+	"strings"
+	"testing"
+
+	"valvecove/internal/lab/mutant"
+	"valvecove/internal/lab/scenario"
+	"valvecove/internal/lab/score"
+	"valvecove/internal/lab/yardstick"
+	"valvecove/scenarios"
+)
+
+func page(t *testing.T, path string) string {
+	t.Helper()
+	text, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(text)
+}
+
+// rows are how the reference in lab.md has to begin for each key of a table: its name, and what it is if left out.
+func rows(under string, v reflect.Value, dst []string) []string {
+	for i := range v.NumField() {
+		f, key := v.Field(i), v.Type().Field(i).Tag.Get("toml")
+		if under != "" {
+			key = under + "." + key
+		}
+		switch {
+		case f.Kind() == reflect.Struct:
+			dst = rows(key, f, dst)
+		case f.Kind() == reflect.Slice && f.Type().Elem().Kind() == reflect.Struct:
+			dst = rows(key, reflect.New(f.Type().Elem()).Elem(), dst)
+		default:
+			dst = append(dst, fmt.Sprintf("| `%s` | %s |", key, shown(f)))
+		}
+	}
+	return dst
+}
+
+func shown(f reflect.Value) string {
+	switch v := f.Interface().(type) {
+	case scenario.Span:
+		if v == 0 {
+			return "0"
+		}
+		return v.String()
+	case string:
+		if v == "" {
+			return "-"
+		}
+		return v
+	case []string:
+		return list(strings.Join(v, ", "))
+	case []float64:
+		texts := make([]string, len(v))
+		for i, x := range v {
+			texts[i] = strconv.FormatFloat(x, 'g', -1, 64)
+		}
+		return list(strings.Join(texts, ", "))
+	case []int:
+		return list("")
+	}
+	return fmt.Sprint(f.Interface())
+}
+
+func list(text string) string {
+	if text == "" {
+		return "-"
+	}
+	return "[" + text + "]"
+}
+
+// wanted is all that the reference has to hold.
+func wanted(t *testing.T) (all []string) {
+	// Of lists, what an entry has that says nothing of itself.
+	plain, err := scenario.Parse("plain", []byte("[[fleet.kind]]\nname = \"x\"\n[[class]]\nname = \"y\"\n[[tenant]]\nname = \"z\"\n"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	kind, class, tenant := plain.Fleet.Kinds[0], plain.Classes[0], plain.Tenants[0]
+	kind.Name, class.Name, tenant.Name = "", "", ""
+	s := reflect.ValueOf(scenario.Default()).Elem()
+	for _, row := range rows("", s, nil) {
+		if !strings.HasPrefix(row, "| `fleet.kind.") && !strings.HasPrefix(row, "| `class.") && !strings.HasPrefix(row, "| `tenant.") {
+			all = append(all, row)
+		}
+	}
+	all = rows("fleet.kind", reflect.ValueOf(kind), all)
+	all = rows("class", reflect.ValueOf(class), all)
+	return rows("tenant", reflect.ValueOf(tenant), all)
+}
+
+// Every key of a scenario stands in lab.md with its default, and no key does that there is not.
+func TestEveryKeyIsInThePage(t *testing.T) {
+	text, keys := page(t, "lab.md"), map[string]bool{}
+	for _, row := range wanted(t) {
+		keys[strings.Split(row, "`")[1]] = true
+		if n := strings.Count(text, "\n"+row+" "); n != 1 {
+			t.Errorf("lab.md has %d lines that begin as this one has to:\n%s", n, row)
+		}
+	}
+	_, reference, _ := strings.Cut(text, "\n## Reference")
+	reference, _, _ = strings.Cut(reference, "\n## ")
+	for _, m := range regexp.MustCompile("(?m)^\\| `([a-z_.]+)` \\|").FindAllStringSubmatch(reference, -1) {
+		if !keys[m[1]] {
+			t.Errorf("lab.md has the key %s, and there is none", m[1])
+		}
+	}
+}
+
+// What is known by name stands in lab.md: faults, bad clients, figures, rules, yardsticks, the library.
+func TestEveryNameIsInThePage(t *testing.T) {
+	text := page(t, "lab.md")
+	names := append([]string{}, scenario.BadKinds...)
+	for kind := range scenario.FaultKinds {
+		names = append(names, kind)
+	}
+	for _, f := range scenario.Figures {
+		names = append(names, f.Name)
+	}
+	for _, h := range score.Headlines {
+		names = append(names, h.Name)
+	}
+	for _, y := range yardstick.All() {
+		names = append(names, y.Name)
+	}
+	for _, m := range mutant.All() {
+		names = append(names, m.Rule)
+	}
+	for _, name := range append(names, scenarios.Names()...) {
+		if !strings.Contains(text, "`"+name+"`") {
+			t.Errorf("lab.md does not name `%s`", name)
+		}
+	}
+}
+
+// Commands of covelab: each has its own heading.
+func TestEveryCommandIsInThePage(t *testing.T) {
+	text, source := page(t, "lab.md"), page(t, "../cmd/covelab/main.go")
+	_, source, _ = strings.Cut(source, "type commands struct {")
+	source, _, _ = strings.Cut(source, "\n}")
+	found := regexp.MustCompile(`(?m)^\t([A-Z]\w+) +\w+ +.cmd:"`).FindAllStringSubmatch(source, -1)
+	if len(found) < 10 {
+		t.Fatalf("%d commands found", len(found))
+	}
+	for _, m := range found {
+		if name := strings.ToLower(m[1]); !strings.Contains(text, "\n### covelab "+name+"\n") {
+			t.Errorf("lab.md has no part on covelab %s", name)
+		}
+	}
+}
+
+var (
+	links    = regexp.MustCompile(`\]\(([^)#: ]+)(#[^)]*)?\)`)
+	examples = regexp.MustCompile("(?s)```toml\n(.*?)```")
+)
+
+// Links between pages lead somewhere, and whole scenarios shown in them are sound.
+func TestPagesHoldTogether(t *testing.T) {
+	pages, err := filepath.Glob("*.md")
+	if err != nil || len(pages) == 0 {
+		t.Fatal(pages, err)
+	}
+	for _, pattern := range []string{"*/*.md", "../*.md"} {
+		more, err := filepath.Glob(pattern)
+		if err != nil {
+			t.Fatal(err)
+		}
+		pages = append(pages, more...)
+	}
+	for _, name := range pages {
+		text := page(t, name)
+		for _, m := range links.FindAllStringSubmatch(text, -1) {
+			if _, err := os.Stat(filepath.Join(filepath.Dir(name), m[1])); err != nil {
+				t.Errorf("%s: the link to %s leads nowhere", name, m[1])
+			}
+		}
+		for _, m := range examples.FindAllStringSubmatch(text, -1) {
+			if _, err := scenario.Parse("example", []byte(m[1])); err != nil {
+				t.Errorf("%s: a scenario is faulty: %v", name, err)
+			}
+		}
+	}
+}
