Count a query's moves between planners, and say how one is given back

At most two moves a query can be held to only if the count goes with the head. A move without a name gives back a query that made a planner's module panic, so that the forwarder can end it after the second.

--- a/internal/tier/tier.go
+++ b/internal/tier/tier.go
@@ -17,6 +17,13 @@
 // ordered, each order one more. Every order to send ends in exactly one Ended of that number, one refused by the guard
 // included, unless the session ends or the query is over for the planner (Over, or another planner's).
 //
+// # Queries handed on
+//
+// A planner that can't place a query orders it to be moved to another by name, at most twice in the query's life
+// (HeadOf.Moves counts). An order to move without a name gives a query back that made the planner's module panic: the
+// forwarder offers it to another planner, and answers it with a failure after the second such order. A head beyond a
+// forwarder's credit, or beyond what a planner has room for, is handed on or refused like any other.
+//
 // Times on the wire are spans, never instants: clocks differ. Spans in a message count from its sending.
 package tier
 
@@ -103,6 +110,7 @@
 	Slots    float64
 	Memory   float64
 	Retry    bool
+	Moves    int    // orders of planners to move it that were followed so far; none orders a third
 	Attempts []Past // made so far, by whomever, in order
 }
 
