Give fleets of any size the descriptors and the time to fill

Cause: one scheduler's 384 descriptors, of which clients may hold a third, and a play of 0.2 s. Fleets now have descriptors by their size and 8 s.

--- a/internal/lab/experiment/experiment_test.go
+++ b/internal/lab/experiment/experiment_test.go
@@ -272,7 +272,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		if jobs := f.Rate() * f.Length.D().Seconds(); f.Fleet.Nodes != n || jobs < 8900 && f.Length.D() > 200*time.Millisecond {
+		if jobs := f.Rate() * f.Length.D().Seconds(); f.Fleet.Nodes != n || jobs < 8900 || f.Length.D() < shortest {
 			t.Errorf("%d nodes: %.0f jobs in %v", n, jobs, f.Length.D())
 		}
 	}
--- a/internal/lab/experiment/table.go
+++ b/internal/lab/experiment/table.go
@@ -150,15 +150,22 @@
 	return all[0], stat.Quantile(0.5, stat.Empirical, all, nil), all[len(all)-1]
 }
 
-// Fleet returns a scenario of so many worker nodes that is as busy as another, for so many jobs.
+// shortest is how long jobs come for at least: a fleet must fill before it says anything.
+const shortest = 8 * time.Second
+
+// Fleet returns a scenario of so many worker nodes that is as busy as another, for so many jobs at least. Its schedulers
+// have the descriptors for that many clients: else these wait at the front, and the play shows nothing but that.
 func Fleet(spec *scenario.Scenario, nodes int, jobs float64) (*scenario.Scenario, error) {
 	changed := spec.Clone()
 	changed.Drivers = []string{scenario.Virtual}
 	if err := changed.Set("fleet.nodes", fmt.Sprint(nodes)); err != nil {
 		return nil, err
 	}
+	if err := changed.Set("schedulers.sockets", fmt.Sprint(max(changed.Schedulers.Sockets, 32*nodes))); err != nil {
+		return nil, err
+	}
 	length := time.Duration(jobs / changed.Rate() * float64(time.Second)).Round(10 * time.Millisecond)
-	if err := changed.Set("length", fmt.Sprintf("%q", max(length, 200*time.Millisecond))); err != nil {
+	if err := changed.Set("length", fmt.Sprintf("%q", max(length, shortest))); err != nil {
 		return nil, err
 	}
 	changed.Name = fmt.Sprintf("%s-%d", spec.Name, nodes)
