--- a/internal/tier/tier.go
+++ b/internal/tier/tier.go
@@ -74,6 +74,18 @@
 	Load                   // how a planner stands: Load
 )
 
+var kinds = [...]string{Hello: "hello", Head: "head", Ended: "ended", Started: "started", Progress: "progress", Over: "over",
+	Probed: "probed", Asked: "asked", Welcome: "welcome", Credit: "credit", Send: "send", Refuse: "refuse", Fail: "fail",
+	Cancel: "cancel", Probe: "probe", Free: "free", Move: "move", Here: "here", Snapshot: "snapshot", Bye: "bye", Word: "word",
+	Greet: "greet", Load: "load"}
+
+func (k Kind) String() string {
+	if int(k) < len(kinds) && kinds[k] != "" {
+		return kinds[k]
+	}
+	return "unknown"
+}
+
 // Message is any of them. Fields that its kind does not name are zero.
 type Message struct {
 	Kind     Kind
@@ -183,10 +195,15 @@
 	TooManyTries     // try limit
 	PastDeadline     // its time is up
 	NotHarmless      // a refusal of what may have run
+	Repeated         // an order of that number has been given before
+	NotForClass      // its class may go to no such kind, or to no such zone
+	NotAllowed       // the platform's settings rule it out
+	Reasons          // their number
 )
 
 var whys = [...]string{"", "old epoch", "no such query", "not yours", "may have run", "outside its group", "past its window",
-	"node drains", "no such node", "twice at a node", "second copy", "too many tries", "past its deadline", "not harmless"}
+	"node drains", "no such node", "twice at a node", "second copy", "too many tries", "past its deadline", "not harmless",
+	"repeated", "not for its class", "not allowed"}
 
 func (w Why) String() string {
 	if int(w) < len(whys) {
