Let a dispatcher take over jobs with their attempts, share by what it is told, and teach another

A planner takes over queries that another has sent already, planners come and go, and a forwarder that is left alone should not begin with nothing.

Resumed brings a job with its attempts so far: those that are out are counted at their workers, further ones count on, and rule 2 goes by what each may have done. A worker that is not known stands in no cell, so what it may have run of a keyed job is not repeated. Shared changes the number of dispatchers and this one's part of quotas under way; Rank and Of of a worker's entry say who may warm it up, for whoever parts the workers otherwise (an aperture, a planner's part). Lesson gives what was learnt of sizes, kinds and workers in a bounded form, Taught brings it to a dispatcher that knows nothing.

--- a/logic/api.go
+++ b/logic/api.go
@@ -98,6 +98,10 @@
 	Cell   int
 	Zone   int
 	BootAt time.Duration // latest start; 0: long past
+	// Rank is this dispatcher's place, from 0, among the Of that may send it work while it is cold: few may where jobs
+	// are large, those of the lowest ranks, and one whose rank is Of or more may not at all. Of 0: all that share the
+	// workers may, in an order that follows from its id.
+	Rank, Of int
 }
 
 // ListKind says what a WorkerList holds.
@@ -130,8 +134,9 @@
 type (
 	// WorkerList brings news of the workers.
 	WorkerList struct {
-		Kind    ListKind
-		Workers []Worker
+		Kind       ListKind
+		Workers    []Worker
+		Generation int64 // of the list, as discovery counts; 0: not told
 	}
 	// Job arrives and is owed exactly one final answer within Left.
 	Job struct {
@@ -183,8 +188,39 @@
 	}
 	// TimerFired tells that a timer set by SetTimer is due.
 	TimerFired struct{}
+	// Resumed is a job that another dispatcher has had, or this one under another id: it comes with its attempts so far,
+	// and further ones count on from these. Those that have not ended are out, and their outcomes come by their numbers.
+	// It takes nothing from its tenant's quota, as it has done so before.
+	Resumed struct {
+		Job      Job
+		Waited   time.Duration // since it first came
+		Attempts []Past
+	}
+	// Shared tells that from now on so many dispatchers share the workers, in place of Settings.Replicas and Me. Part
+	// is this one's of each tenant's quota; 0: an equal one.
+	Shared struct {
+		Of, Me int
+		Part   float64
+	}
+	// Taught brings what another dispatcher had learnt, so long ago, as Dispatcher.Lesson gives it. It is for one that
+	// has learnt nothing yet but has the list of workers, and sends this part of what the other sent. A lesson that can't
+	// be read, or of other classes, teaches nothing.
+	Taught struct {
+		Lesson []byte
+		Age    time.Duration
+		Part   float64
+	}
 )
 
+// Past is an attempt that a resumed job comes with. A worker that is not known stands in no cell and no zone.
+type Past struct {
+	Worker uint64
+	Ago    time.Duration // since it was sent
+	Began  time.Duration // since it was told to have started; 0: it was not
+	Ended  bool
+	Result Result // if it has
+}
+
 func (WorkerList) event()  {}
 func (Job) event()         {}
 func (Outcome) event()     {}
@@ -194,6 +230,9 @@
 func (ClientGone) event()  {}
 func (Probed) event()      {}
 func (TimerFired) event()  {}
+func (Resumed) event()     {}
+func (Shared) event()      {}
+func (Taught) event()      {}
 
 // Action is something the dispatcher wants done.
 type Action interface{ action() }
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -41,7 +41,6 @@
 	firstPause  = 500 * time.Millisecond // first avoidance of a suspect; doubles with each failed trial
 	longPause   = 8 * time.Second        // and at most this
 	ownerJobs   = 2.0                    // mean jobs that an owner's part of a cold budget holds
-	hashFactor  = 0x9e3779b97f4a7c15     // golden ratio in 64 bits: spreads ids
 	coldMargin  = 0.4                    // part of the cold budget used: sizes have heavy tails
 	overTries   = 2                      // late starts on a worker that runs as many as any ever did
 	copyShare   = 0.05                   // copies per first send, so that they feed no overload
@@ -127,6 +126,8 @@
 			d.probedBack(e)
 		case TimerFired:
 			d.woke()
+		default:
+			d.told(e)
 		}
 	}
 	if d.armed <= d.now {
@@ -149,30 +150,37 @@
 // ---- Dispatch: the paper's mechanism ----
 
 func (d *Dispatcher) arrive(e Job) {
+	if j := d.admit(e, 0); j != nil {
+		j.spare = d.overShare(j)
+		d.ask(j)
+		d.hold(j)
+	}
+}
+
+// admit takes in a job that came so long ago, with all but what was made of it since.
+func (d *Dispatcher) admit(e Job, waited time.Duration) *job {
 	if d.jobs[e.ID] != nil || e.Class < 0 || e.Class >= len(d.set.Classes) {
-		return
+		return nil
 	}
 	c := &d.set.Classes[e.Class]
-	j := &job{Job: e, class: c, index: -1, arrived: d.now, deadline: d.now + max(e.Left, 0)}
+	j := &job{Job: e, class: c, index: -1, arrived: d.now - waited, deadline: d.now + max(e.Left, 0)}
 	j.Slots, j.Hint = max(1, finite(e.Slots)), max(0, e.Hint)
 	j.need = max(j.Slots, finite(e.Memory))
 	j.work = d.expectedWork(j)
 	// A retry keeps the aim of its first try; a first try leaves the most time seen in its class.
-	d.fullLeft[e.Class] = max(d.fullLeft[e.Class], min(e.Left, c.GiveUp))
+	d.fullLeft[e.Class] = max(d.fullLeft[e.Class], min(e.Left+waited, c.GiveUp))
 	first := d.now - max(0, d.fullLeft[e.Class]-max(e.Left, 0))
 	j.aim = min(first+c.Aim+seconds(c.Stretch*j.work), j.deadline)
 	j.score = d.chanceLong(j)
 	d.arrivals++
 	d.meanWorth += muRate * (c.Worth - d.meanWorth)
 	d.meanCost += (d.coldCost(j) - d.meanCost) * max(muRate, 1/d.arrivals)
-	j.spare = d.overShare(j)
 	d.jobs[e.ID] = j
 	d.probes = min(d.probes+min(probeWidth, probeLoss/max(d.set.ProbePrice, 1e-9)), float64(len(d.order)))
 	j.name()
 	d.alarm(&j.ends, j.deadline)
 	d.alarm(&j.past, j.aim-seconds(j.work/math.Exp(d.best)))
-	d.ask(j)
-	d.hold(j)
+	return j
 }
 
 func (d *Dispatcher) hold(j *job) {
@@ -190,13 +198,6 @@
 	}
 }
 
-func (d *Dispatcher) unhold(j *job) {
-	if j.index >= 0 {
-		d.roll.shapes[j.shape].held.remove(j.index)
-		d.roll.n--
-	}
-}
-
 // release sends held jobs while some worker can start them now. Jobs held over tau leave first, oldest
 // first; else the lowest chance of running long leaves. A job that fits nowhere is looked past, and where
 // that is for want of room, with all that need the same.
@@ -652,10 +653,9 @@
 	capacity := max(1, k.slots) * math.Exp(k.speed) * share
 	budget := coldMargin * d.set.Overload * capacity * span.Seconds()
 	// Equal parts for many dispatchers would hold no job: by its id all agree on a few owners of each.
-	all := max(1, d.set.Replicas)
+	rank, all := d.rank(w)
 	owners := max(1, min(all, int(budget/(ownerJobs*d.meanCost+1e-9))))
-	rank := (uint64(d.set.Me) + w.ID*hashFactor>>32) % uint64(all)
-	return rank < uint64(owners) && d.now-d.born > span && sum <= budget/float64(owners)
+	return rank < owners && d.now-d.born > span && sum <= budget/float64(owners)
 }
 
 func (d *Dispatcher) coldCost(j *job) float64 { return j.work * j.Slots * d.tail[j.Class] }
@@ -709,11 +709,7 @@
 func (d *Dispatcher) send(j *job, w *worker) {
 	a := &attempt{job: j, number: len(j.attempts), worker: w, zone: w.Zone, cell: w.Cell, sent: d.now,
 		start: d.now, expect: d.expectedRun(j, w), started: !d.set.TellsStart}
-	j.attempts = append(j.attempts, a)
-	j.out++
-	w.out = append(w.out, a)
-	w.used += j.need
-	d.used += j.need
+	d.count(a)
 	a.limited = w.used+1 > w.room
 	if !a.started {
 		d.unstarted.add(j.Class, a)
@@ -888,30 +884,24 @@
 		j.passed = false
 		d.alarm(&j.past, d.now)
 	}
-	switch {
-	case e.Closed || j.closed || e.Result == OK:
+	if e.Closed || j.closed || e.Result == OK {
 		d.close(j)
+	} else {
+		d.again(j)
+	}
+}
+
+// again holds a job for a further attempt, where none is out and one may be made.
+func (d *Dispatcher) again(j *job) {
+	switch {
 	case j.index >= 0 || j.out > 0:
-	case len(j.attempts) >= d.set.TryLimit || j.class.Effect == Unsafe && !d.mayRefuse(j):
+	case len(j.attempts) >= max(1, d.set.TryLimit) || j.class.Effect == Unsafe && !d.mayRefuse(j):
 		d.end(j)
 	default:
 		d.hold(j)
 	}
 }
 
-func (d *Dispatcher) close(j *job) {
-	if j == nil {
-		return
-	}
-	d.unhold(j)
-	d.unset(&j.ends)
-	d.unset(&j.past)
-	d.unset(&j.answered)
-	if j.closed = true; j.out == 0 {
-		delete(d.jobs, j.ID)
-	}
-}
-
 // ---- Refusals ----
 
 // end gives the final answer.
@@ -963,7 +953,7 @@
 	if j.Tenant < 0 || j.Tenant >= len(d.quota) || d.set.TenantQuota[j.Tenant] <= 0 {
 		return false
 	}
-	left, rate := &d.quota[j.Tenant], d.set.TenantQuota[j.Tenant]/float64(max(1, d.set.Replicas))
+	left, rate := &d.quota[j.Tenant], d.set.TenantQuota[j.Tenant]*d.part()
 	*left = min(*left+rate*(d.now-d.quotaAt[j.Tenant]).Seconds(), max(2*rate, quotaBurst))
 	if d.quotaAt[j.Tenant] = d.now; *left < 1 {
 		return true
--- a/logic/members.go
+++ b/logic/members.go
@@ -42,6 +42,36 @@
 	d.order = d.order[:len(d.order)-1]
 }
 
+func (d *Dispatcher) close(j *job) {
+	if j == nil {
+		return
+	}
+	d.unhold(j)
+	d.unset(&j.ends)
+	d.unset(&j.past)
+	d.unset(&j.answered)
+	if j.closed = true; j.out == 0 {
+		delete(d.jobs, j.ID)
+	}
+}
+
+func (d *Dispatcher) unhold(j *job) {
+	if j.index >= 0 {
+		d.roll.shapes[j.shape].held.remove(j.index)
+		d.roll.n--
+	}
+}
+
+// count enters an attempt that is out with its job and its worker.
+func (d *Dispatcher) count(a *attempt) {
+	j, w := a.job, a.worker
+	j.attempts = append(j.attempts, a)
+	j.out++
+	w.out = append(w.out, a)
+	w.used += j.need
+	d.used += j.need
+}
+
 // find returns an attempt that is still out; an event about any other is void.
 func (d *Dispatcher) find(id uint64, number int, at uint64) *attempt {
 	if j := d.jobs[id]; j != nil && number >= 0 && number < len(j.attempts) {
--- a/logic/rules_test.go
+++ b/logic/rules_test.go
@@ -14,6 +14,7 @@
 	now     time.Duration
 	jobs    map[uint64]*heardJob
 	ready   map[uint64]Worker
+	last    map[uint64]Worker // as it was last listed
 	named   map[uint64]bool
 	probing map[uint64]bool
 	leaving map[uint64]bool // clients gone in this batch: what was decided before that is disregarded
@@ -38,7 +39,7 @@
 }
 
 func newReferee(set Settings) *referee {
-	return &referee{set: set, jobs: map[uint64]*heardJob{}, ready: map[uint64]Worker{}, named: map[uint64]bool{},
+	return &referee{set: set, jobs: map[uint64]*heardJob{}, ready: map[uint64]Worker{}, last: map[uint64]Worker{}, named: map[uint64]bool{},
 		probing: map[uint64]bool{}, leaving: map[uint64]bool{}}
 }
 
@@ -53,6 +54,16 @@
 		switch e := e.(type) {
 		case Job:
 			r.jobs[e.ID] = &heardJob{Job: e, deadline: r.now + e.Left}
+		case Resumed:
+			j := &heardJob{Job: e.Job, deadline: r.now + e.Job.Left}
+			for _, p := range e.Attempts {
+				w, known := r.last[p.Worker]
+				if !known {
+					w = Worker{ID: p.Worker, Zone: -1, Cell: -1}
+				}
+				j.tries = append(j.tries, heardTry{worker: w, sent: r.now - p.Ago, started: p.Began > 0, ended: p.Ended, result: p.Result})
+			}
+			r.jobs[e.Job.ID] = j
 		case Outcome:
 			j := r.jobs[e.Job]
 			t := &j.tries[e.Attempt]
@@ -77,7 +88,7 @@
 				if w.Ready && !w.Gone {
 					r.ready[w.ID] = w
 				}
-				r.named[w.ID] = true
+				r.named[w.ID], r.last[w.ID] = true, w
 			}
 		}
 	}
@@ -162,6 +173,9 @@
 		if !t.ended && !r.set.SecondCopies {
 			r.fault("second copy of job %d", a.Job)
 		}
+		if !t.ended && t.worker.ID == a.Worker {
+			r.fault("job %d sent to worker %d, which has it", a.Job, a.Worker)
+		}
 		if !t.mayHaveRun() || c.Effect == Safe {
 			continue
 		}
@@ -238,9 +252,20 @@
 		events = append(events, randomList(rng, r)...)
 		for range rng.IntN(3) {
 			id++
-			events = append(events, Job{ID: id, Class: rng.IntN(len(set.Classes)), Tenant: rng.IntN(3),
+			j := Job{ID: id, Class: rng.IntN(len(set.Classes)), Tenant: rng.IntN(3),
 				Left: time.Duration(rng.IntN(8000)) * time.Millisecond, Slots: float64(rng.IntN(5)),
-				Memory: 3 * rng.Float64(), Hint: time.Duration(rng.IntN(3)) * time.Duration(rng.IntN(2e9)), Key: id % 7})
+				Memory: 3 * rng.Float64(), Hint: time.Duration(rng.IntN(3)) * time.Duration(rng.IntN(2e9)), Key: id % 7}
+			if rng.IntN(4) == 0 {
+				events = append(events, Resumed{Job: j, Waited: time.Duration(rng.IntN(3000)) * time.Millisecond, Attempts: randomPasts(rng)})
+			} else {
+				events = append(events, j)
+			}
+		}
+		if rng.IntN(60) == 0 {
+			events = append(events, Shared{Of: rng.IntN(4), Me: rng.IntN(4), Part: rng.Float64() * float64(rng.IntN(2))})
+		}
+		if rng.IntN(100) == 0 {
+			events = append(events, Taught{Lesson: d.Lesson(rng.IntN(600), nil), Age: time.Duration(rng.IntN(1e10)), Part: rng.Float64()})
 		}
 		events = append(events, randomNews(rng, r)...)
 		r.hear(events)
@@ -253,6 +278,22 @@
 	return r, d, log
 }
 
+// randomPasts draws what came of a job before. Some of the workers are not listed, or not known.
+func randomPasts(rng *rand.Rand) (pasts []Past) {
+	for range rng.IntN(4) {
+		p := Past{Worker: uint64(rng.IntN(10) + 1), Ago: time.Duration(rng.IntN(3000)) * time.Millisecond, Ended: rng.IntN(2) == 0,
+			Result: Result(rng.IntN(9))}
+		if slices.ContainsFunc(pasts, func(o Past) bool { return o.Worker == p.Worker }) {
+			p.Ended = true // no worker has two
+		}
+		if rng.IntN(2) == 0 {
+			p.Began = time.Duration(rng.Int64N(int64(p.Ago + 1)))
+		}
+		pasts = append(pasts, p)
+	}
+	return pasts
+}
+
 func randomList(rng *rand.Rand, r *referee) []Event {
 	if len(r.named) > 0 && rng.IntN(15) > 0 {
 		return nil
@@ -263,6 +304,9 @@
 	}
 	for n := range rng.IntN(8) {
 		w := Worker{ID: uint64(n + 1), Kind: n % 3, Zone: n % 2, Cell: n % 4, Ready: rng.IntN(4) > 0}
+		if rng.IntN(6) == 0 {
+			w.Rank, w.Of = rng.IntN(3), rng.IntN(3)
+		}
 		if rng.IntN(4) == 0 {
 			w.BootAt = r.now - time.Duration(rng.IntN(1e9))
 		}
--- a/logic/snapshot.go
+++ b/logic/snapshot.go
@@ -249,6 +249,9 @@
 	c.float(&d.cutLog, &d.muShort, &d.meanWorth, &d.meanCost, &d.arrivals, &d.spread, &d.best, &d.used, &d.copies, &d.probes,
 		&d.trials, &d.waiting)
 	c.flag(&d.mistrust, &d.mistrustAll, &d.asked, &d.follows)
+	c.int(&d.shared.Of)
+	c.int(&d.shared.Me)
+	c.float(&d.shared.Part)
 	fixed(c, d.sizeLog, func(x *[4]float64) { c.float(&x[0], &x[1], &x[2], &x[3]) })
 	for _, part := range [][]float64{d.tail, d.weights, d.quota} {
 		fixed(c, part, func(x *float64) { c.float(x) })
@@ -462,6 +465,8 @@
 	c.int(&w.Kind)
 	c.int(&w.Cell)
 	c.int(&w.Zone)
+	c.int(&w.Rank)
+	c.int(&w.Of)
 	c.flag(&w.Ready, &w.Gone, &w.listed, &w.lost, &w.probing, &w.broken, &w.touched)
 	c.float(&w.Size, &w.used, &w.room, &w.speed, &w.pace, &w.seen, &w.free, &w.running, &w.tooBig)
 	c.at(&w.BootAt, &w.heard, &w.learned, &w.cut, &w.restUntil, &w.badUntil, &w.back, &w.reported, &w.probed, &w.ended,
--- a/logic/snapshot_test.go
+++ b/logic/snapshot_test.go
@@ -38,7 +38,11 @@
 				}
 			}
 			for _, e := range events {
-				if j, ok := e.(Job); ok {
+				j, ok := e.(Job)
+				if r, resumed := e.(Resumed); resumed {
+					j, ok = r.Job, true
+				}
+				if ok {
 					if work, known := d.Past(j.Key); known {
 						copied.Recall(j.Key, work)
 					}
--- a/logic/state.go
+++ b/logic/state.go
@@ -55,6 +55,7 @@
 	wokeAt, wokeLate      time.Duration // when this process was last late itself, and by how much
 	idleMost, idleBad     time.Duration // links idle longer are closed first; least age that fared badly
 	idleAt                time.Duration // when idleMost was set
+	shared                Shared        // in place of the settings'; Of 0: not told
 }
 
 // job is a request that is owed a final answer, or whose attempts are still out.
