Measure a scheduler before fleets of thousands, beside the standard library's proxy

Need: a change made for large fleets has to show on sockets, with thousands of worker nodes, against what the clients could have at best.

covelab fleet: stand-in worker nodes (listener, four slots, waiting room, notes), discovery and clients that each wait for their answer, in a process of its own on other cores than the scheduler's. The same clients and worker nodes with httputil.ReverseProxy and fewest requests out, and with nothing between. Flags for a burst at the start, restarts, a silent rack and a stopped scheduler. A play in which the rig was late or a core of its own was busy is void.

--- /dev/null
+++ b/cmd/covelab/fleet.go
@@ -0,0 +1,201 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"runtime"
+	"slices"
+	"strings"
+	"time"
+
+	"valvecove/internal/lab/fleet"
+)
+
+// fleetTable measures schedulers before large fleets, and is the processes that it starts for that.
+type fleetTable struct {
+	Nodes      []int         `help:"Worker nodes." default:"10,100,1000,3000"`
+	Notices    []string      `help:"Whether worker nodes tell of starts." enum:"on,off" default:"on,off"`
+	Hints      []string      `help:"Factors that hints of the work are wrong by: 1, 1/30, 30; none: no hints." default:"1,1/30,30"`
+	Binary     []string      `help:"The scheduler's program, as PATH or NAME=PATH; may be given again. Default: valvecove beside this one, or else built." sep:"none" placeholder:"NAME=PATH"`
+	Yardsticks []string      `help:"Also played at each number of worker nodes: the reverse proxy, and clients that ask worker nodes directly. none: neither." enum:"proxy,direct,none" default:"proxy,direct"`
+	For        time.Duration `help:"How long is measured." default:"10s"`
+	Warm       time.Duration `help:"And what goes before that." default:"3s"`
+	Runs       int           `help:"Plays of each row." default:"1"`
+	Clients    int           `help:"Clients that each wait for their answer." default:"200"`
+	Work       time.Duration `help:"What a job takes." default:"20ms"`
+	Burst      int           `help:"So many further jobs in the first second, while the whole list arrives; nothing is warm then." default:"0"`
+	Restart    bool          `name:"restart-third" help:"A third of the worker nodes restart within 10 s."`
+	Silent     float64       `help:"This part of the worker nodes, all in one place, is silent for a third of the time." default:"0"`
+	Freeze     time.Duration `help:"The scheduler is stopped for so long." default:"0s"`
+	Seconds    bool          `help:"Also print what was served second by second. So it is with any of the four above."`
+	JSON       string        `name:"json" help:"Write all figures as JSON to a file, or to standard output for -, with nothing else there." placeholder:"FILE"`
+	With       []string      `help:"Take in the plays of an earlier --json FILE; may be given again. With --runs=0 nothing is played." sep:"none" placeholder:"FILE" type:"existingfile"`
+	Logs       string        `help:"Keep schedulers' configurations and logs under this folder." type:"path"`
+	Seed       uint64        `help:"Seed of ids." default:"1"`
+	As         string        `hidden:"" enum:",rig,proxy" default:"" help:"Be one of the processes that this starts, as standard input says."`
+}
+
+// Help is what its help adds.
+func (c *fleetTable) Help() string {
+	return `One scheduler on a core to itself, stand-in worker nodes with four slots each, and clients that each wait for
+their answer, on sockets of 127.0.0.0/8. Stop all else on the machine: what is measured is processor time and delay.`
+}
+
+// named is a build that is measured.
+type named struct{ name, path string }
+
+func (c *fleetTable) builds(ctx context.Context, s *streams) (all []named, remove func(), err error) {
+	remove = func() {}
+	for _, b := range c.Binary {
+		name, path, ok := strings.Cut(b, "=")
+		if !ok {
+			name, path = filepath.Base(b), b
+		}
+		if path, err = filepath.Abs(path); err != nil {
+			return nil, remove, err
+		}
+		if name == "" || name == fleet.Proxy || name == fleet.Direct || name == fleet.Ceiling ||
+			name != filepath.Base(name) || slices.ContainsFunc(all, func(o named) bool { return o.name == name }) {
+			return nil, remove, fmt.Errorf("--binary %s: %q is no name for a build, or not its alone", b, name)
+		}
+		if !executable(path) {
+			return nil, remove, fmt.Errorf("--binary %s: no program", b)
+		}
+		all = append(all, named{name, path})
+	}
+	if len(all) == 0 && c.Runs > 0 {
+		path, done, err := binary(ctx, "", s)
+		return []named{{"valvecove", path}}, done, err
+	}
+	return all, remove, nil
+}
+
+// Run plays all rows, run by run, so that what changes on the machine meets all of them alike.
+func (c *fleetTable) Run(ctx context.Context, s *streams) error {
+	switch c.As {
+	case "rig":
+		if fleet.RigProcess(s.in, s.out) != nil { // which has said so to who started it
+			return exit(exitFault)
+		}
+		return nil
+	case "proxy":
+		return fleet.ProxyProcess(s.in)
+	}
+	report, err := c.earlier()
+	if err != nil {
+		return err
+	}
+	builds, remove, err := c.builds(ctx, s)
+	defer remove()
+	if err != nil {
+		return err
+	}
+	rows, paths, err := c.rows(builds)
+	if err != nil {
+		return err
+	}
+	self, err := os.Executable()
+	if err != nil {
+		return err
+	}
+	o := fleet.Options{Rig: []string{self, "fleet", "--as=rig"}, Proxy: []string{self, "fleet", "--as=proxy"},
+		Clients: c.Clients, Warm: c.Warm, Length: c.For, Work: c.Work, Burst: c.Burst, Restart: c.Restart, Silent: c.Silent,
+		Freeze: c.Freeze}
+	if c.Burst > 0 {
+		o.Warm = 0
+	}
+	began := time.Now()
+	for run := range c.Runs {
+		for i, row := range rows {
+			fmt.Fprintf(s.err, "%4.0fs  run %d of %d, row %d of %d: %s\n", time.Since(began).Seconds(), run+1, c.Runs, i+1,
+				len(rows), row)
+			o.Seed, o.Binary = c.Seed+uint64(run), paths[row.Subject]
+			if c.Logs != "" {
+				o.Dir = filepath.Join(c.Logs, fmt.Sprintf("run%d-row%d", run+1, i+1))
+				if err := os.MkdirAll(o.Dir, 0o755); err != nil {
+					return err
+				}
+			}
+			p, err := fleet.Play(ctx, row, o)
+			if err != nil {
+				return fmt.Errorf("%s: %w", row, err)
+			}
+			report.Plays = append(report.Plays, p)
+		}
+	}
+	return c.show(report, s)
+}
+
+// earlier is the report that this one goes on from.
+func (c *fleetTable) earlier() (*fleet.Report, error) {
+	report := &fleet.Report{Cores: runtime.NumCPU(), Plays: []fleet.Played{}}
+	for _, name := range c.With {
+		text, err := os.ReadFile(name)
+		if err != nil {
+			return nil, err
+		}
+		var r fleet.Report
+		if err := json.Unmarshal(text, &r); err != nil {
+			return nil, fmt.Errorf("%s: %w", name, err)
+		}
+		report.Plays = append(report.Plays, r.Plays...)
+	}
+	return report, nil
+}
+
+// rows are what is played in a run.
+func (c *fleetTable) rows(builds []named) (rows []fleet.Row, paths map[string]string, err error) {
+	paths = map[string]string{}
+	for _, b := range builds {
+		paths[b.name] = b.path
+		for _, hint := range c.Hints {
+			factor, err := fleet.ParseHint(hint)
+			if err != nil {
+				return nil, nil, err
+			}
+			for _, notices := range c.Notices {
+				for _, n := range c.Nodes {
+					rows = append(rows, fleet.Row{Subject: b.name, Nodes: n, Notices: notices == "on", Hint: factor})
+				}
+			}
+		}
+	}
+	for _, yardstick := range []string{fleet.Proxy, fleet.Direct} {
+		for _, n := range c.Nodes {
+			if slices.Contains(c.Yardsticks, yardstick) {
+				rows = append(rows, fleet.Row{Subject: yardstick, Nodes: n})
+			}
+		}
+	}
+	if slices.Contains(c.Yardsticks, fleet.Direct) {
+		rows = append(rows, fleet.Row{Subject: fleet.Ceiling, Nodes: slices.Max(c.Nodes)})
+	}
+	return rows, paths, nil
+}
+
+func (c *fleetTable) show(report *fleet.Report, s *streams) error {
+	if c.JSON != "" {
+		if err := saveJSON(c.JSON, report, s); err != nil {
+			return err
+		}
+	}
+	if c.JSON != "-" {
+		if err := report.Table(s.out); err != nil {
+			return err
+		}
+		fmt.Fprint(s.out, "\n", fleet.Legend)
+		if c.Seconds || c.Burst > 0 || c.Restart || c.Silent > 0 || c.Freeze > 0 {
+			fmt.Fprintln(s.out)
+			if err := report.BySecond(s.out); err != nil {
+				return err
+			}
+		}
+	}
+	if slices.ContainsFunc(report.Plays, func(p fleet.Played) bool { return p.Void() != "" }) {
+		return exit(exitVoid)
+	}
+	return nil
+}
--- a/cmd/covelab/main.go
+++ b/cmd/covelab/main.go
@@ -34,6 +34,7 @@
 	Yardsticks yardsticks `cmd:"" help:"Hold the module against reference policies, scenario by scenario."`
 	Speed      speed      `cmd:"" help:"Measure how fast virtual time runs on one core, by fleet."`
 	Load       load       `cmd:"" help:"Put an open load on an address, or on a responder of the lab's own."`
+	Fleet      fleetTable `cmd:"" help:"Measure a scheduler before large fleets on sockets, beside the standard library's reverse proxy."`
 	Mutants    mutants    `cmd:"" help:"Play each seeded fault, and say whether the judge finds it."`
 	List       list       `cmd:"" help:"List the scenarios of the library."`
 	Check      check      `cmd:"" help:"Check scenario files."`
--- /dev/null
+++ b/internal/lab/fleet/table.go
@@ -0,0 +1,210 @@
+package fleet
+
+import (
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"strconv"
+	"strings"
+)
+
+// Report is the plays of one or more runs of a table.
+type Report struct {
+	Cores int      `json:"cores"` // of the machine
+	Plays []Played `json:"plays"`
+}
+
+// ParseHint reads a factor by which hints are wrong: 1, 30 or 1/30; none: there are none.
+func ParseHint(text string) (float64, error) {
+	if text == "none" {
+		return 0, nil
+	}
+	over, under, divided := strings.Cut(text, "/")
+	factor, err := strconv.ParseFloat(over, 64)
+	if err == nil && divided {
+		var by float64
+		by, err = strconv.ParseFloat(under, 64)
+		factor /= by
+	}
+	if err != nil || !(factor > 0 && factor <= 1e6) {
+		return 0, fmt.Errorf("hint %q: expected none, or a factor such as 1, 30 or 1/30", text)
+	}
+	return factor, nil
+}
+
+// hintText is a hint's factor in words.
+func hintText(factor float64) string {
+	short := func(x float64) string { return strconv.FormatFloat(x, 'g', 4, 64) }
+	switch {
+	case factor == 0:
+		return "none"
+	case factor == 1:
+		return "right"
+	case factor < 1:
+		return short(1/factor) + " times too low"
+	}
+	return short(factor) + " times too high"
+}
+
+// rows gives the plays by row, in the order in which rows were first played.
+func (r *Report) rows() (order []Row, plays map[Row][]Played) {
+	plays = map[Row][]Played{}
+	for _, p := range r.Plays {
+		if plays[p.Row] == nil {
+			order = append(order, p.Row)
+		}
+		plays[p.Row] = append(plays[p.Row], p)
+	}
+	return order, plays
+}
+
+// String is the row in words.
+func (r Row) String() string {
+	text := fmt.Sprintf("%s, %s worker nodes", r.Subject, grouped(float64(r.Nodes), 0))
+	if r.schedules() {
+		text += ", notices " + map[bool]string{true: "on", false: "off"}[r.Notices] + ", hint " + hintText(r.Hint)
+	}
+	return text
+}
+
+// schedules tells whether its subject is a scheduler.
+func (r Row) schedules() bool {
+	return r.Subject != Proxy && r.Subject != Direct && r.Subject != Ceiling
+}
+
+var columns = []string{"subject", "worker nodes", "start notices", "hint", "served/s", "p50 ms", "p90 ms", "p99 ms",
+	"CPU µs", "refused", "failed", "runs", "busiest", "memory MB", "descriptors", "rig"}
+
+// Legend says what the columns are.
+const Legend = "Several plays of a row: least / median / most, where they differ. CPU µs: of the scheduler's or proxy's " +
+	"process, for each request served. runs: jobs that worker nodes began, for each that was served. busiest: jobs of " +
+	"the busiest worker node over its even part. memory and descriptors: the most that the process had. rig: what its " +
+	"busiest core was used, and its own lateness, 99th percentile.\n"
+
+// Table writes a row of Markdown for each row that was played. Plays that are void are left out and counted.
+func (r *Report) Table(w io.Writer) error {
+	var b strings.Builder
+	line := func(cells []string) { b.WriteString("| " + strings.Join(cells, " | ") + " |\n") }
+	line(columns)
+	line(slices.Repeat([]string{"---"}, len(columns)))
+	order, plays := r.rows()
+	for _, row := range order {
+		line(cells(row, plays[row]))
+	}
+	_, err := io.WriteString(w, b.String())
+	return err
+}
+
+func cells(row Row, all []Played) []string {
+	notices, hint := "-", "-"
+	if row.schedules() {
+		notices, hint = map[bool]string{true: "yes", false: "no"}[row.Notices], hintText(row.Hint)
+	}
+	out := []string{row.Subject, grouped(float64(row.Nodes), 0), notices, hint}
+	sound := slices.DeleteFunc(slices.Clone(all), func(p Played) bool { return p.Void() != "" })
+	if len(sound) == 0 {
+		out = append(out, "void: "+all[0].Void())
+		return append(out, slices.Repeat([]string{""}, len(columns)-len(out))...)
+	}
+	// spread gives least, median and most of those that there is a figure for.
+	spread := func(digits int, of func(*Played) (float64, bool)) string {
+		var xs []float64
+		for i := range sound {
+			if x, ok := of(&sound[i]); ok {
+				xs = append(xs, x)
+			}
+		}
+		if len(xs) == 0 {
+			return "-"
+		}
+		slices.Sort(xs)
+		n := len(xs)
+		least, most := grouped(xs[0], digits), grouped(xs[n-1], digits)
+		if least == most {
+			return least
+		}
+		return least + " / " + grouped((xs[(n-1)/2]+xs[n/2])/2, digits) + " / " + most
+	}
+	some := func(of func(*Played) float64) func(*Played) (float64, bool) {
+		return func(p *Played) (float64, bool) { return of(p), p.Served > 0 }
+	}
+	each := func(of func(*Played) float64) func(*Played) (float64, bool) {
+		return func(p *Played) (float64, bool) { return of(p), true }
+	}
+	process := func(of func(*Played) float64) func(*Played) (float64, bool) {
+		return func(p *Played) (float64, bool) { return of(p), p.Files > 0 }
+	}
+	most := func(digits int, of func(*Played) float64) string {
+		x := 0.0
+		for i := range sound {
+			x = max(x, of(&sound[i]))
+		}
+		return grouped(x, digits)
+	}
+	rate := spread(0, each(func(p *Played) float64 { return p.Rate }))
+	if n := len(all) - len(sound); n > 0 {
+		rate += fmt.Sprintf(" (%d void)", n)
+	}
+	return append(out, rate,
+		spread(1, some(func(p *Played) float64 { return p.P50 })),
+		spread(1, some(func(p *Played) float64 { return p.P90 })),
+		spread(1, some(func(p *Played) float64 { return p.P99 })),
+		spread(0, func(p *Played) (float64, bool) { return p.CPU, p.Served > 0 && p.Files > 0 }),
+		spread(0, each(func(p *Played) float64 { return float64(p.Refused) })),
+		spread(0, each(func(p *Played) float64 { return float64(p.Failed) })),
+		spread(2, some(func(p *Played) float64 { return float64(p.Begun) / float64(p.Served) })),
+		spread(2, func(p *Played) (float64, bool) { return p.Busiest, p.Served > 0 && p.Files > 0 }),
+		spread(0, process(func(p *Played) float64 { return p.Memory })),
+		spread(0, process(func(p *Played) float64 { return float64(p.Files) })),
+		most(0, func(p *Played) float64 { return 100 * p.CPUMost })+"%, "+
+			most(2, func(p *Played) float64 { return p.Late99 })+" ms")
+}
+
+// grouped writes a number with its thousands set apart.
+func grouped(x float64, digits int) string {
+	text := strconv.FormatFloat(x, 'f', digits, 64)
+	whole, rest, _ := strings.Cut(text, ".")
+	for at := len(whole) - 3; at > 0 && whole[at-1] != '-'; at -= 3 {
+		whole = whole[:at] + "," + whole[at:]
+	}
+	if rest != "" {
+		whole += "." + rest
+	}
+	return whole
+}
+
+// BySecond writes what was served in each second of each play, from when the clients began.
+func (r *Report) BySecond(w io.Writer) error {
+	var b strings.Builder
+	for i := range r.Plays {
+		p := &r.Plays[i]
+		b.WriteString(p.Row.String())
+		if len(p.Trouble) == 2 {
+			fmt.Fprintf(&b, "; trouble from %.1f s to %.1f s, ", p.Trouble[0], p.Trouble[1])
+			if back := p.Back(); back >= 0 {
+				fmt.Fprintf(&b, "back at 95%% after %d s", back)
+			} else {
+				b.WriteString("not back at 95%")
+			}
+		}
+		b.WriteString("\n  served ")
+		for _, s := range p.Seconds {
+			fmt.Fprintf(&b, " %d", s.Served)
+		}
+		b.WriteString("\n  refused")
+		for _, s := range p.Seconds {
+			fmt.Fprintf(&b, " %d", s.Refused)
+		}
+		b.WriteString("\n  failed ")
+		for _, s := range p.Seconds {
+			fmt.Fprintf(&b, " %d", s.Failed)
+		}
+		b.WriteString("\n")
+		for _, why := range slices.Sorted(maps.Keys(p.Why)) {
+			fmt.Fprintf(&b, "  failed %d times: %s\n", p.Why[why], why)
+		}
+	}
+	_, err := io.WriteString(w, b.String())
+	return err
+}
