--- a/internal/lab/judge/books.go
+++ b/internal/lab/judge/books.go
@@ -66,6 +66,7 @@
 	due     time.Duration // its budget is over
 	over    time.Duration // answered or ended, as its client saw it
 	nothing time.Duration // when the scheduler knew that no further attempt is allowed; 0: one is
+	unread  time.Duration // until then an attempt was out that no worker node had read
 	sched   int
 	process int // of the scheduler
 	sent    int // attempts that have reached a worker node
--- a/internal/lab/judge/doc.go
+++ b/internal/lab/judge/doc.go
@@ -44,8 +44,8 @@
 // # What is excused of one-answer
 //
 //   - What a process held that was killed, or had crashed (which is a rule of its own). After SIGTERM only what came
-//     within 0.7 s of it; what came later, and all that an exit leaves unanswered, is lost. What was still on its
-//     way when the process ended was never taken.
+//     within 0.7 s of it; what came later, and all that an exit leaves unanswered, is lost, unless a cut may have held
+//     its answer up. What was still on its way when the process ended was never taken.
 //   - A query that met a frozen scheduler, unless that woke a slack or more before the time was up.
 //   - A query whose client was cut off from the scheduler, or slowed down, by a fault of the scenario.
 //   - A close that crosses the query, which comes within the time that a word takes there and back; and the close of
@@ -68,9 +68,14 @@
 //   - There was nothing left to hope for: an answer past its aim earns nothing, so holding a query ends in reason when
 //     no worker node could bring it in time any more. The aim depends on the job's work, of which schedulers have but
 //     a rough idea; the judge takes them to believe in as much as the scenario's hints can make them (hopeful in
-//     rules.go), bounded by the budget. A refusal is held back when it comes give_up_within after that, nothing of
-//     the query having been out for as long. Jobs so heavy, or so badly known, that this is past their time are
-//     not judged.
+//     rules.go), bounded by the budget, and in more where something makes runs look long: untold starts, pauses,
+//     freezes, slowness. A refusal is held back when it comes give_up_within after that, nothing of the query having
+//     been out for as long. Jobs so heavy, or so badly known, that this is past their time are not judged.
+//
+// Out is also what was written and lies unread, swallowed by the network or a silent machine, until its connection ends
+// for the scheduler (seen.Unread); what was answered to a scheduler that is cut off from worker nodes, until the cut
+// ends; and, for as long as a dial may take, what may wait for a connection while something keeps these from coming up.
+// A connection that the network has forgotten, which a worker node takes for its scheduler's giving up, says nothing.
 //
 // Of a query that met a frozen scheduler, or a cut between that and its client, neither is asked.
 //
--- a/internal/lab/judge/story.go
+++ b/internal/lab/judge/story.go
@@ -49,7 +49,7 @@
 	case seen.Finished:
 	case seen.Asked:
 		e.span = s.Budget
-	case seen.Reached:
+	case seen.Reached, seen.Unread:
 		e.span = s.First
 	case seen.Answered:
 		e.span = s.After
@@ -245,6 +245,9 @@
 		}
 		return fmt.Sprintf("reached %s%s from scheduler %d, its first byte written at %.6f s%s", node, text, e.sched,
 			e.span.Seconds(), which)
+	case seen.Unread:
+		return fmt.Sprintf("what was written to %s at %.6f s was not read there before its connection ended%s", node,
+			e.span.Seconds(), which)
 	case seen.Rejected:
 		return fmt.Sprintf("turned away by %s with %d%s", node, e.status, which)
 	case seen.Accepted:
@@ -267,6 +270,9 @@
 	case seen.Died:
 		return fmt.Sprintf("died at %s: %s%s", node, text, which)
 	case seen.Withdrawn:
+		if text != "" {
+			node += ", its connection being " + text + " on the way"
+		}
 		return "withdrawn at " + node + which
 	case seen.Noted:
 		return fmt.Sprintf("note %q of %s answered with %d by scheduler %d, sending %d%s", text, node, e.status, e.sched,
--- a/internal/lab/seen/seen.go
+++ b/internal/lab/seen/seen.go
@@ -30,13 +30,14 @@
 	Finished                   // it has run to its end: Call, Node, Text (the result made), Status (200, or 500 for an error)
 	Returned                   // handed back unstarted: Call, Node
 	Died                       // it ended with its process, or is never going to run: Call, Node, Text (why)
-	Withdrawn                  // DELETE /jobs/ID, or the connection closed before the 202: Call, Node
+	Withdrawn                  // DELETE /jobs/ID, or the connection closed before the 202: Call, Node. Text "forgotten" where the network had forgotten the connection: its scheduler knows nothing of it
 	Noted                      // a note was answered: Call, Node, Sched, Text (state), Status; Try counts its sendings
 	NoteLost                   // a note was given up: Call, Node, Text (state)
 	Probed                     // a probe came: Node, Sched
 	Linked                     // a connection was opened to Node by Sched
 	Pushed                     // work of Slots x Work (s) arrived at a cold Node from Sched; Share is its capacity, in cores at speed 1, then
 	Fell                       // Node was pushed over while cold; Share: part of the work that came from schedulers that knew of its start
+	Unread                     // the connection to Node over which an attempt was wholly written is over for its scheduler, which has closed it or been told so, and Node has not read it: Call, Node, Sched, First
 )
 
 // Of the fleet, discovery and processes.
--- a/internal/lab/world/conn.go
+++ b/internal/lab/world/conn.go
@@ -107,8 +107,9 @@
 		return
 	}
 	kind := edge.Left
-	if c.id.Link() {
+	if l, ok := c.part.(*nodeLink); ok {
 		kind = edge.LinkDown
+		l.parted()
 	}
 	w.in(edge.In{Kind: kind, Sched: c.sched, Node: c.node, Conn: c.id, Reset: c.up})
 }
--- a/internal/lab/world/node_links.go
+++ b/internal/lab/world/node_links.go
@@ -19,6 +19,7 @@
 	ghost   bool     // its process ended without a word
 	spoken  bool     // and something was sent over it since
 	resets  int      // see resetAt
+	sent    *attempt // was wholly written to it, and has not been read
 	waits   *attempt // its answer is owed
 	unread  *attempt // its 202 is on the way
 }
@@ -162,6 +163,14 @@
 	}
 }
 
+// parted is the end of a connection for its scheduler.
+func (l *nodeLink) parted() {
+	if a := l.sent; a != nil {
+		l.sent = nil
+		l.n.w.tell(seen.Sight{What: seen.Unread, Call: a.call, Node: l.n.n, Sched: a.sched, First: a.first})
+	}
+}
+
 // ended is the close of a connection by its scheduler, or the end of that.
 func (n *node) ended(c *conn) {
 	l := c.part.(*nodeLink)
@@ -174,12 +183,16 @@
 		l.closed = true
 		n.unlink(l)
 		// What has not been answered yet is given up by that, and so is what was answered when the close came first.
+		why := ""
+		if c.torn[farSide] {
+			why = "forgotten"
+		}
 		switch a := l.waits; {
 		case a != nil:
 			l.waits, a.link = nil, nil
-			n.withdraw(a)
+			n.withdraw(a, why)
 		case l.unread != nil:
-			n.withdraw(l.unread)
+			n.withdraw(l.unread, why)
 		}
 	})
 }
@@ -227,6 +240,6 @@
 		n.answer(l, 404, false)
 		return
 	}
-	n.withdraw(a)
+	n.withdraw(a, "")
 	n.answer(l, 200, false)
 }
--- a/internal/lab/world/node_work.go
+++ b/internal/lab/world/node_work.go
@@ -68,6 +68,9 @@
 // reached takes an attempt whose last byte has been read.
 func (n *node) reached(l *nodeLink, a *attempt) {
 	f := n.fleet
+	if l.sent == a {
+		l.sent = nil
+	}
 	n.w.tell(seen.Sight{What: seen.Reached, Call: a.call, Node: n.n, Boot: n.boot, Sched: a.sched,
 		Conn: uint64(l.c.id), Key: a.key, Budget: a.budget, First: a.first})
 	t := f.find(a.call)
@@ -179,8 +182,8 @@
 }
 
 // withdraw is the word that an attempt is given up. Most kinds run on regardless.
-func (n *node) withdraw(a *attempt) {
-	n.w.tell(seen.Sight{What: seen.Withdrawn, Call: a.call, Node: n.n})
+func (n *node) withdraw(a *attempt, why string) {
+	n.w.tell(seen.Sight{What: seen.Withdrawn, Call: a.call, Node: n.n, Text: why})
 	if a.state == attEnded || !n.kind.CancelStops {
 		return
 	}
--- a/internal/lab/world/nodes_test.go
+++ b/internal/lab/world/nodes_test.go
@@ -458,6 +458,57 @@
 	}
 }
 
+// What is written and not read by the time its connection ends for its scheduler is told as that, whatever became of it;
+// and who gives an attempt up, the scheduler or the network, is told apart.
+func TestUnread(t *testing.T) {
+	spec, k := plain(4)
+	k.Accept = scenario.Span(2 * time.Second)
+	r := newRig(t, spec, 1)
+	up := func(node int) edge.Conn {
+		c := r.dial(0, node)
+		r.pass(10 * ms)
+		r.last(c, edge.LinkUp)
+		return c
+	}
+	send := func(c edge.Conn, call string) {
+		r.query(call, safeClass, 1, 1)
+		r.out(c, edge.Sent, call)
+		r.pass(10 * ms)
+	}
+	silent, reset, paused, read := up(0), up(1), up(2), up(3)
+	r.w.nodes[0].vanish(0)
+	send(silent, "silent")
+	r.w.nodes[2].pause(time.Second)
+	send(paused, "paused")
+	r.query("reset", safeClass, 1, 1)
+	r.out(reset, edge.Sent, "reset")
+	r.w.nodes[1].crash(0)
+	r.pass(10 * ms)
+	send(read, "read")
+	for _, c := range []edge.Conn{silent, paused, read} {
+		r.out(c, edge.Hangup, "")
+	}
+	r.pass(2 * time.Second)
+	r.must(seen.Unread, "silent", 80*ms)
+	r.must(seen.Unread, "paused", 80*ms)
+	r.must(seen.Unread, "reset", 60*ms)
+	if s, ok := r.first(seen.Unread, "read"); ok {
+		t.Errorf("what was read: %+v", s)
+	}
+	if s := r.must(seen.Withdrawn, "paused", 1050*ms); s.Text != "" { // read after its pause, and given up by then
+		t.Errorf("given up by its scheduler: %+v", s)
+	}
+	// The network forgets a connection before the 202 comes over it.
+	undo := r.w.net.dropIdle(crowd{kind: aSched}, crowd{kind: aNode}, time.Second)
+	at := r.w.now
+	send(up(3), "forgotten")
+	r.pass(3 * time.Second)
+	if s := r.must(seen.Withdrawn, "forgotten", at+2010*ms); s.Text != "forgotten" {
+		t.Errorf("given up by the network: %+v", s)
+	}
+	undo()
+}
+
 // load sends so many queries to random worker nodes, and has some of these crash.
 func (r *rig) load(queries int, each, crashes time.Duration) {
 	rng, conns := r.w.rng("load", 0), make([]edge.Conn, len(r.w.nodes))
