--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -278,7 +278,7 @@
 			l.ready[w.ID] = w
 		}
 	}
-	l.events = append(l.events, logic.WorkerList{Kind: kind, Workers: list})
+	l.events = append(l.events, logic.WorkerList{Kind: kind, Workers: list, Generation: g.Generation})
 }
 
 // NewSource tells that the host group comes from elsewhere from now on. The list at hand holds until that speaks,
@@ -326,6 +326,9 @@
 	return at, at > 0
 }
 
+// Wake has the next Step run the module though nothing has come in: it was told something by another way.
+func (l *Ledger) Wake() { l.events = append(l.events, logic.TimerFired{}) }
+
 // Step hands the module all that was gathered and carries out what it wants, in order. What the actions bring
 // about at once (a refused connection, say) waits for the next Step.
 func (l *Ledger) Step(now time.Duration) {
@@ -408,7 +411,7 @@
 		l.dismiss(q)
 	}
 	l.module, l.timer, l.events, l.actions = l.start(), 0, l.events[:0], nil
-	list := logic.WorkerList{Kind: logic.ListCached}
+	list := logic.WorkerList{Kind: logic.ListCached, Generation: l.generation}
 	for _, w := range l.ready {
 		list.Workers = append(list.Workers, w)
 	}
