--- a/internal/lab/experiment/experiment_test.go
+++ b/internal/lab/experiment/experiment_test.go
@@ -7,7 +7,6 @@
 	"slices"
 	"strings"
 	"testing"
-	"time"
 
 	"valvecove/internal/lab/scenario"
 	"valvecove/internal/lab/score"
