Know the fleet's speed as soon as a list brings a worker, so that a fresh scheduler refuses nothing

Seen: with 5 idle worker nodes, 5 clients and exact hints the first sends of a fresh scheduler were refused in the same millisecond, 10,000 to 18,000 refusals in the first half second (a capture shows send, timer, refuse). Checked: a test with five idle workers refuses the first job. Cause: the best speed is looked up four times a second, and where no worker was ready at a look it became exp(-4); a job then seemed out of reach of its aim, until the next look after the list. Change: a list that brings a ready worker says so at once, a look without one changes nothing, and a worker that is new begins with the speed of its kind. Measured: the new test fails without it.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -996,8 +996,7 @@
 	for z := range d.busy {
 		d.busy[z] *= 1 - upkeepEvery.Seconds()/forgetSpeed.Seconds()
 	}
-	d.best = -featureClip
-	sum := 0.0
+	sum, best := 0.0, -featureClip
 	for _, w := range d.order {
 		was := w.speed
 		if w.learned == 0 {
@@ -1011,7 +1010,7 @@
 		if w.Ready {
 			ready++
 			sum += w.speed
-			d.best = max(d.best, w.speed)
+			best = max(best, w.speed)
 			if w.broken {
 				broken++
 			}
@@ -1021,6 +1020,9 @@
 		}
 	}
 	d.mistrust, d.mistrustAll = 2*bad > ready, broken == ready
+	if ready > 0 {
+		d.best = best
+	}
 	// Runs show but the quotient of size and speed: the two must not drift off together.
 	if mean := sum / float64(max(1, ready)); math.Abs(mean) > speedBand {
 		d.rescale(clip(mean-clip(mean, speedBand), rescaleMost))
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -1086,3 +1086,23 @@
 		}
 	}
 }
+
+// A dispatcher that had no worker when it last looked, as at its start, knows the fleet's best speed as soon as a list
+// brings one: thought to be fifty times too slow, jobs would be refused with all workers idle until it looks again.
+func TestFirstListIsKnownAtOnce(t *testing.T) {
+	set := testSettings()
+	set.Classes[2].Aim = 80 * ms
+	s := newScene(t, set)
+	s.step() // no worker yet
+	s.wait(time.Second)
+	s.workers(5)
+	for id := uint64(1); id <= 3; id++ {
+		s.step(s.job(id, 2, 20*ms))
+	}
+	s.wait(5 * ms)
+	for _, a := range s.take() {
+		if r, ok := a.(Refuse); ok {
+			t.Fatalf("job %d was refused with workers idle", r.Job)
+		}
+	}
+}
--- a/logic/members.go
+++ b/logic/members.go
@@ -135,7 +135,8 @@
 			if x.Gone {
 				continue
 			}
-			w = &worker{room: 1, pace: math.Exp(d.kind(x.Kind).speed), place: len(d.order)}
+			speed := d.kind(x.Kind).speed
+			w = &worker{room: 1, speed: speed, pace: math.Exp(speed), place: len(d.order)}
 			w.wake = alarm{what: woken, worker: w}
 			d.workers[x.ID] = w
 			d.order = append(d.order, w)
@@ -147,7 +148,9 @@
 		w.Worker, w.listed = x, !x.Gone
 		w.Ready = x.Ready && w.listed
 		w.kin = d.kind(x.Kind)
-		d.touch(w)
+		if d.touch(w); w.Ready {
+			d.best = max(d.best, w.speed) // known at once: a job thought out of reach is refused
+		}
 		if e.Kind == ListDelta {
 			d.forget(w)
 		}
