--- a/cmd/covelab/common.go
+++ b/cmd/covelab/common.go
@@ -59,7 +59,7 @@
 
 // subject is what a play is played with, as flags say it.
 type subject struct {
-	Policy string   `help:"Policy: logic, or a yardstick; virtual only." default:"logic"`
+	Policy string   `help:"Policy: logic, or a yardstick; +aperture behind it narrows what its schedulers look at, with keys as in logic+aperture:least=20:cover=3. Virtual only." default:"logic"`
 	Set    []string `help:"Change a key of the scenario, as in load.of=0.7; may be given again." sep:"none" placeholder:"KEY=VALUE"`
 	Binary string   `help:"The scheduler's program; live only. Default: valvecove beside this one, or else built." type:"path"`
 }
--- a/cmd/covelab/experiments.go
+++ b/cmd/covelab/experiments.go
@@ -455,7 +455,11 @@
 	faults := 0
 	for _, name := range c.Files {
 		if _, err := open(name, s); err != nil {
-			fmt.Fprintf(s.err, "%s: %v\n", name, err)
+			if text := err.Error(); strings.HasPrefix(text, name+":") {
+				fmt.Fprintln(s.err, text)
+			} else {
+				fmt.Fprintf(s.err, "%s: %s\n", name, text)
+			}
 			faults++
 			continue
 		}
--- a/cmd/covelab/play.go
+++ b/cmd/covelab/play.go
@@ -47,12 +47,34 @@
 	if err := report.Page(s.out, p.Result(), p.Doc.Verdict, p.Doc.Met); err != nil {
 		return err
 	}
+	stories(s.out, p)
 	if o.Report != "" {
 		fmt.Fprintf(s.out, "report: %s\n", filepath.Join(o.Report, "index.html"))
 	}
 	return nil
 }
 
+// mostStories are told on the terminal; the report has all that the judge kept.
+const mostStories = 3
+
+// stories writes the whole story of the first broken rules, in order of time, one of each rule before a second.
+func stories(w io.Writer, p *experiment.Played) {
+	told := map[string]int{}
+	shown := 0
+	for round := 0; round < mostStories && shown < mostStories; round++ {
+		for _, b := range p.Judged.Broken {
+			if told[b.Rule] == round && shown < mostStories {
+				told[b.Rule]++
+				shown++
+				fmt.Fprintf(w, "\n%v\n", b)
+			}
+		}
+	}
+	if more := p.Broken() - shown; shown > 0 && more > 0 {
+		fmt.Fprintf(w, "\n… and %d more; --json and --report have the stories of the first of each rule\n", more)
+	}
+}
+
 // verdict is a play's exit code.
 func verdict(p *experiment.Played) error {
 	switch {
--- a/internal/lab/experiment/hunt.go
+++ b/internal/lab/experiment/hunt.go
@@ -123,7 +123,7 @@
 				got.Broken++
 			}
 			if h.worth(got, f, keep) {
-				if err := h.shrink(context.WithoutCancel(ctx), f); err != nil {
+				if err := h.shrink(ctx, f); err != nil {
 					return got, err
 				}
 				if h.keep(got, f, keep) && told != nil {
@@ -207,11 +207,11 @@
 }
 
 // shrink looks for a smaller play that is as bad in the same way: without faults that don't matter, then with shorter
-// ones, fewer parties, and plainer settings.
+// ones, fewer parties, and plainer settings. It ends with the hunt's time, as small as it has come.
 func (h *Hunt) shrink(ctx context.Context, f *Find) error {
 	left := mostShrinks
 	try := func(change func(s *scenario.Scenario)) (bool, error) {
-		if left--; left < 0 {
+		if left--; left < 0 || ctx.Err() != nil { // what is left of it is kept as it is
 			return false, nil
 		}
 		spec := f.Spec.Clone()
@@ -219,7 +219,7 @@
 		if spec.Check() != nil {
 			return false, nil
 		}
-		got, err := h.look(ctx, spec, f.Draw)
+		got, err := h.look(context.WithoutCancel(ctx), spec, f.Draw)
 		if err != nil {
 			return false, err
 		}
