Leave to sizes what the fleet's mean speed can't be: wrong hints no longer shorten aims

Cause: only the quotient of size and speed shows, and the split decides the aim, which grows with a job's size: the speed took up to e in either direction, so sizes, and with them aims, stayed short. Change: the mean speed of a fleet stays within e^0.3 of a standard core's, the rest goes to sizes.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -24,7 +24,7 @@
 	sizeRate    = 0.03                   // sizes follow many workers, so that no slow one bends them
 	keysKept    = 10000                  // bounds the memory of keys
 	rescaleMost = 0.1                    // in one go: jobs in hand keep the sizes they came with
-	speedBand   = 1.0                    // mean log speed of the fleet, at most: the rest is sizes
+	speedBand   = 0.3                    // mean log speed of the fleet, at most: the rest is sizes
 	forgetSpeed = 10 * time.Second       // without news a learned speed drifts back to that of its kind
 	forgetTail  = 60 * time.Second       // a class that had far heavier jobs may have more
 	promptPart  = 4                      // a start within this part of the class's aim is prompt
