--- /dev/null
+++ b/internal/follow/rig_test.go
@@ -0,0 +1,349 @@
+package follow
+
+import (
+	"container/heap"
+	"fmt"
+	"hash/fnv"
+	"log/slog"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"valvecove/internal/ledger"
+	"valvecove/internal/tier"
+	"valvecove/logic"
+)
+
+// rig is a forwarder in virtual time: a ledger, the follower as its module, and this in place of clients, worker nodes
+// and connections. What it does with them is for those who use it.
+type rig struct {
+	now    time.Duration
+	f      *Follower
+	l      *ledger.Ledger
+	agenda agenda
+	turns  int
+	seq    uint64
+
+	carry   func(a *ledger.Attempt)
+	giveUp  func(a *ledger.Attempt)
+	probe   func(worker uint64)
+	free    func(worker uint64)
+	answer  func(q *asker, what string, after time.Duration)
+	tell    func(e Envelope) // an envelope that leaves
+	did     func(a logic.Action)
+	watched func(after int64)
+	stepped func()
+}
+
+// spy is the follower as the ledger has it, with a look at its actions.
+type spy struct{ r *rig }
+
+func (s spy) Step(now time.Duration, events []logic.Event, dst []logic.Action) []logic.Action {
+	from := len(dst)
+	dst = s.r.f.Step(now, events, dst)
+	for _, a := range dst[from:] {
+		if s.r.did != nil {
+			s.r.did(a)
+		}
+	}
+	for _, e := range s.r.f.Out() {
+		s.r.tell(keep(e))
+	}
+	return dst
+}
+
+// keep is an envelope that outlives the step.
+func keep(e Envelope) Envelope {
+	if e.M.Head != nil {
+		h := *e.M.Head
+		h.Attempts = slices.Clone(h.Attempts)
+		e.M.Head = &h
+	}
+	return e
+}
+
+const rigStart = 1000 * time.Hour // worker nodes have started before
+
+func newRig(set logic.Settings, conf Config, choose Chooser, own func() Module) *rig {
+	r := &rig{now: rigStart}
+	conf.Name, conf.Process = "f", 1000
+	r.f = New(set, conf, choose, own)
+	return r
+}
+
+// begin starts the ledger, once all is in place.
+func (r *rig) begin(known ledger.HostGroup) {
+	r.l = ledger.New(max(1, r.f.set.TryLimit), ledger.Names{Zones: []string{"z0", "z1", "z2"},
+		Kinds: []string{"k0", "k1", "k2"}},
+		func() ledger.Module { return spy{r} }, known, r, slog.New(slog.DiscardHandler))
+}
+
+func (r *rig) Carry(a *ledger.Attempt)  { r.carry(a) }
+func (r *rig) GiveUp(a *ledger.Attempt) { r.giveUp(a) }
+func (r *rig) Probe(worker uint64)      { r.probe(worker) }
+func (r *rig) FreeLinks(worker uint64)  { r.free(worker) }
+func (r *rig) Watch(after int64)        { r.watched(after) }
+
+// settle turns the loop until nothing is left to do at this instant.
+func (r *rig) settle() {
+	for n := 0; ; n++ {
+		if r.f.Pending() {
+			r.l.Wake()
+		}
+		at, ok := r.l.Next()
+		if !ok || at > r.now {
+			return
+		}
+		if r.turns++; n > 10000 {
+			panic("no end at one instant")
+		}
+		if r.l.Step(r.now); r.stepped != nil {
+			r.stepped()
+		}
+	}
+}
+
+// until lets time pass, and does what is due meanwhile.
+func (r *rig) until(end time.Duration) {
+	r.settle()
+	for {
+		next := end
+		if at, ok := r.l.Next(); ok && at < next {
+			next = at
+		}
+		if len(r.agenda) > 0 && r.agenda[0].at < next {
+			next = r.agenda[0].at
+		}
+		r.now = max(r.now, next)
+		for len(r.agenda) > 0 && r.agenda[0].at <= r.now {
+			heap.Pop(&r.agenda).(entry).act()
+		}
+		if r.settle(); next >= end {
+			return
+		}
+	}
+}
+
+// after has something done later.
+func (r *rig) after(span time.Duration, act func()) {
+	heap.Push(&r.agenda, entry{r.now + span, r.seq, act})
+	r.seq++
+}
+
+type entry struct {
+	at  time.Duration
+	seq uint64
+	act func()
+}
+
+type agenda []entry
+
+func (a agenda) Len() int { return len(a) }
+func (a agenda) Less(i, k int) bool {
+	return a[i].at < a[k].at || a[i].at == a[k].at && a[i].seq < a[k].seq
+}
+func (a agenda) Swap(i, k int) { a[i], a[k] = a[k], a[i] }
+func (a *agenda) Push(x any)   { *a = append(*a, x.(entry)) }
+func (a *agenda) Pop() any {
+	x := (*a)[len(*a)-1]
+	*a = (*a)[:len(*a)-1]
+	return x
+}
+
+// asker is a client's side of a query.
+type asker struct {
+	r       *rig
+	q       *ledger.Query
+	name    string
+	answers []string
+}
+
+func (a *asker) Serve([]byte) { a.got("served", 0) }
+
+func (a *asker) Throttle(after time.Duration) { a.got("refused", after) }
+
+func (a *asker) Fail() { a.got("failed", 0) }
+
+func (a *asker) got(what string, after time.Duration) {
+	a.answers = append(a.answers, what)
+	a.r.answer(a, what, after)
+}
+
+// take has a query come.
+func (r *rig) take(name string, job logic.Job) *asker {
+	a := &asker{r: r, name: name}
+	q, err := r.l.Take(r.now, ledger.Arrival{Call: name, Job: job, Asker: a})
+	if err != nil {
+		panic(err)
+	}
+	a.q = q
+	return a
+}
+
+func number(host string) uint64 {
+	h := fnv.New64a()
+	h.Write([]byte(host))
+	return h.Sum64()
+}
+
+// inOrder is a chooser that has the planners in a fixed order.
+type inOrder struct {
+	best []string
+	told []string // what it heard, for tests
+}
+
+func (c *inOrder) Known(_ time.Duration, names []string) {
+	c.told = append(c.told, "known "+strings.Join(names, " "))
+}
+
+func (c *inOrder) Session(_ time.Duration, name string, up bool) {
+	c.told = append(c.told, fmt.Sprintf("%s %v", name, up))
+}
+
+func (c *inOrder) Answered(_ time.Duration, name string, took, late time.Duration) {
+	c.told = append(c.told, fmt.Sprintf("%s took %v late %v", name, took, late))
+}
+
+func (c *inOrder) Order(_ time.Duration, dst []string) []string { return append(dst, c.best...) }
+
+func (c *inOrder) Next() time.Duration { return 0 }
+
+// plain is a module that is easily foreseen: it sends each job to the first worker that is ready and has not had it,
+// one at a time, and refuses it where there is none. While none is ready at all it holds them.
+type plain struct {
+	ready []uint64
+	jobs  map[uint64]*plainJob
+	tell  func(e logic.Event)
+	panic func(e logic.Event) bool
+}
+
+type plainJob struct {
+	tries []uint64
+	out   int
+}
+
+func (m *plain) Step(_ time.Duration, events []logic.Event, dst []logic.Action) []logic.Action {
+	for _, e := range events {
+		m.tell(e)
+		if m.panic != nil && m.panic(e) {
+			panic("scripted")
+		}
+		switch e := e.(type) {
+		case logic.WorkerList:
+			if e.Kind == logic.ListDelta {
+				for _, w := range e.Workers {
+					m.ready = slices.DeleteFunc(m.ready, func(id uint64) bool { return id == w.ID })
+				}
+			} else if e.Kind != logic.ListLost {
+				m.ready = m.ready[:0]
+			}
+			for _, w := range e.Workers {
+				if w.Ready && !w.Gone {
+					m.ready = append(m.ready, w.ID)
+				}
+			}
+			for _, id := range slices.Sorted(maps.Keys(m.jobs)) {
+				dst = m.try(id, dst)
+			}
+		case logic.Job:
+			m.jobs[e.ID] = &plainJob{}
+			dst = m.try(e.ID, dst)
+		case logic.Resumed:
+			j := &plainJob{}
+			for _, p := range e.Attempts {
+				if j.tries = append(j.tries, p.Worker); !p.Ended {
+					j.out++
+				}
+			}
+			m.jobs[e.Job.ID] = j
+			dst = m.try(e.Job.ID, dst)
+		case logic.Outcome:
+			if j := m.jobs[e.Job]; j != nil && e.Attempt < len(j.tries) {
+				if j.out--; e.Closed {
+					delete(m.jobs, e.Job)
+				} else {
+					dst = m.try(e.Job, dst)
+				}
+			}
+		case logic.ClientGone:
+			delete(m.jobs, e.Job)
+		}
+	}
+	return dst
+}
+
+func (m *plain) try(id uint64, dst []logic.Action) []logic.Action {
+	j := m.jobs[id]
+	if j.out > 0 || len(m.ready) == 0 {
+		return dst
+	}
+	for _, w := range m.ready {
+		if !slices.Contains(j.tries, w) {
+			j.tries = append(j.tries, w)
+			j.out++
+			return append(dst, logic.Send{Job: id, Worker: w})
+		}
+	}
+	delete(m.jobs, id)
+	return append(dst, logic.Refuse{Job: id})
+}
+
+// text is a message as plays have it.
+func text(m *tier.Message, epoch func(tier.Epoch) string, worker func(uint64) string) string {
+	s := &strings.Builder{}
+	fmt.Fprintf(s, "%v %s", m.Kind, epoch(m.Epoch))
+	put := func(format string, args ...any) { fmt.Fprintf(s, " "+format, args...) }
+	switch m.Kind {
+	case tier.Head:
+		h := m.Head
+		put("q%d left=%v", m.Query, h.Left)
+		if h.Waited > 0 {
+			put("waited=%v", h.Waited)
+		}
+		if h.Moves > 0 {
+			put("moves=%d", h.Moves)
+		}
+		for i, p := range h.Attempts {
+			put("[#%d %s %v ago", i, worker(p.Worker), p.Ago)
+			if p.Began > 0 {
+				put("began %v ago", p.Began)
+			}
+			if p.Ended {
+				put("%s", resultNames[p.Result])
+			} else {
+				put("out")
+			}
+			if p.MayRun {
+				put("may have run")
+			}
+			s.WriteString("]")
+		}
+	case tier.Ended:
+		put("q%d #%d %s", m.Query, m.Attempt, resultNames[m.Result])
+		if m.Why != tier.NotRefused {
+			put("as %v", m.Why)
+		}
+	case tier.Started, tier.Cancel:
+		put("q%d #%d", m.Query, m.Attempt)
+	case tier.Progress:
+		put("q%d #%d %v", m.Query, m.Attempt, m.Share)
+	case tier.Over, tier.Fail, tier.Refuse:
+		put("q%d", m.Query)
+	case tier.Move:
+		put("q%d to %q", m.Query, m.Name)
+	case tier.Send:
+		put("q%d #%d %s", m.Query, m.Attempt, worker(m.Worker))
+	case tier.Probed:
+		put("%s %s", worker(m.Worker), resultNames[m.Result])
+	case tier.Asked, tier.Here:
+		put("%d", m.Number)
+	case tier.Word:
+		put("%s start=%v gen=%d %s", worker(m.Word.Worker), time.Duration(m.Word.StartedMs)*time.Millisecond,
+			m.Word.Generation,
+			[]string{"up", "draining", "gone"}[m.Word.State])
+	}
+	return s.String()
+}
+
+var resultNames = []string{"ok", "failed", "full", "timeout", "noconnect", "reset", "cancelled", "notsent"}
--- /dev/null
+++ b/internal/follow/scripted_test.go
@@ -0,0 +1,271 @@
+package follow
+
+import (
+	"slices"
+	"strconv"
+	"time"
+
+	"valvecove/internal/tier"
+	"valvecove/logic"
+)
+
+// scripted is a planner of a random play: one that does its work in a simple way, and whatever its temper adds.
+type scripted struct {
+	seat
+	temper
+
+	outbox  []tier.Message // thought of while it was frozen, and not said
+	epoch   tier.Epoch     // as it has read
+	old     tier.Epoch     // the one before
+	heads   map[uint64]*scriptedHead
+	stopped bool
+}
+
+type scriptedHead struct {
+	head  tier.HeadOf
+	next  int
+	out   int
+	tried []uint64
+	till  time.Duration
+	may   bool
+}
+
+// live has things happen to the planner.
+func (p *scripted) live() {
+	w := p.w
+	w.after(w.ms(50, 1500), func() {
+		if w.over {
+			p.thaw()
+			return
+		}
+		switch what := w.rng.IntN(9); {
+		case what == 0 && p.up:
+			p.down()
+			w.after(w.ms(1, 900), p.connect)
+		case what <= 2 && !p.frozen:
+			p.frozen = true
+			w.after(w.ms(20, 1200), p.thaw)
+		case what == 3 && p.up && !p.frozen && p.epoch != 0:
+			p.say(tier.Message{Kind: tier.Bye})
+			p.stopped = true
+			w.after(w.ms(5, 200), func() {
+				p.down()
+				w.after(w.ms(1, 300), p.connect)
+			})
+		case what == 4:
+			p.say(tier.Message{Kind: tier.Credit, Credit: w.rng.IntN(30)})
+		case what == 5:
+			p.say(tier.Message{Kind: tier.Snapshot, Age: w.ms(0, 3000), Bytes: []byte("no lesson")})
+		case what == 6 || p.liar:
+			p.gossip()
+		}
+		p.live()
+	})
+}
+
+func (p *scripted) connect() {
+	if p.up || p.w.over {
+		return
+	}
+	p.stopped, p.outbox, p.epoch = false, nil, 0
+	clear(p.heads)
+	p.seat.connect()
+}
+
+func (p *scripted) thaw() {
+	if !p.frozen {
+		return
+	}
+	p.frozen = false
+	out, in := p.outbox, p.inbox
+	p.outbox, p.inbox = nil, nil
+	if p.stale {
+		for _, m := range out {
+			p.send(m)
+		}
+	}
+	for _, m := range in {
+		p.reads(m)
+	}
+}
+
+func (p *scripted) say(m tier.Message) {
+	if m.Epoch == 0 {
+		m.Epoch = p.epoch
+	}
+	if p.frozen {
+		p.outbox = append(p.outbox, m)
+		return
+	}
+	p.send(m)
+}
+
+// gossip says something about a worker node, true as far as it goes or not.
+func (p *scripted) gossip() {
+	w := p.w
+	h := w.nodes[w.rng.IntN(len(w.nodes))]
+	x := tier.WordOf{Worker: number(h.ID), StartedMs: h.StartedMs, Generation: w.gen}
+	if x.State = tier.Up; h.State != "up" {
+		x.State = tier.Draining
+	}
+	if w.rng.IntN(2) == 0 { // an old one
+		x.Generation -= int64(w.rng.IntN(5))
+		x.State = tier.State(w.rng.IntN(3))
+	}
+	if p.liar {
+		x = tier.WordOf{Worker: []uint64{x.Worker, x.Worker, 77}[w.rng.IntN(3)], Generation: int64(w.rng.IntN(100)),
+			State:     tier.State(w.rng.IntN(3)),
+			StartedMs: []int64{h.StartedMs, h.StartedMs + 5, w.now.Milliseconds() + 120000, -5, 1 << 62}[w.rng.IntN(5)]}
+	}
+	p.say(tier.Message{Kind: tier.Word, Word: &x})
+}
+
+// reads takes in what the forwarder says.
+func (p *scripted) reads(m tier.Message) {
+	w := p.w
+	if m.Kind == tier.Hello {
+		p.old, p.epoch = p.epoch, m.Epoch
+		clear(p.heads)
+		p.say(tier.Message{Kind: tier.Welcome, Name: p.name, Credit: w.rng.IntN(60), Version: 0})
+		return
+	}
+	if m.Epoch != p.epoch || p.stopped {
+		return
+	}
+	h := p.heads[m.Query]
+	switch m.Kind {
+	case tier.Asked:
+		p.say(tier.Message{Kind: tier.Here, Number: m.Number, Late: w.ms(0, 3)})
+	case tier.Head:
+		if p.forgets && w.rng.IntN(5) == 0 {
+			return
+		}
+		h = &scriptedHead{head: *m.Head, next: len(m.Head.Attempts), till: w.now + m.Head.Left}
+		for _, a := range m.Head.Attempts {
+			h.tried = append(h.tried, a.Worker)
+			if h.may = h.may || a.MayRun; !a.Ended {
+				h.out++
+			}
+		}
+		p.heads[m.Query] = h
+		p.soon(m.Query)
+	case tier.Ended:
+		if h == nil || m.Attempt < 0 {
+			return
+		}
+		if h.out--; m.Result == logic.OK {
+			delete(p.heads, m.Query)
+			return
+		}
+		h.may = h.may || m.Result != logic.Full && m.Result != logic.NoConnect && m.Result != logic.NotSent
+		p.soon(m.Query)
+	case tier.Over:
+		delete(p.heads, m.Query)
+	}
+}
+
+// soon decides on a query after some thought.
+func (p *scripted) soon(query uint64) {
+	w := p.w
+	think := w.ms(0, 5)
+	if w.rng.IntN(10) == 0 {
+		think = w.ms(5, 400) // there was no room
+	}
+	epoch := p.epoch
+	w.after(think, func() {
+		if h := p.heads[query]; h != nil && p.epoch == epoch && !p.stopped {
+			p.decide(query, h)
+		}
+	})
+}
+
+func (p *scripted) decide(query uint64, h *scriptedHead) {
+	w := p.w
+	if w.rng.IntN(100) < p.wrong {
+		p.err(query, h)
+		return
+	}
+	c := w.set.Classes[h.head.Class]
+	switch {
+	case h.out > 0:
+		return
+	case h.may && c.Effect != logic.Safe || len(h.tried) >= w.set.TryLimit || w.now >= h.till:
+		kind := tier.Refuse
+		if h.may && c.Effect != logic.Safe {
+			kind = tier.Fail
+		}
+		delete(p.heads, query)
+		p.say(tier.Message{Kind: kind, Query: query, After: w.ms(0, 3000)})
+		return
+	case w.rng.IntN(25) == 0:
+		delete(p.heads, query)
+		p.say(tier.Message{Kind: tier.Move, Query: query, Name: []string{"p0", "p1", "p2", ""}[w.rng.IntN(4)]})
+		return
+	}
+	var may []uint64
+	for _, n := range w.nodes {
+		fits := c.Kinds == nil || n.Kind == "k"+strconv.Itoa(c.Kinds[0])
+		if id := number(n.ID); n.State == "up" && fits && !slices.Contains(h.tried, id) {
+			may = append(may, id)
+		}
+	}
+	if len(may) == 0 {
+		p.soon(query)
+		return
+	}
+	m := tier.Message{Kind: tier.Send, Query: query, Attempt: h.next, Worker: may[w.rng.IntN(len(may))]}
+	if w.rng.IntN(3) == 0 {
+		m.Patience = w.ms(10, 300)
+	}
+	h.next++
+	h.out++
+	h.tried = append(h.tried, m.Worker)
+	p.say(m)
+	if w.set.SecondCopies && c.Effect == logic.Safe && w.rng.IntN(4) == 0 && len(may) > 1 {
+		m.Attempt, m.Worker = h.next, may[w.rng.IntN(len(may))]
+		h.next++
+		h.out++
+		p.say(m)
+	}
+	if w.set.Probes && w.rng.IntN(10) == 0 {
+		p.say(tier.Message{Kind: tier.Probe, Worker: m.Worker})
+	}
+}
+
+// err orders something that it may not, most likely.
+func (p *scripted) err(query uint64, h *scriptedHead) {
+	w := p.w
+	node := func() uint64 { return number("w" + strconv.Itoa(w.rng.IntN(10))) }
+	m := tier.Message{Kind: tier.Send, Query: query, Attempt: h.next, Worker: node()}
+	switch w.rng.IntN(9) {
+	case 0: // twice, by one number
+		p.say(m)
+		h.next++
+	case 1: // and by two
+		p.say(m)
+		m.Attempt++
+		h.next += 2
+	case 2:
+		m.Epoch = []tier.Epoch{p.old, p.epoch + 1, p.epoch + 2, 7}[w.rng.IntN(4)]
+	case 3:
+		m.Query = w.rng.Uint64N(w.ids + 5)
+	case 4: // anywhere, whatever has been
+		h.next++
+	case 5:
+		m.Kind = []tier.Kind{tier.Refuse, tier.Fail, tier.Cancel, tier.Probe, tier.Free, tier.Move, tier.Bye, tier.Head,
+			tier.Hello, tier.Over, 250}[w.rng.IntN(11)]
+		if m.Kind == tier.Bye && w.rng.IntN(10) > 0 {
+			m.Kind = tier.Refuse
+		}
+	case 6:
+		m.Attempt = []int{-1, h.next - 1, h.next + 7, 1 << 40}[w.rng.IntN(4)]
+		h.next += 8
+	case 7:
+		m.Patience = -w.ms(0, 500)
+		h.next++
+	case 8:
+		m = tier.Message{Kind: tier.Welcome, Credit: w.rng.IntN(100) - 50}
+	}
+	p.say(m)
+	p.soon(query)
+}
--- a/internal/frame/frame.go
+++ b/internal/frame/frame.go
@@ -15,11 +15,12 @@
 //
 //   - a later minor version may put fields at the end of a kind, and add kinds: an older reader skips both, and a newer
 //     one takes what an older writer left out for zero;
-//   - a later major version may change all but the header, and the form of Hello, Welcome and Greet up to Version: these
-//     can be read by any version, and whatever else comes from another major version is refused with a VersionError.
+//   - a later major version may change all but the header, and the form of Hello, Welcome and Greet up to Version:
+//     these can be read by any version, and whatever else comes from another major version is refused with a
+//     VersionError.
 //
-// What a Reader gives is what a Writer was given, or nothing: bytes that were changed on the way end the stream. It holds
-// one frame's length at most, which it believes only as bytes come.
+// What a Reader gives is what a Writer was given, or nothing: bytes that were changed on the way end the stream. It
+// holds one frame's length at most, which it believes only as bytes come.
 package frame
 
 import (
--- a/internal/frame/frame_test.go
+++ b/internal/frame/frame_test.go
@@ -23,9 +23,9 @@
 var update = flag.Bool("update", false, "write the golden files anew")
 
 // kinds are all that there are.
-var kinds = []tier.Kind{tier.Hello, tier.Head, tier.Ended, tier.Started, tier.Progress, tier.Over, tier.Probed, tier.Asked,
-	tier.Welcome, tier.Credit, tier.Send, tier.Refuse, tier.Fail, tier.Cancel, tier.Probe, tier.Free, tier.Move, tier.Here,
-	tier.Snapshot, tier.Bye, tier.Word, tier.Greet, tier.Load}
+var kinds = []tier.Kind{tier.Hello, tier.Head, tier.Ended, tier.Started, tier.Progress, tier.Over, tier.Probed,
+	tier.Asked, tier.Welcome, tier.Credit, tier.Send, tier.Refuse, tier.Fail, tier.Cancel, tier.Probe, tier.Free,
+	tier.Move, tier.Here, tier.Snapshot, tier.Bye, tier.Word, tier.Greet, tier.Load}
 
 // draw is what random messages are made of.
 type draw interface{ Pick(n int) int }
@@ -61,15 +61,18 @@
 		}
 	case tier.Head:
 		m.Query = wide(d)
-		h := &tier.HeadOf{Class: small(d), Tenant: small(d), Key: wide(d), Left: span(d), Waited: span(d), Hint: span(d),
+		h := &tier.HeadOf{Class: small(d), Tenant: small(d), Key: wide(d), Left: span(d), Waited: span(d),
+			Hint:  span(d),
 			Slots: float(d), Memory: float(d), Retry: d.Pick(2) == 0, Moves: small(d)}
 		for range d.Pick(4) {
-			h.Attempts = append(h.Attempts, tier.Past{Worker: wide(d), Ago: span(d), Began: span(d), Ended: d.Pick(2) == 0,
+			h.Attempts = append(h.Attempts, tier.Past{Worker: wide(d), Ago: span(d), Began: span(d),
+				Ended:  d.Pick(2) == 0,
 				Result: logic.Result(d.Pick(9)), MayRun: d.Pick(2) == 0})
 		}
 		m.Head = h
 	case tier.Ended:
-		m.Query, m.Attempt, m.Result, m.Why = wide(d), small(d), logic.Result(d.Pick(9)), tier.Why(d.Pick(int(tier.Reasons)+1))
+		m.Query, m.Attempt, m.Result = wide(d), small(d), logic.Result(d.Pick(9))
+		m.Why = tier.Why(d.Pick(int(tier.Reasons) + 1))
 	case tier.Started, tier.Cancel:
 		m.Query, m.Attempt = wide(d), small(d)
 	case tier.Progress:
@@ -98,9 +101,11 @@
 			m.Bytes = bytes.Repeat([]byte{byte(d.Pick(256))}, []int{1, 2, 300, 4000, 1 << 17}[n])
 		}
 	case tier.Word:
-		m.Word = &tier.WordOf{Worker: wide(d), StartedMs: int64(wide(d)), Generation: int64(wide(d)), State: tier.State(d.Pick(4))}
+		m.Word = &tier.WordOf{Worker: wide(d), StartedMs: int64(wide(d)), Generation: int64(wide(d)),
+			State: tier.State(d.Pick(4))}
 	case tier.Load:
-		m.Load = &tier.LoadOf{Heads: small(d), Held: small(d), Forwarders: small(d), Late: span(d), Slots: float(d), Room: float(d)}
+		m.Load = &tier.LoadOf{Heads: small(d), Held: small(d), Forwarders: small(d), Late: span(d), Slots: float(d),
+			Room: float(d)}
 	}
 	return m
 }
@@ -251,7 +256,8 @@
 			t.Fatal(err)
 		}
 		b := w.Take(nil)
-		fmt.Fprintf(out, "%s\n  %s %s\n", describe(m), hex.EncodeToString(b[:headerSize]), hex.EncodeToString(b[headerSize:]))
+		fmt.Fprintf(out, "%s\n  %s %s\n", describe(m), hex.EncodeToString(b[:headerSize]),
+			hex.EncodeToString(b[headerSize:]))
 		got, err := read(NewReader(0), b, func(int) int { return 5 })
 		if err != nil || !same(got, []tier.Message{m}) {
 			t.Errorf("%+v came as %+v, %v", m, got, err)
@@ -306,8 +312,10 @@
 		{Kind: tier.Hello, Epoch: epoch, Name: "f-3", Process: 1718000000000000000, Version: Version},
 		{Kind: tier.Head, Epoch: epoch, Query: 1000, Head: &tier.HeadOf{Class: 2, Tenant: 1, Key: 0x0123456789abcdef,
 			Left: 4 * time.Second, Waited: 3 * time.Millisecond, Hint: 120 * time.Millisecond, Slots: 1}},
-		{Kind: tier.Head, Epoch: epoch, Query: 1001, Head: &tier.HeadOf{Left: time.Second, Slots: 2, Memory: 1.5, Retry: true,
-			Moves: 1, Attempts: []tier.Past{{Worker: 77, Ago: 20 * time.Millisecond, Began: 5 * time.Millisecond, Ended: true,
+		{Kind: tier.Head, Epoch: epoch, Query: 1001, Head: &tier.HeadOf{Left: time.Second, Slots: 2, Memory: 1.5,
+			Retry: true,
+			Moves: 1, Attempts: []tier.Past{{Worker: 77, Ago: 20 * time.Millisecond, Began: 5 * time.Millisecond,
+				Ended:  true,
 				Result: logic.Reset, MayRun: true}, {Worker: 78, Ago: time.Millisecond}}}},
 		{Kind: tier.Ended, Epoch: epoch, Query: 1000, Attempt: 0},
 		{Kind: tier.Ended, Epoch: epoch, Query: 1000, Attempt: 1, Result: logic.NotSent, Why: tier.NodeDrains},
@@ -318,7 +326,8 @@
 		{Kind: tier.Asked, Epoch: epoch, Number: 12},
 		{Kind: tier.Welcome, Epoch: epoch, Name: "p-1", Process: 1717999999000000000, Version: Version, Credit: 512},
 		{Kind: tier.Credit, Epoch: epoch, Credit: 300},
-		{Kind: tier.Send, Epoch: epoch, Query: 1000, Worker: 0xfedcba9876543210, Attempt: 1, Patience: 80 * time.Millisecond},
+		{Kind: tier.Send, Epoch: epoch, Query: 1000, Worker: 0xfedcba9876543210, Attempt: 1,
+			Patience: 80 * time.Millisecond},
 		{Kind: tier.Refuse, Epoch: epoch, Query: 1000, After: 250 * time.Millisecond},
 		{Kind: tier.Fail, Epoch: epoch, Query: 1000},
 		{Kind: tier.Cancel, Epoch: epoch, Query: 1000, Attempt: 2},
@@ -329,9 +338,11 @@
 		{Kind: tier.Here, Epoch: epoch, Number: 12, Late: 80 * time.Millisecond},
 		{Kind: tier.Snapshot, Epoch: epoch, Age: time.Second, Bytes: []byte("what it knows")},
 		{Kind: tier.Bye, Epoch: epoch},
-		{Kind: tier.Word, Epoch: epoch, Word: &tier.WordOf{Worker: 5, StartedMs: 1718000000000, Generation: 41, State: tier.Draining}},
+		{Kind: tier.Word, Epoch: epoch, Word: &tier.WordOf{Worker: 5, StartedMs: 1718000000000, Generation: 41,
+			State: tier.Draining}},
 		{Kind: tier.Greet, Epoch: epoch, Name: "p-2", Process: 1717999999000000000, Version: Version},
-		{Kind: tier.Load, Epoch: epoch, Load: &tier.LoadOf{Heads: 90, Held: 4, Forwarders: 10, Late: time.Millisecond, Slots: 86, Room: 20.5}},
+		{Kind: tier.Load, Epoch: epoch, Load: &tier.LoadOf{Heads: 90, Held: 4, Forwarders: 10, Late: time.Millisecond,
+			Slots: 86, Room: 20.5}},
 	}
 }
 
@@ -373,7 +384,8 @@
 		{"the same from this version", foreign(Major, Minor, over, kind, over)},
 		{"and", foreign(Major, Minor, longer)},
 		{"a later minor version: a field more of an attempt", foreign(Major, Minor+1, past)},
-		{"an older one: fields that it does not know are zero", foreign(Major, 0, plain(t, tier.Message{Kind: tier.Send, Query: 9}))},
+		{"an older one: fields that it does not know are zero", foreign(Major, 0,
+			plain(t, tier.Message{Kind: tier.Send, Query: 9}))},
 		{"a later major version says hello", foreign(Major+1, 3, append(hello, 9, 9), append(hello, 9, 9))},
 		{"and something else", append(foreign(Major+1, 3, hello), foreign(Major+1, 3, []byte{2, 0, 1}, hello)...)},
 		{"an earlier major version", foreign(0, 9, over)},
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -7,8 +7,8 @@
 // bounded by what the ledger holds, the list, and mostStrangers words.
 //
 // A word about a worker node can forbid, never allow: a node that the forwarder's own list has as draining, or not at
-// all, gets nothing whatever others say, and one that it has as up gets nothing if the newest word of anybody is that it
-// drains or is gone. So a wrong word shuts a node at worst.
+// all, gets nothing whatever others say, and one that it has as up gets nothing if the newest word of anybody is that
+// it drains or is gone. So a wrong word shuts a node at worst.
 package guard
 
 import (
@@ -185,7 +185,8 @@
 			return
 		}
 		n := g.nodes[a.Worker]
-		q.attempts = append(q.attempts, attempt{worker: a.Worker, cell: n.cell, zone: n.zone, number: q.checked, sent: g.now})
+		q.attempts = append(q.attempts, attempt{worker: a.Worker, cell: n.cell, zone: n.zone, number: q.checked,
+			sent: g.now})
 		q.out++
 	case logic.Refuse:
 		g.close(a.Job)
@@ -498,10 +499,16 @@
 	return g.words.take(w, listed) && (!listed || w.Newer(n.word))
 }
 
-// Known is what the own list says of a worker node.
-func (g *Guard) Known(worker uint64) (w tier.WordOf, listed bool) {
-	n, listed := g.nodes[worker]
-	return n.word, listed
+// Against is the newest word by which a worker node gets nothing.
+func (g *Guard) Against(worker uint64) (w tier.WordOf, ok bool) {
+	switch n, listed := g.nodes[worker]; {
+	case !listed:
+		return w, false
+	case g.words.forbid(n.word):
+		return g.words.of[worker], true
+	default:
+		return n.word, n.word.State != tier.Up
+	}
 }
 
 // Shut tells whether a worker node that the own list has as up gets nothing all the same, by the word of others.
--- a/internal/guard/guard_test.go
+++ b/internal/guard/guard_test.go
@@ -118,7 +118,8 @@
 	case "probes":
 		s.Probes = true
 	case "class":
-		c := logic.Class{Effect: map[string]logic.Effect{"unsafe": logic.Unsafe, "keyed": logic.Keyed, "safe": logic.Safe}[f[1]]}
+		c := logic.Class{Effect: map[string]logic.Effect{"unsafe": logic.Unsafe, "keyed": logic.Keyed,
+			"safe": logic.Safe}[f[1]]}
 		for _, x := range f[2:] {
 			switch {
 			case strings.HasPrefix(x, "kind="):
@@ -126,7 +127,8 @@
 			case strings.HasPrefix(x, "window="):
 				c.Window = p.span(x[7:])
 			default:
-				c.Group = map[string]logic.Group{"cell": logic.GroupCell, "zone": logic.GroupZone, "all": logic.GroupAll}[x]
+				c.Group = map[string]logic.Group{"cell": logic.GroupCell, "zone": logic.GroupZone,
+					"all": logic.GroupAll}[x]
 			}
 		}
 		s.Classes = append(s.Classes, c)
@@ -136,7 +138,8 @@
 var listKinds = map[string]logic.ListKind{"delta": logic.ListDelta, "full": logic.ListFull, "cached": logic.ListCached,
 	"lost": logic.ListLost}
 
-var results = map[string]logic.Result{"ok": logic.OK, "failed": logic.Failed, "full": logic.Full, "timeout": logic.TimedOut,
+var results = map[string]logic.Result{"ok": logic.OK, "failed": logic.Failed, "full": logic.Full,
+	"timeout":   logic.TimedOut,
 	"noconnect": logic.NoConnect, "reset": logic.Reset, "cancelled": logic.Cancelled, "notsent": logic.NotSent}
 
 func (p *stage) line(what string, f []string) (why tier.Why, asked bool) {
@@ -175,7 +178,8 @@
 		p.g.Heard(p.now, logic.StreamBegun{Job: p.number(f[0]), Attempt: int(p.number(f[1])), Worker: p.number(f[2])})
 	case "ended":
 		r := results[f[3]]
-		p.g.Heard(p.now, logic.Outcome{Job: p.number(f[0]), Attempt: int(p.number(f[1])), Worker: p.number(f[2]), Result: r,
+		p.g.Heard(p.now, logic.Outcome{Job: p.number(f[0]), Attempt: int(p.number(f[1])), Worker: p.number(f[2]),
+			Result: r,
 			Closed: r == logic.OK || len(f) > 4})
 	case "open":
 		p.g.Open(tier.Epoch(p.number(f[0])))
@@ -184,7 +188,8 @@
 	case "give":
 		p.g.Give(p.number(f[0]), tier.Epoch(p.number(f[1])))
 	case "word":
-		w := tier.WordOf{Worker: p.number(f[0]), StartedMs: p.span(f[1]).Milliseconds(), Generation: int64(p.number("=" + f[2]))}
+		w := tier.WordOf{Worker: p.number(f[0]), StartedMs: p.span(f[1]).Milliseconds(),
+			Generation: int64(p.number("=" + f[2]))}
 		w.State = map[string]tier.State{"up": tier.Up, "draining": tier.Draining, "gone": tier.Gone}[f[3]]
 		p.g.Word(p.now, w)
 	default:
@@ -195,8 +200,9 @@
 
 // order is "send eEPOCH qQUERY #NUMBER wWORKER" and the like.
 func (p *stage) order(what string, f []string) tier.Why {
-	m := tier.Message{Kind: map[string]tier.Kind{"send": tier.Send, "refuse": tier.Refuse, "fail": tier.Fail, "cancel": tier.Cancel,
-		"move": tier.Move, "probe": tier.Probe, "free": tier.Free, "hello": tier.Hello}[what]}
+	m := tier.Message{Kind: map[string]tier.Kind{"send": tier.Send, "refuse": tier.Refuse, "fail": tier.Fail,
+		"cancel": tier.Cancel,
+		"move":   tier.Move, "probe": tier.Probe, "free": tier.Free, "hello": tier.Hello}[what]}
 	for _, x := range f[1:] {
 		switch x[0] {
 		case 'q':
--- a/internal/guard/model_test.go
+++ b/internal/guard/model_test.go
@@ -54,16 +54,21 @@
 	may := slices.ContainsFunc(q.tries, modelTry.mayHaveRun)
 	switch m.Kind {
 	case tier.Refuse:
-		against(tier.NotHarmless, may && c.Effect != logic.Safe && (c.Effect != logic.Keyed || c.Group != logic.GroupAll))
+		against(tier.NotHarmless, may && c.Effect != logic.Safe && (c.Effect != logic.Keyed ||
+			c.Group != logic.GroupAll))
 	case tier.Cancel:
 		against(tier.NotAllowed, !h.set.Cancelling)
-		against(tier.NoSuchQuery, !slices.ContainsFunc(q.tries, func(t modelTry) bool { return t.num == m.Attempt && !t.ended }))
+		against(tier.NoSuchQuery, !slices.ContainsFunc(q.tries, func(t modelTry) bool {
+			return t.num == m.Attempt &&
+				!t.ended
+		}))
 	case tier.Send:
 		against(tier.Repeated, m.Attempt < 0 || slices.ContainsFunc(q.used, func(n int) bool { return n >= m.Attempt }))
 		against(tier.PastDeadline, h.now >= q.came+q.job.Left)
 		against(tier.TooManyTries, len(q.tries) >= h.set.TryLimit)
 		against(tier.NoSuchNode, !listed)
-		against(tier.NotForClass, c.Kinds != nil && !slices.Contains(c.Kinds, w.Kind) || c.Zones != nil && !slices.Contains(c.Zones, w.Zone))
+		against(tier.NotForClass, c.Kinds != nil && !slices.Contains(c.Kinds, w.Kind) || c.Zones != nil &&
+			!slices.Contains(c.Zones, w.Zone))
 		newest := words[m.Worker]
 		own := tier.WordOf{Worker: w.ID, StartedMs: w.BootAt.Milliseconds(), Generation: w.gen}
 		against(tier.NodeDrains, !w.Ready || newest != nil && newest.State != tier.Up && !own.Newer(*newest))
@@ -74,7 +79,8 @@
 				continue
 			}
 			against(tier.MayHaveRun, c.Effect == logic.Unsafe)
-			against(tier.OutsideGroup, c.Effect == logic.Keyed && (c.Group == logic.GroupCell && t.cell != w.Cell || c.Group == logic.GroupZone && t.zone != w.Zone))
+			against(tier.OutsideGroup, c.Effect == logic.Keyed && (c.Group == logic.GroupCell && t.cell != w.Cell ||
+				c.Group == logic.GroupZone && t.zone != w.Zone))
 			against(tier.PastWindow, c.Effect == logic.Keyed && 20*(h.now-t.at) >= 19*c.Window)
 		}
 	}
@@ -167,7 +173,8 @@
 		switch {
 		case x.sent != nil && x.sent.Kind == tier.Send:
 			at := h.listAt(i)[x.sent.Worker]
-			q.tries = append(q.tries, modelTry{worker: x.sent.Worker, cell: at.Cell, zone: at.Zone, num: x.sent.Attempt, at: x.at})
+			q.tries = append(q.tries, modelTry{worker: x.sent.Worker, cell: at.Cell, zone: at.Zone, num: x.sent.Attempt,
+				at: x.at})
 		case x.sent != nil:
 			q.over = true
 		case x.used:
@@ -211,7 +218,8 @@
 		switch what := s.Pick(16); {
 		case what == 0 && queries < 12:
 			queries++
-			hear(logic.Job{ID: queries, Class: s.Pick(len(set.Classes)), Left: time.Duration(s.Pick(40)) * 50 * time.Millisecond})
+			hear(logic.Job{ID: queries, Class: s.Pick(len(set.Classes)),
+				Left: time.Duration(s.Pick(40)) * 50 * time.Millisecond})
 			note(happening{query: queries, owner: epoch})
 			g.Give(queries, epoch)
 			s.Did("job")
@@ -219,7 +227,8 @@
 			hear(modelList(s, h, logic.ListKind(s.Pick(4))))
 			s.Did("list")
 		case what == 2:
-			w := tier.WordOf{Worker: uint64(s.Pick(6)), StartedMs: int64(s.Pick(3)) * 1000, Generation: int64(s.Pick(6)), State: tier.State(s.Pick(3))}
+			w := tier.WordOf{Worker: uint64(s.Pick(6)), StartedMs: int64(s.Pick(3)) * 1000,
+				Generation: int64(s.Pick(6)), State: tier.State(s.Pick(3))}
 			before, own := h.words()[w.Worker], h.list()
 			x, listed := own[w.Worker]
 			news := (before == nil || w.Newer(*before)) && (!listed || w.Newer(modelWord(x)))
@@ -244,11 +253,13 @@
 			n := s.Pick(len(q.tries))
 			if t := q.tries[n]; !t.ended {
 				r := logic.Result(s.Pick(8))
-				hear(logic.Outcome{Job: id, Attempt: n, Worker: t.worker, Result: r, Closed: r == logic.OK || q.over || s.Pick(9) == 0})
+				hear(logic.Outcome{Job: id, Attempt: n, Worker: t.worker, Result: r, Closed: r == logic.OK || q.over ||
+					s.Pick(9) == 0})
 				s.Did("ended")
 			}
 		default:
-			m := &tier.Message{Kind: []tier.Kind{tier.Send, tier.Send, tier.Send, tier.Send, tier.Refuse, tier.Fail, tier.Cancel,
+			m := &tier.Message{Kind: []tier.Kind{tier.Send, tier.Send, tier.Send, tier.Send, tier.Refuse, tier.Fail,
+				tier.Cancel,
 				tier.Probe, tier.Free}[s.Pick(9)], Query: id, Worker: uint64(s.Pick(6))}
 			if q != nil {
 				if epoch = q.owner; s.Pick(8) == 0 {
@@ -285,7 +296,8 @@
 		q := h.query(id)
 		for n, a := range g.Fates(h.now, id, nil) {
 			t := q.tries[n]
-			s.Check(a == tier.Past{Worker: t.worker, Ago: h.now - t.at, Ended: t.ended, Result: t.result, MayRun: t.mayHaveRun()},
+			s.Check(a == tier.Past{Worker: t.worker, Ago: h.now - t.at, Ended: t.ended, Result: t.result,
+				MayRun: t.mayHaveRun()},
 				"fate %+v of %+v", a, t)
 		}
 		for n, t := range q.tries {
@@ -307,9 +319,11 @@
 }
 
 func modelSettings(s *steps.Steps) logic.Settings {
-	set := logic.Settings{TryLimit: 1 + s.Pick(4), SecondCopies: s.Pick(3) > 0, Cancelling: s.Pick(2) == 0, Probes: s.Pick(2) == 0}
+	set := logic.Settings{TryLimit: 1 + s.Pick(4), SecondCopies: s.Pick(3) > 0, Cancelling: s.Pick(2) == 0,
+		Probes: s.Pick(2) == 0}
 	for range 1 + s.Pick(3) {
-		c := logic.Class{Effect: logic.Effect(s.Pick(3)), Group: logic.Group(s.Pick(3)), Window: time.Duration(s.Pick(20)) * 100 * time.Millisecond}
+		c := logic.Class{Effect: logic.Effect(s.Pick(3)), Group: logic.Group(s.Pick(3)),
+			Window: time.Duration(s.Pick(20)) * 100 * time.Millisecond}
 		if s.Pick(4) == 0 {
 			c.Kinds = []int{s.Pick(3)}
 		}
@@ -326,7 +340,8 @@
 	for id := range uint64(6) {
 		if kind != logic.ListLost && s.Pick(4) > 0 {
 			l.Workers = append(l.Workers, logic.Worker{ID: id, Kind: s.Pick(2), Zone: s.Pick(2), Cell: s.Pick(2),
-				Ready: s.Pick(6) > 0, Gone: kind == logic.ListDelta && s.Pick(6) == 0, BootAt: time.Duration(s.Pick(3)) * time.Second})
+				Ready: s.Pick(6) > 0, Gone: kind == logic.ListDelta &&
+					s.Pick(6) == 0, BootAt: time.Duration(s.Pick(3)) * time.Second})
 		}
 	}
 	return l
@@ -344,7 +359,8 @@
 			Group: logic.Group(rng.IntN(3)), Window: time.Duration(1+rng.IntN(20)) * 100 * time.Millisecond}}
 		d, g := logic.New(set, seed), New(set)
 		now := 10 * time.Hour
-		list := logic.WorkerList{Kind: logic.ListFull, Workers: []logic.Worker{{ID: 9, Ready: true, Cell: rng.IntN(2), Zone: rng.IntN(2)}}}
+		list := logic.WorkerList{Kind: logic.ListFull, Workers: []logic.Worker{{ID: 9, Ready: true, Cell: rng.IntN(2),
+			Zone: rng.IntN(2)}}}
 		job := logic.Job{ID: 1, Left: 2 * time.Hour, Slots: 1}
 		var pasts []logic.Past
 		n := rng.IntN(4)
@@ -358,7 +374,8 @@
 		}
 		slices.SortFunc(tries, func(a, b try) int { return int(b.ago - a.ago) })
 		for i := range tries {
-			list.Workers = append(list.Workers, logic.Worker{ID: uint64(10 + i), Ready: true, Cell: rng.IntN(2), Zone: rng.IntN(2)})
+			list.Workers = append(list.Workers, logic.Worker{ID: uint64(10 + i), Ready: true, Cell: rng.IntN(2),
+				Zone: rng.IntN(2)})
 		}
 		g.Heard(now-4*time.Second, list)
 		g.Heard(now-4*time.Second, logic.Job{ID: 1, Left: 2*time.Hour + 4*time.Second})
@@ -410,11 +427,12 @@
 	orders := 0
 	for seed := range uint64(30) {
 		rng := rand.New(rand.NewPCG(seed, 12))
-		set := logic.Settings{TryLimit: 1 + rng.IntN(4), SecondCopies: rng.IntN(2) == 0, Cancelling: true, Probes: rng.IntN(2) == 0,
-			TellsStart: rng.IntN(2) == 0, ConnectTimeout: 50 * time.Millisecond}
+		set := logic.Settings{TryLimit: 1 + rng.IntN(4), SecondCopies: rng.IntN(2) == 0, Cancelling: true,
+			Probes: rng.IntN(2) == 0, TellsStart: rng.IntN(2) == 0, ConnectTimeout: 50 * time.Millisecond}
 		for range 3 {
-			set.Classes = append(set.Classes, logic.Class{Aim: time.Duration(50+rng.IntN(500)) * time.Millisecond, Stretch: 1, Worth: 1,
-				GiveUp: time.Second, Effect: logic.Effect(rng.IntN(3)), Group: logic.Group(rng.IntN(3)), Window: time.Duration(rng.IntN(900)) * time.Millisecond})
+			set.Classes = append(set.Classes, logic.Class{Aim: time.Duration(50+rng.IntN(500)) * time.Millisecond,
+				Stretch: 1, Worth: 1, GiveUp: time.Second, Effect: logic.Effect(rng.IntN(3)),
+				Group: logic.Group(rng.IntN(3)), Window: time.Duration(rng.IntN(900)) * time.Millisecond})
 		}
 		d, g, now := logic.New(set, seed), New(set), time.Hour
 		type out struct {
@@ -432,20 +450,23 @@
 			if rng.IntN(12) == 0 || jobs == 0 {
 				l := logic.WorkerList{Kind: logic.ListFull}
 				for id := range uint64(6) {
-					l.Workers = append(l.Workers, logic.Worker{ID: id + 1, Ready: rng.IntN(4) > 0, Cell: int(id % 2), Zone: int(id % 3)})
+					l.Workers = append(l.Workers, logic.Worker{ID: id + 1, Ready: rng.IntN(4) > 0, Cell: int(id % 2),
+						Zone: int(id % 3)})
 				}
 				events = append(events, l)
 			}
 			for range rng.IntN(3) {
 				jobs++
-				events = append(events, logic.Job{ID: jobs, Class: rng.IntN(3), Left: time.Duration(100+rng.IntN(900)) * time.Millisecond, Slots: 1})
+				events = append(events, logic.Job{ID: jobs, Class: rng.IntN(3),
+					Left: time.Duration(100+rng.IntN(900)) * time.Millisecond, Slots: 1})
 			}
 			outs = slices.DeleteFunc(outs, func(o out) bool {
 				if rng.IntN(5) > 0 {
 					return false
 				}
 				r := logic.Result(rng.IntN(8))
-				events = append(events, logic.Outcome{Job: o.job, Attempt: o.attempt, Worker: o.worker, Result: r, Closed: r == logic.OK})
+				events = append(events, logic.Outcome{Job: o.job, Attempt: o.attempt, Worker: o.worker, Result: r,
+					Closed: r == logic.OK})
 				return true
 			})
 			for _, e := range events {
