Blame idle links only where most fare badly, so that a silent rack does not close all links

Seen: with 1,000 worker nodes a rack of 20% that is silent for 4 s left the service at 5,400/s for good, where 8,500 had been, with one core full and nothing refused. Checked: not the link's own trust in idle links (without it 6,000/s); a profile shows 15% of the time in connect and the module's FreeLinks before sends. Cause: two attempts on idle links that fared badly, with none idle as long that did well between, closed all links that were idle for half as long before each send; 200 silent workers bring many at once. Change: good and bad news are counted by age and fade; links are blamed where bad ones of that age or older outnumber good ones, and two there must be. After a third of the workers restarts the service still stays low (4,700/s): open, suspected of the links' own trust, which one broken link halves.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -752,18 +752,22 @@
 	}
 }
 
-// linkNews takes in how an attempt on an idle link went. Two that fared badly, with none idle as long between
-// them that did well, are the links' fault and not the workers'. Forgotten by and by in upkeep.
+// linkNews takes in how an attempt on an idle link went. Where of links idle for so long or longer two fared
+// badly of late, and more than did well, it is the links' fault and not the workers': a rack that is silent
+// has but its part of them. Forgotten by and by in upkeep.
 func (d *Dispatcher) linkNews(a *attempt, well bool) {
-	switch {
-	case a.idle == 0:
-	case well && a.idle >= d.idleBad:
-		d.idleBad = 0
-	case !well && d.idleBad > 0:
-		d.idleBad = min(d.idleBad, a.idle)
-		d.idleMost, d.idleAt = d.idleBad/2, d.now
-	case !well:
-		d.idleBad = a.idle
+	if a.idle == 0 {
+		return
+	}
+	age := idleAge(a.idle)
+	if d.idleNews[age].count(well); well {
+		return
+	}
+	for ; age >= 0; age-- {
+		if all := d.idleNews.from(age); all.bad > 1.5 && all.bad > all.good {
+			d.idleMost, d.idleAt = idleSpan(age), d.now
+			return
+		}
 	}
 }
 
@@ -990,6 +994,7 @@
 		d.tail[i] = max(1, d.tail[i]*(1-upkeepEvery.Seconds()/forgetTail.Seconds()))
 	}
 	bad, broken, ready := 0, 0, 0
+	d.idleNews.fade(1 - upkeepEvery.Seconds()/forgetSpeed.Seconds())
 	if d.idleMost > 0 && d.now-d.idleAt > forgetSpeed {
 		d.idleMost, d.idleAt = 2*d.idleMost, d.now
 	}
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -1106,3 +1106,16 @@
 		}
 	}
 }
+
+// A part of the fleet that falls silent at once says nothing of idle links, as those to the others do well.
+func TestSilentRackIsNotTheLinksFault(t *testing.T) {
+	f := newFleet(100, scaleSettings())
+	f.serve(100, time.Second)
+	for range 30 {
+		a := &attempt{idle: 8 * ms}
+		f.d.linkNews(a, false)
+	}
+	if f.d.idleMost != 0 {
+		t.Fatalf("links are trusted for %v", f.d.idleMost)
+	}
+}
--- a/logic/members.go
+++ b/logic/members.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"math/bits"
 	"time"
 )
 
@@ -255,3 +256,39 @@
 func (d *Dispatcher) outran(a *attempt, run time.Duration) {
 	d.tail[a.job.Class] = max(d.tail[a.job.Class], run.Seconds()/max(a.expect.Seconds(), 1e-3))
 }
+
+// idleNews counts how attempts fared by how long their links had been idle: age n is from 2^n to 2^(n+1) milliseconds.
+type idleNews [20]tally
+
+type tally struct{ good, bad float64 }
+
+func (t *tally) count(well bool) {
+	if well {
+		t.good++
+	} else {
+		t.bad++
+	}
+}
+
+// from is the sum over an age and all that are older.
+func (n *idleNews) from(age int) (sum tally) {
+	for _, t := range n[age:] {
+		sum.good += t.good
+		sum.bad += t.bad
+	}
+	return sum
+}
+
+func (n *idleNews) fade(part float64) {
+	for i := range n {
+		n[i].good *= part
+		n[i].bad *= part
+	}
+}
+
+func idleAge(idle time.Duration) int {
+	return min(max(bits.Len64(uint64(idle/time.Millisecond))-1, 0), len(idleNews{})-1)
+}
+
+// idleSpan is the least that an age stands for.
+func idleSpan(age int) time.Duration { return time.Millisecond << age }
--- a/logic/snapshot.go
+++ b/logic/snapshot.go
@@ -245,7 +245,7 @@
 	c.now = d.now
 	c.random(d)
 	c.at(&d.born, &d.armed, &d.trialAt, &d.askAt, &d.idleAt, &d.wokeAt)
-	c.span(&d.startBest, &d.lateStart, &d.askWait, &d.idleMost, &d.idleBad, &d.probeBest, &d.wokeLate)
+	c.span(&d.startBest, &d.lateStart, &d.askWait, &d.idleMost, &d.probeBest, &d.wokeLate)
 	c.float(&d.cutLog, &d.muShort, &d.meanWorth, &d.meanCost, &d.arrivals, &d.spread, &d.best, &d.used, &d.copies, &d.probes,
 		&d.trials, &d.waiting)
 	c.flag(&d.mistrust, &d.mistrustAll, &d.asked, &d.follows)
@@ -272,6 +272,7 @@
 	})
 	c.population(d)
 	c.keys(d)
+	fixed(c, d.idleNews[:], func(n *tally) { c.float(&n.good, &n.bad) })
 	c.shelf(d)
 	// Heaps are held as they lie: jobs that are equal in rank leave by their place.
 	fixed(c, d.roll.shapes, func(sh *shape) {
--- a/logic/state.go
+++ b/logic/state.go
@@ -53,7 +53,8 @@
 	askAt, askWait        time.Duration
 	probeBest             time.Duration // least delay of any answer to a probe
 	wokeAt, wokeLate      time.Duration // when this process was last late itself, and by how much
-	idleMost, idleBad     time.Duration // links idle longer are closed first; least age that fared badly
+	idleMost              time.Duration // links idle longer are closed first
+	idleNews              idleNews      // how attempts on links idle for so long fared of late
 	idleAt                time.Duration // when idleMost was set
 	shared                Shared        // in place of the settings'; Of 0: not told
 }
