--- a/logic/logic.go
+++ b/logic/logic.go
@@ -89,12 +89,17 @@
 	return d
 }
 
-// before is the order in which held jobs leave.
+// before is the order in which held jobs leave, older that of those over tau.
 func before(a, b *job) bool {
-	if a.spare != b.spare {
+	if a.passes == b.passes && a.spare != b.spare {
 		return b.spare
 	}
-	return cmp.Or(cmp.Compare(a.score, b.score), cmp.Compare(a.arrived, b.arrived)) < 0
+	return cmp.Or(cmp.Compare(a.passes, b.passes), cmp.Compare(a.score, b.score),
+		cmp.Compare(a.arrived, b.arrived)) < 0
+}
+
+func older(a, b *job) bool {
+	return cmp.Or(cmp.Compare(a.passes, b.passes), cmp.Compare(a.promote, b.promote)) < 0
 }
 
 // Step takes in what happened at now and returns dst with the actions it calls for appended.
@@ -238,6 +243,9 @@
 		}
 	}
 	for i, j := range d.aside {
+		if len(d.aside) == skipLimit { // the next release looks at others first: they may fit
+			j.passes++
+		}
 		d.hold(j)
 		d.aside[i] = nil
 	}
@@ -258,7 +266,7 @@
 		for !sh.oldest.empty() && (sh.oldest.first().index < 0 || sh.oldest.first().spare) {
 			sh.oldest.take().aged = false
 		}
-		if !sh.oldest.empty() && (old == nil || sh.oldest.first().promote < old.promote) {
+		if !sh.oldest.empty() && (old == nil || older(sh.oldest.first(), old)) {
 			old = sh.oldest.first()
 		}
 	}
@@ -300,7 +308,8 @@
 	for i := range n {
 		w := d.order[(from+i)%len(d.order)]
 		small := w.tooBig == 0 || j.need < w.tooBig
-		may := w.Ready && small && open(j, w) && d.maySend(j, w) && !d.suspect(w)
+		may := w.Ready && small && open(j, w) && d.maySend(j, w) && !d.suspect(w) &&
+			(j.spare || d.now+d.expectedRun(j, w) <= j.aim)
 		if may && (d.kept == nil || w.used/w.pace < d.kept.used/d.kept.pace) {
 			d.kept = w
 		}
@@ -486,7 +495,7 @@
 	d.touch(w)
 	if prompt {
 		if w.rest = 0; a.limited {
-			w.room++
+			w.room = max(w.room, w.running+a.job.need) + 1
 		}
 	} else if a.sent >= w.cut {
 		if k := d.kind(w.Kind); w.running >= k.slots {
@@ -515,8 +524,11 @@
 }
 
 // backedUp is the room of the whole fleet: hundreds of dispatchers with a job here and there fill all queues
-// though no room is above one. Jobs waiting far longer than late starts do are lost, not queued.
-func (d *Dispatcher) backedUp() bool { return d.waiting > waitShare*(d.used-d.waiting) }
+// though no room is above one. Jobs waiting far longer than late starts do are lost, not queued. One goes all
+// the same, and the next when that has started, or is as late as others: a few sick workers are no fleet.
+func (d *Dispatcher) backedUp() bool {
+	return d.waiting > waitShare*(d.used-d.waiting) && d.now-d.scout < d.lateStart
+}
 
 // slots is what a worker of this kind can run at once: the most of ours that was seen to run on one, once a
 // few that were sent beyond it have come late. Room alone drifts past it: where one job ends as the next
@@ -610,19 +622,6 @@
 	}
 }
 
-func (d *Dispatcher) probedBack(e Probed) {
-	if w := d.workers[e.Worker]; w != nil {
-		w.probing = false
-		if e.Result == OK {
-			d.probeBest = min(d.probeBest, d.now-w.probed)
-			d.alive(w)
-			d.report(w, e.Report)
-		} else if e.Result != Full && e.Result != NotSent {
-			d.blame(w, true, "does not answer a probe")
-		}
-	}
-}
-
 // ---- Cold budget: rule 4 ----
 
 // coldShare is the least part of its capacity that a worker has, by when it started.
@@ -723,6 +722,7 @@
 	if d.suspect(w) {
 		d.trialAt = d.now + firstPause
 	}
+	d.scout = d.now
 	d.link(a)
 	d.do(Send{Job: j.ID, Worker: w.ID})
 	wait := d.overlong(a)
@@ -778,6 +778,9 @@
 	delay := d.now - a.sent
 	prompt := delay <= d.promptBy(j)
 	d.startBest = min(d.startBest, delay)
+	if a.sent == d.scout {
+		d.scout = 0
+	}
 	d.linkNews(a, true)
 	if prompt || !d.excused(a) {
 		if d.grow(w, a, prompt); !prompt {
@@ -814,7 +817,8 @@
 	}
 	if d.set.SecondCopies {
 		d.hold(j)
-	} else if j.class.Effect == Safe && d.set.Cancelling { // to move it, its only attempt must end
+	} else if j.class.Effect == Safe && d.set.Cancelling && // to move it, its only attempt must end
+		(!d.lateIsNil(j) || d.now+seconds(j.work/math.Exp(d.best)) <= j.aim) {
 		for _, a := range j.attempts {
 			if !a.ended {
 				d.do(Cancel{Job: j.ID, Attempt: a.number})
@@ -846,10 +850,10 @@
 	case OK:
 		w.streak, w.worked = 0, d.now
 		d.alive(w)
-		if !d.set.TellsStart {
-			d.grow(w, a, d.now-a.sent <= j.class.Aim+seconds(j.class.Stretch*j.work))
-		}
 		d.learn(a, d.now-a.start)
+		if !d.set.TellsStart { // by what is known of sizes by now: where hints are low all would look late
+			d.grow(w, a, d.now-a.sent <= j.class.Aim+seconds(j.class.Stretch*d.expectedWork(j)/w.pace))
+		}
 	case Full:
 		w.heard = d.now
 		d.noteBusy(w, true)
--- a/logic/members.go
+++ b/logic/members.go
@@ -174,7 +174,7 @@
 	for i := range d.roll.shapes {
 		sh := &d.roll.shapes[i]
 		sh.held.less, sh.held.place = before, func(j *job, i int) { j.index = i }
-		sh.oldest.less = func(a, b *job) bool { return a.promote < b.promote }
+		sh.oldest.less = older
 	}
 	d.unstarted.young, d.unstarted.from = make([][]*attempt, len(d.set.Classes)), make([]int, len(d.set.Classes))
 }
@@ -255,3 +255,17 @@
 func (d *Dispatcher) outran(a *attempt, run time.Duration) {
 	d.tail[a.job.Class] = max(d.tail[a.job.Class], run.Seconds()/max(a.expect.Seconds(), 1e-3))
 }
+
+// probedBack takes in what became of a probe.
+func (d *Dispatcher) probedBack(e Probed) {
+	if w := d.workers[e.Worker]; w != nil {
+		w.probing = false
+		if e.Result == OK {
+			d.probeBest = min(d.probeBest, d.now-w.probed)
+			d.alive(w)
+			d.report(w, e.Report)
+		} else if e.Result != Full && e.Result != NotSent {
+			d.blame(w, true, "does not answer a probe")
+		}
+	}
+}
--- a/logic/snapshot.go
+++ b/logic/snapshot.go
@@ -244,7 +244,7 @@
 	c.span(&d.now)
 	c.now = d.now
 	c.random(d)
-	c.at(&d.born, &d.armed, &d.trialAt, &d.askAt, &d.idleAt, &d.wokeAt)
+	c.at(&d.born, &d.armed, &d.trialAt, &d.askAt, &d.idleAt, &d.wokeAt, &d.scout)
 	c.span(&d.startBest, &d.lateStart, &d.askWait, &d.idleMost, &d.idleBad, &d.probeBest, &d.wokeLate)
 	c.float(&d.cutLog, &d.muShort, &d.meanWorth, &d.meanCost, &d.arrivals, &d.spread, &d.best, &d.used, &d.copies, &d.probes,
 		&d.trials, &d.waiting)
@@ -279,6 +279,7 @@
 		list(c, &sh.oldest.items, func(j **job) {
 			c.job(j)
 			c.at(&(*j).promote)
+			c.int(&(*j).passes)
 		})
 	})
 	if !c.writing {
@@ -443,6 +444,7 @@
 	c.at(&j.arrived, &j.deadline, &j.aim, &j.promote, &j.askUntil)
 	c.flag(&j.Retry, &j.spare, &j.late, &j.closed, &j.stream, &j.aged, &j.passed)
 	c.int(&j.out)
+	c.int(&j.passes)
 	if j.Class < 0 || j.Class >= len(d.set.Classes) {
 		c.bad, j.Class = true, 0
 	}
--- a/logic/state.go
+++ b/logic/state.go
@@ -38,6 +38,7 @@
 	best                  float64         // log speed of the fastest ready worker
 	used                  float64         // our slots in use at all workers
 	unstarted             lateness        // attempts that are out and have not started
+	scout                 time.Duration   // when the last attempt was sent; 0: it has started
 	waiting               float64         // slots of those that are late, as of this step
 	lateStart             time.Duration   // mean delay of late starts
 	busy                  map[int]float64 // by zone: how likely a worker has no free slot
@@ -72,7 +73,7 @@
 	ends, past, answered   alarm   // at its deadline; its aim; when workers asked for it should have answered
 	attempts               []*attempt
 	promote                time.Duration // when it counts as held over tau
-	out                    int           // attempts outstanding
+	out, passes            int           // attempts outstanding; releases that looked at others first for its sake
 	askUntil               time.Duration // workers asked for it answer until then
 }
 
