--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -117,6 +117,7 @@
 	lateAt time.Duration // when this forwarder was last late itself
 
 	ins   []input
+	upset bool // among them are some by which planners come and go
 	out   []Envelope
 	heads headStore
 	fates []tier.Past
@@ -208,6 +209,8 @@
 			return
 		}
 		in.word = *m.Word
+	case tier.Bye:
+		f.upset = true
 	case tier.Snapshot:
 		f.learn(now, planner, m)
 		return
@@ -218,6 +221,7 @@
 // Session tells that a connection to a planner is there, or was lost.
 func (f *Follower) Session(now time.Duration, planner string, up bool) {
 	f.ins = append(f.ins, input{what: session, at: now, planner: planner, up: up})
+	f.upset = true
 }
 
 // Planners tells who is a planner, as far as the forwarder knows. It is to have a connection to each of them.
@@ -276,7 +280,7 @@
 		f.lateAt = f.now
 		for _, p := range f.planners {
 			if p.askedAt > 0 {
-				p.askedAt = f.now
+				p.askedAt, p.excused = f.now, true
 			}
 		}
 	}
@@ -328,5 +332,5 @@
 		}
 	}
 	clear(f.ins)
-	f.ins = f.ins[:0]
+	f.ins, f.upset = f.ins[:0], false
 }
--- a/internal/follow/query.go
+++ b/internal/follow/query.go
@@ -80,6 +80,13 @@
 		f.adopt(q, true)
 		return
 	}
+	if f.waiting.Len() == 0 && !f.upset { // nobody comes before it
+		f.sort()
+		if p := f.pick(q, nil); p != nil {
+			f.offer(q, p)
+			return
+		}
+	}
 	if f.waiting.Len() >= f.conf.MostWaiting {
 		if f.place(); f.waiting.Len() >= f.conf.MostWaiting {
 			f.figures.Crowded++
@@ -114,7 +121,7 @@
 	}
 }
 
-// alarm sets when a query is looked at next.
+// alarm sets when a query is looked at next. One that is set for sooner is let be: most end before it.
 func (f *Follower) alarm(q *query) {
 	at := q.deadline
 	switch q.state {
@@ -130,7 +137,7 @@
 		at = 0
 	}
 	if q.alarmed {
-		if q.At == at {
+		if at > 0 && q.At <= at {
 			return
 		}
 		f.alarms.Remove(q)
