--- a/internal/aperture/aperture_test.go
+++ b/internal/aperture/aperture_test.go
@@ -380,6 +380,25 @@
 	}
 }
 
+// A worker node that has left, and whose last attempt ends in the step in which it comes into a cell that is looked at,
+// is there.
+func TestBackAtOnce(t *testing.T) {
+	d := deploy(t, 40, 40, byCell, conf, group(1000, 20, false))
+	a, v := d.all[0], d.all[0].inner.(*viewer)
+	i := slices.IndexFunc(d.list, func(w logic.Worker) bool { return v.view[w.ID].ID == 0 })
+	in := slices.IndexFunc(d.list, func(w logic.Worker) bool { return v.view[w.ID].ID > 0 })
+	w := d.list[i]
+	a.Step(d.now, []logic.Event{logic.Resumed{Attempts: []logic.Past{{Worker: w.ID}}}}, nil)
+	if known, is := v.view[w.ID]; !is || known.Ready {
+		t.Errorf("it is out of the aperture, with an attempt, and known as %+v", known)
+	}
+	w.Cell = d.list[in].Cell
+	a.Step(d.now, []logic.Event{logic.Outcome{Worker: w.ID}, logic.WorkerList{Workers: []logic.Worker{w}}}, nil)
+	if !v.view[w.ID].Ready {
+		t.Error("it is back, and not ready")
+	}
+}
+
 // A load that hovers at the bound, so that a narrow aperture does not carry it and a wide one does, does not swing it:
 // each time that a narrowing is undone the next one waits longer.
 func TestNoSwing(t *testing.T) {
