--- a/logic/rules_test.go
+++ b/logic/rules_test.go
@@ -398,6 +398,7 @@
 }
 
 func TestRulesHoldUnderRandomEvents(t *testing.T) {
+	t.Parallel()
 	sends := 0
 	for seed := range uint64(300) {
 		sends += checkPlay(t, seed, 300)
@@ -408,6 +409,7 @@
 }
 
 func TestSameEventsSameActions(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(20) {
 		_, _, a := play(seed, 200)
 		_, _, b := play(seed, 200)
@@ -425,6 +427,7 @@
 
 // Rule 4 by an independent ledger: workers of three slots whose runs take just what was hinted.
 func TestColdBudget(t *testing.T) {
+	t.Parallel()
 	cold := 0
 	for seed := range uint64(30) {
 		rng := rand.New(rand.NewPCG(seed, 2))
@@ -498,6 +501,7 @@
 // Rule 4 with hundreds of dispatchers on one cold worker: what they send together in any span stays under the
 // budget, also where each of them restarts at random, and the worker is not left idle either.
 func TestColdBudgetSharedByHundreds(t *testing.T) {
+	t.Parallel()
 	for _, replicas := range []int{3, 40, 300} {
 		rng := rand.New(rand.NewPCG(uint64(replicas), 3))
 		set := testSettings()
--- a/logic/scale_test.go
+++ b/logic/scale_test.go
@@ -219,6 +219,7 @@
 // However many nodes there are, whatever hints are worth, and whether starts are told or not: a fleet that is under half
 // full refuses nothing, serves each client as fast as it works, and spreads what it does.
 func TestIdleFleetRefusesNothing(t *testing.T) {
+	t.Parallel()
 	for _, nodes := range []int{10, 90, 600} {
 		for _, hint := range []float64{1, 1.0 / 30, 30} {
 			for _, notice := range []bool{true, false} {
@@ -247,6 +248,7 @@
 // speeds and works stays near the truth. Corrected against what held when they were sent, each of n jobs out corrects the
 // same error, a gain of n x sizeRate, and from some 60 out on beliefs swung over factors of thousands.
 func TestLearningHoldsWhateverIsOut(t *testing.T) {
+	t.Parallel()
 	for _, c := range []struct {
 		out    int
 		hint   float64
@@ -274,6 +276,7 @@
 // A belief does not shut off its own correction: where all workers are thought far too slow for any aim, some jobs go all
 // the same, and within a second all do.
 func TestWrongBeliefIsCorrected(t *testing.T) {
+	t.Parallel()
 	for _, nodes := range []int{5, 300} {
 		f := newFleet(nodes, scaleSettings())
 		f.serve(nodes, time.Second)
@@ -292,6 +295,7 @@
 
 // Jobs that take ten times as long for a while miss their aims; once they no longer do, service is back within a second.
 func TestStepInCostIsFollowed(t *testing.T) {
+	t.Parallel()
 	f := newFleet(50, scaleSettings())
 	f.serve(100, 2*time.Second)
 	f.run *= 10
