--- a/logic/api.go
+++ b/logic/api.go
@@ -190,10 +190,10 @@
 	TimerFired struct{}
 	// Resumed is a job that another dispatcher has had, or this one under another id: it comes with its attempts so far,
 	// and further ones count on from these. Those that have not ended are out, and their outcomes come by their numbers.
-	// It takes nothing from its tenant's quota, as it has done so before.
 	Resumed struct {
 		Job      Job
 		Waited   time.Duration // since it first came
+		Counted  bool          // its tenant's quota has been charged for it, as for any that comes with attempts
 		Attempts []Past
 	}
 	// Shared tells that from now on so many dispatchers share the workers, in place of Settings.Replicas and Me. Part
--- a/logic/handover.go
+++ b/logic/handover.go
@@ -52,6 +52,9 @@
 	for _, p := range e.Attempts {
 		d.adopt(j, p)
 	}
+	if len(e.Attempts) == 0 && !e.Counted {
+		j.spare = d.overShare(j)
+	}
 	d.again(j)
 }
 
@@ -252,12 +255,12 @@
 	}
 	wide := func(x float64) bool { return math.Abs(x) > mostLog }
 	return !slices.ContainsFunc(append(logs, d.weights...), wide) &&
-		!slices.ContainsFunc(d.tail, func(x float64) bool { return x < 1 }) &&
-		d.spread > 0 && d.spread <= featureClip && d.muShort > 0 && d.meanCost >= 0 && d.lateStart > 0 && d.startBest > 0 && d.probeBest > 0
+		!slices.ContainsFunc(d.tail, func(x float64) bool { return x < 1 }) && d.spread > 0 && d.spread <= featureClip &&
+		d.muShort > 0 && d.meanCost >= 0 && d.lateStart > 0 && d.startBest > 0 && d.probeBest > 0
 }
 
-// learnFrom takes over a lesson, whole or not at all. What it says of a worker's speed has by now faded as it would have
-// here, and a room is shared like the work.
+// learnFrom takes over a lesson, whole or not at all. What it says of a worker's speed has faded by now as it would
+// have here, and a room is shared like the work.
 func (d *Dispatcher) learnFrom(e Taught) {
 	pupil := New(d.set, 0) // reads it first
 	l := pupil.figures()
--- a/logic/handover_test.go
+++ b/logic/handover_test.go
@@ -103,7 +103,7 @@
 	}
 }
 
-// A resumed job takes nothing from its tenant's quota, and counts against a cold worker's budget.
+// A resumed job takes from its tenant's quota what was not taken yet, and counts against a cold worker's budget.
 func TestResumedIsCountedOnce(t *testing.T) {
 	set := testSettings()
 	set.TenantQuota, set.Cold, set.ColdFrom, set.Overload, set.OverloadSpan = []float64{1}, time.Minute, 0.2, 1.5, time.Second
@@ -112,10 +112,14 @@
 	quota := s.d.quota[0]
 	for id := range uint64(20) {
 		s.step(Resumed{Job: s.job(id+1, 0, 50*ms), Attempts: []Past{{Worker: 1, Ago: 10 * ms, Ended: true, Result: Full}}})
+		s.step(Resumed{Job: s.job(id+100, 0, 50*ms), Waited: time.Second, Counted: true})
 	}
 	if s.d.quota[0] != quota || len(s.d.workers[1].ledger) != 20 {
 		t.Errorf("quota %v of %v, %d pieces of work at the cold worker", s.d.quota[0], quota, len(s.d.workers[1].ledger))
 	}
+	if s.step(Resumed{Job: s.job(200, 0, 50*ms), Waited: time.Second}); s.d.quotaAt[0] != s.now {
+		t.Error("one that has waited elsewhere takes nothing from the quota")
+	}
 }
 
 // Who may send work to a cold worker follows from its entry where that says so, else from the number of dispatchers;
--- a/logic/rules_test.go
+++ b/logic/rules_test.go
@@ -256,7 +256,7 @@
 				Left: time.Duration(rng.IntN(8000)) * time.Millisecond, Slots: float64(rng.IntN(5)),
 				Memory: 3 * rng.Float64(), Hint: time.Duration(rng.IntN(3)) * time.Duration(rng.IntN(2e9)), Key: id % 7}
 			if rng.IntN(4) == 0 {
-				events = append(events, Resumed{Job: j, Waited: time.Duration(rng.IntN(3000)) * time.Millisecond, Attempts: randomPasts(rng)})
+				events = append(events, Resumed{Job: j, Waited: time.Duration(rng.IntN(3000)) * time.Millisecond, Counted: id%2 == 0, Attempts: randomPasts(rng)})
 			} else {
 				events = append(events, j)
 			}
