Turn the aperture on by [aperture] in the operators' file

internal/config reads and checks its keys, valvecove check says what it would do, and link.Open puts it before the module. Off without the section.

--- a/cmd/valvecove/check.go
+++ b/cmd/valvecove/check.go
@@ -182,7 +182,14 @@
 		what["addresses"] = fmt.Sprintf("allow %s, deny %s, trusted fronts %s", ranges(f.Allow, "everyone"),
 			ranges(f.Deny, "nobody"), ranges(f.Fronts, "none"))
 	}
-	for _, name := range []string{"status", "capture", "figures", "addresses"} {
+	if f := ops.Aperture; f != nil {
+		what["aperture"] = fmt.Sprintf("%d worker nodes at least, each at %d schedulers at least, up to %s times as many under "+
+			"load; fleets under %d whole", f.Least, f.Cover, number(f.Most), f.OffBelow)
+		if c.Settings.Replicas < 2 {
+			what["aperture"] = "nothing to do, as there is one scheduler"
+		}
+	}
+	for _, name := range []string{"status", "capture", "figures", "addresses", "aperture"} {
 		p.line(name, or(what[name], "off"))
 	}
 }
--- a/internal/config/ops.go
+++ b/internal/config/ops.go
@@ -14,6 +14,8 @@
 
 	"github.com/BurntSushi/toml"
 	jsoniter "github.com/json-iterator/go"
+
+	"valvecove/internal/aperture"
 )
 
 // Ops is the operators' own file: how the log is written, and the features that are on. One whose section is absent
@@ -24,6 +26,7 @@
 	Capture   *Capture
 	Figures   *Figures
 	Addresses *Addresses
+	Aperture  *aperture.Config
 	Replay    *Replay
 }
 
@@ -150,6 +153,14 @@
 		o.Addresses = &Addresses{Allow: t.ranges("allow"), Deny: t.ranges("deny"), Fronts: t.ranges("trusted_fronts")}
 		t.end()
 	}
+	if t := top.table("aperture"); t != nil {
+		d := aperture.Defaults()
+		o.Aperture = &aperture.Config{Least: t.whole("least", d.Least, 1, 1_000_000),
+			Cover: t.whole("cover", d.Cover, 2, 1000), OffBelow: t.whole("off_below", d.OffBelow, 0, 1_000_000),
+			Most: t.number("most", d.Most, 1, 1000), WidenAt: t.number("widen_at", d.WidenAt, 0.01, 1),
+			Dwell: time.Duration(t.number("dwell_s", d.Dwell.Seconds(), 1, 3600) * float64(time.Second))}
+		t.end()
+	}
 	if t := top.table("replay"); t != nil {
 		o.Replay = &Replay{}
 		if set := t.table("settings"); set != nil {
--- a/internal/config/ops_test.go
+++ b/internal/config/ops_test.go
@@ -7,6 +7,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"valvecove/internal/aperture"
 )
 
 // Each fault of the operators' file names its key.
@@ -37,6 +39,9 @@
 		"[addresses]\ndeny = ['10.0.0.0/33']":          `key "addresses.deny[0]": expected a range`,
 		"[addresses]\nallow = ['::ffff:0.0.0.0/95']":   `key "addresses.allow[0]": expected a range`,
 		"[addresses]\ntrusted_fronts = [1]":            `key "addresses.trusted_fronts[0]": expected a range such as "10.20.0.0/16" or "fd00:5a::/48", got 1`,
+		"[aperture]\ncover = 1":                        `key "aperture.cover": expected 2 to 1000, got 1`,
+		"[aperture]\nwiden_at = 0":                     `key "aperture.widen_at": expected 0.01 to 1, got 0`,
+		"[aperture]\nof_fleet = 0.1":                   `key "aperture.of_fleet": not known`,
 		"[replay]\nsetting = 1":                        `key "replay.setting": not known`,
 		"[replay]\nsettings = 1":                       `key "replay.settings": expected a table`,
 		"[stats]\n":                                    `key "stats": not known`,
@@ -77,6 +82,10 @@
 	if o.Capture.MemoryKB = 192<<10/8 + 1; o.Check(c) == nil {
 		t.Error("a ring that takes up much of the memory")
 	}
+	if o, err = DecodeOps("[aperture]\nleast = 30\ndwell_s = 1.5"); err != nil || o.Aperture.Least != 30 ||
+		o.Aperture.Dwell != 1500*time.Millisecond || o.Aperture.Cover != aperture.Defaults().Cover {
+		t.Errorf("aperture: %+v, %v", o.Aperture, err)
+	}
 	o, err = DecodeOps("[figures]\n")
 	if err != nil || *o.Figures != (Figures{Format: "statsd", Every: 10 * time.Second, MaxBatch: 1400}) {
 		t.Errorf("defaults: %+v, %v", o.Figures, err)
--- a/internal/link/start.go
+++ b/internal/link/start.go
@@ -8,6 +8,7 @@
 	"golang.org/x/sys/unix"
 
 	"valvecove/internal/address"
+	"valvecove/internal/aperture"
 	"valvecove/internal/capture"
 	"valvecove/internal/config"
 	"valvecove/internal/figures"
@@ -43,9 +44,13 @@
 	seed := c.Seed
 	module := func() ledger.Module {
 		seed++
-		m := logic.New(c.Settings.Settings, seed)
+		d := logic.New(c.Settings.Settings, seed)
+		m := ledger.Module(d)
 		if l.Capture != nil {
-			return l.Capture.Wrap(m)
+			m = l.Capture.Wrap(d)
+		}
+		if ops.Aperture != nil { // before the capture: that records what the module itself was told, and replays alone
+			m = aperture.Wrap(m, c.Settings.Settings, *ops.Aperture)
 		}
 		return m
 	}
