--- a/internal/lab/experiment/run.go
+++ b/internal/lab/experiment/run.go
@@ -10,10 +10,13 @@
 	"runtime"
 	"runtime/debug"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"valvecove/internal/aperture"
+	"valvecove/internal/config"
 	"valvecove/internal/lab/edge"
 	"valvecove/internal/lab/judge"
 	"valvecove/internal/lab/live"
@@ -31,10 +34,14 @@
 // Logic is the name of the policy that is in service; the others are yardsticks.
 const Logic = "logic"
 
+// WithAperture behind a policy's name puts an aperture before each of its modules, and keys of its section in the
+// operators' file may follow: "logic+aperture:least=20:cover=3".
+const WithAperture = "+aperture"
+
 // Subject is what is put through a play.
 type Subject struct {
 	Name   string
-	Policy string   // Logic (or empty) or a yardstick's name; virtual only
+	Policy string   // Logic (or empty) or a yardstick's name, and WithAperture where it has one; virtual only
 	Mutant string   // name of a seeded fault to put before each scheduler; virtual only; empty: none
 	Set    []string // changes to the scenario, "key=value" with the value as TOML has it
 	Binary string   // the scheduler's program; live only
@@ -254,10 +261,14 @@
 // virtualOptions is what a subject means to the virtual driver.
 func virtualOptions(spec *scenario.Scenario, s Subject) (virtual.Options, error) {
 	var opt virtual.Options
-	if s.Policy != "" && s.Policy != Logic {
-		policy, ok := yardstick.Find(s.Policy)
+	name, narrowed, err := apertureOf(spec, s.Policy)
+	if err != nil {
+		return opt, err
+	}
+	if name != "" && name != Logic {
+		policy, ok := yardstick.Find(name)
 		if !ok {
-			return opt, fmt.Errorf("policy %q is none of %v", s.Policy, Policies())
+			return opt, fmt.Errorf("policy %q is none of %v", name, Policies())
 		}
 		maker := policy.ForPlay()
 		opt.Module = func(set logic.Settings, seed uint64, o yardstick.Oracle) ledger.Module { return maker(set, seed, o) }
@@ -276,9 +287,35 @@
 			opt.Module = func(set logic.Settings, seed uint64, _ yardstick.Oracle) ledger.Module { return m.Module(set, seed) }
 		}
 	}
+	if inner := opt.Module; narrowed != nil {
+		opt.Module = func(set logic.Settings, seed uint64, o yardstick.Oracle) ledger.Module {
+			if inner == nil {
+				return aperture.Wrap(logic.New(set, seed), set, *narrowed)
+			}
+			return aperture.Wrap(inner(set, seed, o), set, *narrowed)
+		}
+	}
 	return opt, nil
 }
 
+// apertureOf finds a policy's own name, and its aperture: as it is asked for there, or by the scenario's operators'
+// file; nil: there is none.
+func apertureOf(spec *scenario.Scenario, policy string) (name string, conf *aperture.Config, err error) {
+	name, keys, asked := strings.Cut(policy, WithAperture)
+	text := spec.Schedulers.Ops
+	if asked {
+		if keys != "" && keys[0] != ':' {
+			return "", nil, fmt.Errorf("policy %q: expected keys behind %q as in :least=20:cover=3", policy, WithAperture)
+		}
+		text = "[aperture]" + strings.ReplaceAll(keys, ":", "\n")
+	}
+	ops, err := config.DecodeOps(text)
+	if err != nil && asked {
+		err = fmt.Errorf("policy %q: %w", policy, err)
+	}
+	return name, ops.Aperture, err
+}
+
 // Batch plays jobs, so many at once (0: as many as there are processors), and hands each result on in the order of
 // the jobs. It stops at the first error, and when done tells it to.
 func Batch(ctx context.Context, jobs []Job, at int, done func(i int, p *Played) error) error {
--- a/internal/lab/virtual/unseen.go
+++ b/internal/lab/virtual/unseen.go
@@ -28,7 +28,7 @@
 		}
 	}
 	if spec.Schedulers.Ops != "" {
-		all = append(all, "The operators' file is not read: its features have to do with sockets and files.")
+		all = append(all, "Of the operators' file [aperture] counts alone: the other features have to do with sockets and files.")
 	}
 	return all
 }
