--- a/internal/frame/frame_test.go
+++ b/internal/frame/frame_test.go
@@ -182,7 +182,7 @@
 	}
 	wire = w.Take(wire)
 	rng := rand.New(rand.NewPCG(uint64(len(wire)), 1))
-	piece := func(left int) int { return 1 + rng.IntN(1+rng.IntN(left)) }
+	piece := func(left int) int { return 1 + rng.IntN(1+rng.IntN(max(left, 1))) }
 	r := NewReader(0)
 	got, err := read(r, wire, piece)
 	s.Check(err == nil && same(got, sent), "%d of %d came, %v", len(got), len(sent), err)
