--- a/logic/handover.go
+++ b/logic/handover.go
@@ -189,17 +189,27 @@
 	c.lesson(&l)
 	const bytes = 14 // of a worker, at most
 	fit := max(0, most-(len(c.b)-from)) / bytes
+	var worth [(taughtSeen + 1) * (mostRoom + 1)]int // workers by what is known of them, the most last
+	rank := func(x *learnt) int { return x.seen*(mostRoom+1) + x.room }
 	for _, w := range d.order {
 		if x := (learnt{w.ID, int(math.Round((w.speed - w.kin.speed) * speedSteps)), int(min(w.seen, taughtSeen)),
 			int(min(w.room, mostRoom))}); w.listed && (x.seen > 0 || x.room > 1) {
 			l.workers = append(l.workers, x)
+			worth[rank(&x)]++
 		}
 	}
-	if len(l.workers) > fit {
-		slices.SortFunc(l.workers, func(a, b learnt) int {
-			return cmp.Or(cmp.Compare(b.seen, a.seen), cmp.Compare(b.room, a.room), cmp.Compare(a.id, b.id))
+	if len(l.workers) > fit { // sorted, thousands would hold up a planner for milliseconds
+		cut := len(worth) - 1
+		for ; worth[cut] <= fit; cut-- {
+			fit -= worth[cut]
+		}
+		l.workers = slices.DeleteFunc(l.workers, func(x learnt) bool {
+			r := rank(&x)
+			if r == cut {
+				fit--
+			}
+			return r < cut || r == cut && fit < 0
 		})
-		l.workers = l.workers[:fit]
 	}
 	c.learnt(&l)
 	return c.b
