--- a/cmd/covelab/play.go
+++ b/cmd/covelab/play.go
@@ -204,7 +204,7 @@
 		return err
 	}
 	if err := spec.Set("length", fmt.Sprintf("%q", c.Length)); err != nil {
-		return err
+		return fmt.Errorf("--length: %w", err)
 	}
 	path, remove, err := binary(ctx, c.Binary, s)
 	if err != nil {
