--- a/cmd/covelab/play.go
+++ b/cmd/covelab/play.go
@@ -265,7 +265,8 @@
 		class, tenant := spec.Classes[0].Name, spec.Tenants[0].Name
 		text += fmt.Sprintf("  curl -i http://%s/up\n", at)
 		text += fmt.Sprintf("  curl -i -X POST http://%s/%s/42 -H 'X-Call-Id: 00000000000000a1' -H 'X-Call-Class: %s' "+
-			"-H 'X-Caller: %s' -H 'X-Budget-Ms: 4000' -d 'hello'\n", at, class, class, tenant)
+			"-H 'X-Caller: %s' -H 'X-Budget-Ms: %d' -d 'hello'\n", at, class, class, tenant,
+			spec.Classes[0].Deadline.D().Milliseconds()) // less looks like a client's later try, whose aim is past
 	}
 	if len(places.Discovery) > 0 {
 		text += fmt.Sprintf("  curl http://%s/discovery/hosts\n", places.Discovery[0])
