Send a query no more to a worker node whose note has ended an attempt of it

Story: `failed` ended an attempt, the query went to the same worker node again, and the same `failed`, told again as its first answer was lost, ended the new attempt, which ran on. Notes name no attempt. With `returned` in its place a payout would count as never run while it runs, and be sent elsewhere. Change: such a worker node gets no further attempt of that query; it ends at once as not sent.

--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -65,6 +65,7 @@
 	asker    Asker
 	attempts []*Attempt
 	out      int
+	noted    []string // hosts whose note ended an attempt of it
 	closed   bool
 	left     bool    // closed by its client
 	over     bool    // and the observers have been told
@@ -247,6 +248,10 @@
 		l.events = append(l.events, logic.Progressed{Job: a.Query.ID, Attempt: a.Number, Worker: a.Worker, Share: n.Share})
 	case "done":
 		l.End(a, []byte(*n.Result), nil)
+	case "failed", "returned", "lost":
+		a.Query.noted = append(a.Query.noted, a.From)
+	}
+	switch n.State {
 	case "failed":
 		l.End(a, nil, &Fault{Stage: Accepted, Reason: Errored})
 	case "returned":
@@ -469,8 +474,11 @@
 	}
 	key := attemptKey{q.Call, a.From}
 	switch {
-	case q.closed || now >= q.Deadline || a.Number >= l.tries || l.live[key] != nil:
-		// Over, out of time or of tries; or the worker node has one of this query, and gets no second.
+	case q.closed || now >= q.Deadline || a.Number >= l.tries || l.live[key] != nil ||
+		slices.Contains(q.noted, a.From):
+		// Over, out of time or of tries; or the worker node has one of this query, and gets no second. Nor does one
+		// whose note ended an earlier one: notes are told until they are answered and name no attempt, so that note
+		// told again would end this one, and what never ran by it would be sent elsewhere while it runs.
 		l.End(a, nil, &Fault{Reason: Unsent})
 	case s.Patience < 0:
 		l.End(a, nil, &Fault{Reason: Expired})
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -260,3 +260,36 @@
 		}
 	}
 }
+
+// A note that is told again must not end the next attempt at the same host: handed back twice, a query that may not run
+// twice would be sent elsewhere while it runs there. So that host gets no further one.
+func TestNoteToldTwiceEndsNoLaterAttempt(t *testing.T) {
+	for _, state := range []string{"returned", "failed", "lost"} {
+		module, carried := &steps.Script{}, &carrier{given: map[*Attempt]bool{}}
+		l := New(4, Names{}, func() Module { return module }, HostGroup{Hosts: []Host{{ID: "s-0", State: "up"}, {ID: "s-1",
+			State: "up"}}}, carried, slog.New(slog.DiscardHandler))
+		q, err := l.Take(0, Arrival{Call: "c", Job: logic.Job{Left: time.Second}, Asker: &ends{}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		send := func(host string) {
+			module.Next = []logic.Action{logic.Send{Job: q.ID, Worker: hashID(host)}}
+			l.HostsLost() // something to step for
+			l.Step(1)
+		}
+		note := func() {
+			if _, err := l.Tell(Note{ID: "c", From: "s-0", State: state}); err != nil {
+				t.Fatal(err)
+			}
+		}
+		send("s-0")
+		note()
+		send("s-0")
+		send("s-1")
+		note()
+		l.Step(2)
+		if len(carried.out) != 2 || carried.out[1].From != "s-1" || carried.out[1].ended {
+			t.Errorf("%s: %d attempts went, the last to %s", state, len(carried.out), carried.out[len(carried.out)-1].From)
+		}
+	}
+}
