Have few planners followed where worker nodes are few, and let a fresh forwarder settle at once

At the start of all processes at once forwarders went to and fro for two seconds. Change: planners say how many worker nodes they know, rounded up to a power of two and lowered only after 30 s, and forwarders are dealt to at most one planner for each twelve of these; the others stand by. A forwarder that has just started makes its changes at once for a second.

--- a/internal/membership/forward.go
+++ b/internal/membership/forward.go
@@ -115,7 +115,7 @@
 // settle decides anew what may have changed.
 func (f *Follower) settle() {
 	if f.fresh == 0 {
-		f.fresh = max(f.now+f.conf.Settle, 1)
+		f.fresh = max(f.now+f.conf.Fresh, 1)
 	}
 	changed := f.look() || f.stale
 	for _, m := range f.plans {
@@ -149,21 +149,37 @@
 		f.number, f.of = number, of
 		f.do(Number{number, of})
 	}
-	f.whole = f.dealt(func(m *member) bool { return m.counted })
-	f.well = f.dealt(func(m *member) bool { return m.counted && !m.slow })
+	nodes := 0
+	for _, m := range f.plans {
+		if m.counted {
+			nodes = max(nodes, m.Nodes)
+		}
+	}
+	most := mostPlanners
+	if nodes > 0 {
+		most = max(1, nodes/f.conf.Least)
+	}
+	f.whole = f.dealt(most, func(m *member) bool { return m.counted })
+	f.well = f.dealt(most, func(m *member) bool { return m.counted && !m.slow })
 }
 
-// dealt is what is dealt to this forwarder of some planners; empty: there are none.
-func (f *Follower) dealt(which func(m *member) bool) string {
-	f.takers, f.by = f.takers[:0], f.by[:0]
+// dealt is what is dealt to this forwarder of some planners, of which so many are followed at most, those that their
+// hashes put first; empty: there are none.
+func (f *Follower) dealt(most int, which func(m *member) bool) string {
+	f.by, f.takers = f.by[:0], f.takers[:0]
 	for _, m := range f.plans {
 		if which(m) {
-			f.takers, f.by = append(f.takers, taker{keyOf(m.Name), 1}), append(f.by, m)
+			f.by = append(f.by, m)
 		}
 	}
 	if len(f.by) == 0 {
 		return ""
 	}
+	slices.SortFunc(f.by, func(a, b *member) int { return cmp.Compare(keyOf(b.Name), keyOf(a.Name)) })
+	f.by = f.by[:min(len(f.by), most)]
+	for _, m := range f.by {
+		f.takers = append(f.takers, taker{keyOf(m.Name), 1})
+	}
 	return f.by[deal(f.pieces, f.takers)[0]].Name
 }
 
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -18,6 +18,9 @@
 // from its name: to a planner that is new, away from one that is slow while others are not, and back to one that is
 // no longer. Where all are slow nobody moves.
 //
+// Where worker nodes are few, so are the planners that are followed: one that plans for a handful can't place much, and
+// cells can't be parted evenly. The others stand by. Planners say how many worker nodes they know.
+//
 // # Which part of the fleet is a planner's
 //
 // Worker nodes are parted by whole cells, each planner's part being as large as the part of all forwarders that say
@@ -54,6 +57,7 @@
 	Process uint64 // when its process started, Unix time in ns: of two of one name the later one counts
 	Home    string // of a forwarder: the planner that it follows; empty: none
 	Load    int    // of a forwarder: how much it brings, against others; 0 counts as 1
+	Nodes   int    // of a planner: worker nodes that it knows, rounded up to a power of two; 0: it does not know
 }
 
 // Event is something that has happened.
@@ -132,9 +136,11 @@
 	Expect    time.Duration // a planner that is told to be there counts for so long without a session, to a forwarder
 	Unseen    time.Duration // one whose session was lost, and that gossip still has, is there after this, to a planner
 	Remember  time.Duration // a forwarder that is gone counts where it was for so long
+	Fresh     time.Duration // a forwarder that has just started makes changes at once for so long
 	Settle    time.Duration // a change of planners other than a loss is followed after this
 	Ramp      time.Duration // and over so long, one forwarder after another
 	Slow      time.Duration // a planner whose answers take longer is slow,
+	Least     int           // worker nodes for each planner that is followed: where there are fewer, fewer are
 	Times     int           // if they take so many times as long as another's
 	Confirm   time.Duration // and go on so for so long
 	LeaveOver time.Duration // then forwarders leave it over so long, while it is slow
@@ -145,18 +151,20 @@
 // Defaults are what holds where nothing else is said.
 func Defaults() Config {
 	return Config{Suspicion: time.Second, Expect: 2 * time.Second, Unseen: 5 * time.Second, Remember: 30 * time.Second,
-		Settle: 250 * time.Millisecond, Ramp: 2 * time.Second, Slow: 30 * time.Millisecond, Times: 4,
-		Confirm: 500 * time.Millisecond, LeaveOver: 4 * time.Second, Well: 2 * time.Second, DealEvery: 100 * time.Millisecond}
+		Least: 12, Fresh: time.Second, Settle: 250 * time.Millisecond, Ramp: 2 * time.Second, Slow: 30 * time.Millisecond,
+		Times: 4, Confirm: 500 * time.Millisecond, LeaveOver: 4 * time.Second, Well: 2 * time.Second,
+		DealEvery: 100 * time.Millisecond}
 }
 
 func (c Config) orDefaults() Config {
 	d := Defaults()
 	for _, x := range []struct{ is, or *time.Duration }{{&c.Suspicion, &d.Suspicion}, {&c.Expect, &d.Expect},
-		{&c.Unseen, &d.Unseen}, {&c.Remember, &d.Remember}, {&c.Settle, &d.Settle}, {&c.Ramp, &d.Ramp}, {&c.Slow, &d.Slow}, {&c.Confirm, &d.Confirm},
+		{&c.Unseen, &d.Unseen}, {&c.Remember, &d.Remember}, {&c.Fresh, &d.Fresh},
+		{&c.Settle, &d.Settle}, {&c.Ramp, &d.Ramp}, {&c.Slow, &d.Slow}, {&c.Confirm, &d.Confirm},
 		{&c.LeaveOver, &d.LeaveOver}, {&c.Well, &d.Well}, {&c.DealEvery, &d.DealEvery}} {
 		*x.is = cmp.Or(*x.is, *x.or)
 	}
-	c.Times = cmp.Or(c.Times, d.Times)
+	c.Times, c.Least = cmp.Or(c.Times, d.Times), cmp.Or(c.Least, d.Least)
 	return c
 }
 
@@ -325,7 +333,7 @@
 		m.came = b.now
 		b.stale = true
 	}
-	if m.Role != x.Role || m.Home != x.Home || m.Load != x.Load {
+	if m.Role != x.Role || m.Home != x.Home || m.Load != x.Load || m.Nodes != x.Nodes {
 		b.stale = true
 	}
 	m.Member, m.told, m.left, m.died = x, true, false, 0
--- a/internal/membership/plan.go
+++ b/internal/membership/plan.go
@@ -23,6 +23,7 @@
 	peers   []string
 	spare   []string
 	parted  bool
+	fewerAt time.Duration // since when there are fewer worker nodes than it says; 0: there are not
 	said    Member
 }
 
@@ -112,11 +113,30 @@
 	if p.mayDeal() {
 		p.deal()
 	}
-	if changed || p.said != p.me {
+	if p.count(); changed || p.said != p.me {
 		p.tell()
 	}
 }
 
+// count finds out how many worker nodes to say that there are. Fewer are believed in time: most come back.
+func (p *Parter) count() {
+	n := 0
+	if len(p.nodes) > 0 {
+		n = weigh(len(p.nodes))
+	}
+	switch {
+	case n >= p.me.Nodes:
+		p.me.Nodes, p.fewerAt = n, 0
+	case p.fewerAt == 0:
+		p.fewerAt = p.now
+		p.due(p.now + p.conf.Remember)
+	case p.now >= p.fewerAt+p.conf.Remember:
+		p.me.Nodes, p.fewerAt = n, 0
+	default:
+		p.due(p.fewerAt + p.conf.Remember)
+	}
+}
+
 // tell says what is new to the others and to whoever keeps the sessions.
 func (p *Parter) tell() {
 	if p.spare = p.planners(p.spare[:0]); !slices.Equal(p.spare, p.names) {
