Let scenarios have planners, and faults strike them

Change: [planners] with count, idle and drops; the faults planner_kill, _term, _freeze, _start, _slow, _drop, _cut and _cut_one_way, with their checks and words. The world deals with a planner's process and its view of discovery as with a scheduler's, numbered after these; no client comes to one, and nothing of it is told to judge and score. What passes between forwarders and planners is the driver's.

--- a/internal/lab/edge/edge.go
+++ b/internal/lab/edge/edge.go
@@ -39,6 +39,8 @@
 	Freeze                  // SIGSTOP: its sockets stay, nothing is read
 	Resume                  // SIGCONT
 	Reload                  // SIGHUP, after its configuration named the discovery at index Disco
+	Slow                    // of a planner: it takes in and does everything Late late from now on
+	Break                   // of a planner: its connections to forwarders and other planners break
 )
 
 // What reaches its sockets.
@@ -69,7 +71,7 @@
 	NeverUp // they never come up
 )
 
-// In is something that reaches scheduler Sched.
+// In is something that reaches scheduler Sched. Planners, where a scenario has any, are numbered after the schedulers.
 type In struct {
 	Kind     InKind
 	Reset    bool
@@ -88,6 +90,7 @@
 	List     *ledger.HostGroup
 	Boot     *Boot
 	Odd      *OddDoing
+	Late     time.Duration
 }
 
 // Boot is what a scheduler starts with.
--- a/internal/lab/mutant/mutant_test.go
+++ b/internal/lab/mutant/mutant_test.go
@@ -153,8 +153,10 @@
 		c.Window = scenario.Span(1+rng.IntN(20)) * scenario.Span(time.Second)
 	}
 	kinds := make([]string, 0, len(scenario.FaultKinds))
-	for kind := range scenario.FaultKinds {
-		kinds = append(kinds, kind)
+	for kind, to := range scenario.FaultKinds {
+		if !strings.HasPrefix(to, "planner") { // there are none
+			kinds = append(kinds, kind)
+		}
 	}
 	slices.Sort(kinds)
 	for range 1 + rng.IntN(4) {
--- a/internal/lab/scenario/check.go
+++ b/internal/lab/scenario/check.go
@@ -17,6 +17,7 @@
 const (
 	maxNodes      = 100_000
 	maxSchedulers = 128
+	maxPlanners   = 16
 	maxEntries    = 1000 // of any list
 	maxRate       = 1e7  // jobs a second
 	maxClosed     = 1_000_000
@@ -56,12 +57,20 @@
 	"storm":      {hasFor: true, size: 3, low: 1, high: 1000},
 	"sched_kill": {hasFor: true}, "sched_term": {hasFor: true},
 	"sched_freeze": {hasFor: true, needsFor: true}, "sched_reload": {},
+	"planner_kill": {hasFor: true}, "planner_term": {hasFor: true}, "planner_start": {}, "planner_drop": {},
+	"planner_freeze": {hasFor: true, needsFor: true},
+	"planner_slow":   {hasFor: true, size: 80, low: 0.001, high: 60_000},
+	"planner_cut":    {hasFor: true}, "planner_cut_one_way": {hasFor: true},
 }
 
 // pairs of crowds that speak to each other.
 var pairs = [][2]string{{"schedulers", "nodes"}, {"schedulers", "discovery"}, {"schedulers", "clients"},
 	{"nodes", "discovery"}}
 
+// plannerPairs are those with planners, and forwarders among each other.
+var plannerPairs = [][2]string{{"planners", "schedulers"}, {"planners", "planners"}, {"planners", "discovery"},
+	{"schedulers", "schedulers"}}
+
 // Check says what is wrong with a scenario: each faulty key, one to a line; nil: nothing.
 func (s *Scenario) Check() error {
 	c := &checker{}
@@ -294,6 +303,12 @@
 	c.in("net.jitter", n.Jitter, 0, 10)
 	c.in("discovery.capacity", d.Capacity, 0, 1e9)
 	c.wholeIn("schedulers.count", p.Count, 1, maxSchedulers)
+	c.wholeIn("planners.count", s.Planners.Count, 0, maxPlanners)
+	c.wholeIn("planners.idle", s.Planners.Idle, 0, s.Planners.Count)
+	c.spanIn("planners.drops", s.Planners.Drops, 0, maxSpan)
+	if s.Planners.Count > 0 && s.Plays(Live) {
+		c.fault("drivers", "planners are virtual only, and live is among the drivers")
+	}
 	c.in("schedulers.cores", p.Cores, 0.01, 64)
 	c.wholeIn("schedulers.memory_mb", p.MemoryMB, 16, 65536)
 	c.wholeIn("schedulers.sockets", p.Sockets, 64, 1<<20)
@@ -316,7 +331,7 @@
 		c.fault(key+".at", "%v is outside the play, which is %v long", f.At, s.Length)
 	} else if f.Spread < 0 || f.At+f.Spread > s.Length {
 		c.fault(key+".spread", "%v reaches outside the play, which is %v long", f.Spread, s.Length)
-	} else if f.Spread > 0 && (to != "node" && to != "sched" || f.What == "half_open") {
+	} else if f.Spread > 0 && (to != "node" && to != "sched" && to != "planner" || f.What == "half_open") {
 		c.fault(key+".spread", "%s strikes all at once", f.What)
 	}
 	c.spanIn(key+".for", f.For, 0, maxSpan)
@@ -343,8 +358,15 @@
 		c.fault(key+".what", "discovery.capacity is 0, without limit: there is nothing to slow")
 	}
 	nodes, scheds := to == "node" || rule.takesNodes, to == "sched"
-	if to == "net" {
-		if !slices.ContainsFunc(pairs, func(p [2]string) bool {
+	if (to == "planner" || to == "planners") && s.Planners.Count == 0 {
+		c.fault(key+".what", "there are no planners")
+	}
+	if to == "net" || to == "planners" {
+		some := pairs
+		if to == "planners" {
+			some = plannerPairs
+		}
+		if !slices.ContainsFunc(some, func(p [2]string) bool {
 			return p == [2]string{f.Between, f.And} || p == [2]string{f.And, f.Between}
 		}) {
 			c.fault(key+".between", "%q and %q do not speak to each other", f.Between, f.And)
@@ -357,11 +379,12 @@
 	} else if f.Between != "" || f.And != "" {
 		c.fault(key+".between", "%s is not done to the network between two crowds", f.What)
 	}
-	s.checkTarget(c, key+".on", f, nodes, scheds, to == "clients" && f.What == "burst")
+	s.checkTarget(c, key+".on", f, nodes, scheds, to == "planner" || f.Between == "planners" || f.And == "planners",
+		to == "clients" && f.What == "burst")
 }
 
 // checkTarget refuses what a target can't name, and what matches nothing.
-func (s *Scenario) checkTarget(c *checker, key string, f *Fault, nodes, scheds, tenants bool) {
+func (s *Scenario) checkTarget(c *checker, key string, f *Fault, nodes, scheds, planners, tenants bool) {
 	t := &f.On
 	may := func(part string, given, ok bool) bool {
 		if given && !ok {
@@ -392,7 +415,15 @@
 	if may("zone", t.Zone != "", nodes) && !slices.Contains(zones, t.Zone) {
 		c.fault(key+".zone", "%q matches nothing: zones are %s", t.Zone, strings.Join(zones, ", "))
 	}
-	if may("share", t.Share != 0, nodes || scheds) {
+	if may("planners", len(t.Planners) > 0, planners) {
+		for i, n := range t.Planners {
+			if n < 0 || n >= s.Planners.Count {
+				c.fault(at(key+".planners", i), "%d matches nothing: planners are 0 to %d", n, s.Planners.Count-1)
+			}
+		}
+	}
+	to := FaultKinds[f.What]
+	if may("share", t.Share != 0, to == "planner" || to != "planners" && (nodes || scheds)) {
 		c.in(key+".share", t.Share, 0, 1)
 	}
 	if may("schedulers", len(t.Schedulers) > 0, scheds) {
--- a/internal/lab/scenario/defaults.go
+++ b/internal/lab/scenario/defaults.go
@@ -110,6 +110,14 @@
 				f.And = "nodes"
 			}
 		}
+		if f := &s.Faults[i]; FaultKinds[f.What] == "planners" {
+			if f.Between == "" {
+				f.Between = "planners"
+			}
+			if f.And == "" {
+				f.And = "schedulers"
+			}
+		}
 		if f := &s.Faults[i]; f.Size == 0 {
 			f.Size = faultRules[f.What].size
 		}
--- a/internal/lab/scenario/doc.go
+++ b/internal/lab/scenario/doc.go
@@ -72,4 +72,20 @@
 //	sched_freeze     SIGSTOP, and SIGCONT after For, which is a must
 //	sched_reload     its configuration names the address at which discovery is now, and SIGHUP. No For. One that is
 //	                 not ready, or is in its first second, gets it as soon as it is neither
+//
+// Planners (On: planners, share), of plays that have any; schedulers are forwarders then.
+//
+//	planner_kill     SIGKILL. For: until it starts again; 0: never
+//	planner_term     SIGTERM, as at a planned restart. For: from its end until it starts again; 0: never
+//	planner_freeze   SIGSTOP, and SIGCONT after For, which is a must
+//	planner_start    one that does not run starts. No For
+//	planner_slow     it takes in and does everything Size milliseconds late (default 80)
+//	planner_drop     its connections to schedulers and to other planners break, once. No For
+//
+// Between planners and schedulers (the default), planners and planners, schedulers and schedulers (who only gossip), or
+// planners and discovery. On: planners narrows the planners, schedulers the schedulers; of a crowd and itself those
+// named are cut off from the others.
+//
+//	planner_cut          nothing passes, either way, as with cut. Gossip goes round it where there is a way
+//	planner_cut_one_way  the same from 'between' to 'and' only
 package scenario
--- a/internal/lab/scenario/scenario.go
+++ b/internal/lab/scenario/scenario.go
@@ -32,6 +32,7 @@
 	Discovery  Discovery  `toml:"discovery"`
 	Front      Front      `toml:"front"`
 	Schedulers Schedulers `toml:"schedulers"`
+	Planners   Planners   `toml:"planners"` // default none
 	Rules      Rules      `toml:"rules"`
 	Faults     []Fault    `toml:"fault"`
 	Expect     []string   `toml:"expect"` // "in_time >= 0.95", "recovered_within <= 5s"
@@ -182,6 +183,13 @@
 	StartOver     Span    `toml:"start_over"` // spread of their starts at the beginning
 }
 
+// Planners are those that decide for the schedulers, which only pass queries on then. Virtual only.
+type Planners struct {
+	Count int  `toml:"count"` // 0: schedulers decide by themselves
+	Idle  int  `toml:"idle"`  // the last so many start by planner_start alone
+	Drops Span `toml:"drops"` // each connection of theirs breaks after so long on the mean; 0: none does by itself
+}
+
 // Rules are the figures of the rules that the judge holds schedulers to.
 type Rules struct {
 	Slack        Span    `toml:"slack"`          // after a deadline an answer still counts; default 50 ms live, 16 ms virtual
@@ -210,6 +218,9 @@
 	"burst": "clients", "storm": "clients",
 	// Schedulers.
 	"sched_kill": "sched", "sched_term": "sched", "sched_freeze": "sched", "sched_reload": "sched",
+	// Planners, and the network among them and schedulers.
+	"planner_kill": "planner", "planner_term": "planner", "planner_freeze": "planner", "planner_start": "planner",
+	"planner_slow": "planner", "planner_drop": "planner", "planner_cut": "planners", "planner_cut_one_way": "planners",
 }
 
 // Fault is something that goes wrong in the course of a play. doc.go says what Size means for each kind.
@@ -219,7 +230,7 @@
 	For     Span    `toml:"for"`
 	Spread  Span    `toml:"spread"` // targets are struck over so long, in turn
 	On      Target  `toml:"on"`
-	Between string  `toml:"between"` // of net faults: schedulers, nodes, discovery, clients
+	Between string  `toml:"between"` // of net faults: schedulers, nodes, discovery, clients, planners
 	And     string  `toml:"and"`
 	Size    float64 `toml:"size"`
 }
@@ -232,6 +243,7 @@
 	Zone       string   `toml:"zone"`       // of worker nodes
 	Share      float64  `toml:"share"`      // so much of those that match otherwise, drawn by the seed, one at least
 	Schedulers []int    `toml:"schedulers"` // by number; empty: all
+	Planners   []int    `toml:"planners"`   // by number; empty: all
 	Tenant     string   `toml:"tenant"`
 	Class      string   `toml:"class"`
 }
--- a/internal/lab/scenario/scenario_test.go
+++ b/internal/lab/scenario/scenario_test.go
@@ -102,6 +102,24 @@
 		between = "nodes"`, "fault[0].between"},
 		{`[[fault]]
 		what = "disco_slow"`, "fault[0].what"},
+		{`drivers = ["virtual"]
+		[planners]
+		count = 17`, "planners.count"},
+		{`[planners]
+		count = 1`, "drivers"},
+		{`[[fault]]
+		what = "planner_drop"`, "fault[0].what"},
+		{`drivers = ["virtual"]
+		planners = { count = 2 }
+		[[fault]]
+		what = "planner_freeze"
+		for = "1s"
+		on.planners = [2]`, "fault[0].on.planners[0]"},
+		{`drivers = ["virtual"]
+		planners = { count = 2 }
+		[[fault]]
+		what = "planner_cut"
+		and = "nodes"`, "fault[0].between"},
 		{`[[fault]]
 		what = "hang"
 		on.names = ["w-9", "w-10"]`, "fault[0].on.names[1]"},
--- a/internal/lab/world/faults.go
+++ b/internal/lab/world/faults.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"valvecove/internal/lab/edge"
 	"valvecove/internal/lab/scenario"
 	"valvecove/internal/lab/seen"
 )
@@ -48,7 +49,10 @@
 	nodes     []int // and to these
 	hasScheds bool
 	scheds    []int
-	left      int // strikes that are not over
+	// Planners count on after the schedulers.
+	hasPlanners bool
+	planners    []int
+	left        int // strikes that are not over
 }
 
 // aim settles whom it strikes. i is its place in the timeline.
@@ -63,8 +67,21 @@
 	if x.hasNodes {
 		x.nodes = f.share(f.matching(spec), spec.On.Share, i)
 	}
+	all := f.w.Spec.Schedulers.Count
+	if kind == "planner" || kind == "planners" && (spec.And == "discovery" || spec.Between == "discovery") {
+		x.hasPlanners = true
+		for n := range f.w.Spec.Planners.Count {
+			if len(spec.On.Planners) == 0 || slices.Contains(spec.On.Planners, n) {
+				x.planners = append(x.planners, all+n)
+			}
+		}
+		x.planners = f.share(x.planners, spec.On.Share, i)
+	}
 	if x.hasScheds {
-		for n := range f.w.scheds {
+		if x.What == "sched_reload" && len(spec.On.Schedulers) == 0 { // planners have the same address
+			all = len(f.w.scheds)
+		}
+		for n := range all {
 			if len(spec.On.Schedulers) == 0 || slices.Contains(spec.On.Schedulers, n) {
 				x.scheds = append(x.scheds, n)
 			}
@@ -107,6 +124,8 @@
 	switch kind := scenario.FaultKinds[x.What]; {
 	case kind == "sched":
 		x.inTurn(x.scheds, x.strikeSched)
+	case kind == "planner":
+		x.inTurn(x.planners, x.strikeSched)
 	case kind == "node" && x.What != "half_open":
 		x.inTurn(x.nodes, x.strikeNode)
 	default:
@@ -251,18 +270,27 @@
 		}
 	}
 	switch x.What {
-	case "sched_kill":
+	case "sched_kill", "planner_kill":
 		s.kill(x.For.D())
 		whenBack()
-	case "sched_term":
+	case "sched_term", "planner_term":
 		s.term(x.For.D())
 		whenBack()
-	case "sched_freeze":
+	case "sched_freeze", "planner_freeze":
 		s.freeze(x.For.D())
 		x.until(func() {})
 	case "sched_reload":
 		s.reload()
 		x.over()
+	case "planner_start":
+		s.start()
+		x.over()
+	case "planner_drop":
+		s.w.in(edge.In{Kind: edge.Break, Sched: i})
+		x.over()
+	case "planner_slow": // of two that hold at once the later one counts, until either ends
+		s.w.in(edge.In{Kind: edge.Slow, Sched: i, Late: time.Duration(x.Size * float64(time.Millisecond))})
+		x.until(func() { s.w.in(edge.In{Kind: edge.Slow, Sched: i}) })
 	default:
 		panic("world: no such fault of a scheduler: " + x.What)
 	}
@@ -282,6 +310,11 @@
 			}
 		}
 		return undo
+	case "planner_cut", "planner_cut_one_way":
+		if x.hasPlanners {
+			return w.net.cut(x.crowd(x.Between), x.crowd(x.And), x.What == "planner_cut_one_way")
+		}
+		return func() {} // what passes between planners and schedulers is the driver's
 	case "delay":
 		return w.net.lag(x.crowd(x.Between), x.crowd(x.And), time.Duration(x.Size*float64(time.Millisecond)))
 	case "drop_idle":
@@ -329,6 +362,8 @@
 		return some(aSched, x.scheds, len(x.f.w.scheds))
 	case "nodes":
 		return some(aNode, x.nodes, len(x.f.w.nodes))
+	case "planners":
+		return some(aSched, x.planners, len(x.f.w.scheds))
 	case "discovery":
 		return crowd{kind: theDisco}
 	}
@@ -348,15 +383,26 @@
 		b.WriteString(" " + strconv.FormatFloat(x.Size, 'g', -1, 64))
 	}
 	var whom []string
-	if scenario.FaultKinds[x.What] == "net" {
+	if kind := scenario.FaultKinds[x.What]; kind == "net" || kind == "planners" {
 		whom = append(whom, x.Between+" and "+x.And)
 	}
 	if x.hasNodes && (len(x.nodes) < len(x.f.w.nodes) || len(whom) == 0) {
 		whom = append(whom, naming(x.nodes, "w-", 0, "worker nodes"))
 	}
-	if x.hasScheds && (len(x.scheds) < len(x.f.w.scheds) || len(whom) == 0) {
+	all := x.f.w.Spec.Schedulers.Count
+	if x.hasScheds && (len(x.scheds) < all || len(whom) == 0) {
 		whom = append(whom, naming(x.scheds, "s", 1, "schedulers"))
 	}
+	if on := &x.On; scenario.FaultKinds[x.What] == "planners" {
+		if len(on.Planners) > 0 {
+			whom = append(whom, naming(on.Planners, "p", 1, "planners"))
+		}
+		if len(on.Schedulers) > 0 {
+			whom = append(whom, naming(on.Schedulers, "s", 1, "schedulers"))
+		}
+	} else if x.hasPlanners {
+		whom = append(whom, naming(x.planners, "p", 1-all, "planners"))
+	}
 	for _, name := range []string{x.On.Tenant, x.On.Class} {
 		if name != "" {
 			whom = append(whom, name)
--- a/internal/lab/world/faults_test.go
+++ b/internal/lab/world/faults_test.go
@@ -19,6 +19,7 @@
 func runFaults(s *steps.Steps) {
 	spec := quiet(6, 2)
 	spec.Name, spec.Discovery.Capacity = "faults", 100
+	spec.Planners.Count, spec.Drivers = 2, []string{scenario.Virtual}
 	kinds := slices.Sorted(maps.Keys(scenario.FaultKinds))
 	ends, last := 0, time.Duration(0)
 	for s.More() && len(spec.Faults) < 30 {
@@ -30,15 +31,17 @@
 			if x.And == "discovery" && x.What == "drop_idle" {
 				x.And = "nodes"
 			}
-		case "node":
+		case "node", "planner":
 			x.On.Share = float64(s.Pick(10)) / 10
+		case "planners":
+			x.Between, x.And = "planners", []string{"schedulers", "planners", "discovery"}[s.Pick(3)]
 		}
 		switch x.What {
-		case "drain", "gone", "early_202_crash", "sched_term":
+		case "drain", "gone", "early_202_crash", "sched_term", "planner_term":
 			continue // they change the fleet for good, or end when something else happens
-		case "handback", "sched_reload", "disco_moves":
+		case "handback", "sched_reload", "disco_moves", "planner_start", "planner_drop":
 			x.For = 0
-		case "slow", "disco_slow", "burst", "storm", "half_open", "disco_late", "delay", "drop_idle":
+		case "planner_slow", "slow", "disco_slow", "burst", "storm", "half_open", "disco_late", "delay", "drop_idle":
 			x.Size = float64(2 + s.Pick(4))
 		case "errors":
 			x.Size = 0.5
--- a/internal/lab/world/harness_fate_test.go
+++ b/internal/lab/world/harness_fate_test.go
@@ -44,7 +44,7 @@
 		t.Fatal(err)
 	}
 	f := &fate{t: t, spec: spec}
-	for range spec.Schedulers.Count {
+	for range spec.Schedulers.Count + spec.Planners.Count {
 		f.scheds = append(f.scheds, &follower{})
 	}
 	f.w = New(spec, seed, 1000*time.Hour, func(s *seen.Sight) { f.sights = append(f.sights, *s) })
--- a/internal/lab/world/scheds.go
+++ b/internal/lab/world/scheds.go
@@ -10,10 +10,13 @@
 )
 
 // sched is a scheduler: one process after another, as the world deals with them. What is done to one that does not run
-// means nothing, but for the address of discovery, which its next process reads from its configuration.
+// means nothing, but for the address of discovery, which its next process reads from its configuration. Planners are
+// dealt with alike, and numbered after the schedulers; they are never ready, so no client comes to them, and nothing is
+// told of them: what counts is what is seen of schedulers.
 type sched struct {
 	w        *World
 	n        int
+	planner  bool
 	alive    bool
 	ready    bool // /up answered 200 the last time
 	frozen   bool
@@ -43,15 +46,32 @@
 )
 
 func newScheds(w *World) []*sched {
-	list := make([]*sched, w.Spec.Schedulers.Count)
+	list := make([]*sched, w.Spec.Schedulers.Count+w.Spec.Planners.Count)
 	for i := range list {
-		list[i] = &sched{w: w, n: i, rng: w.rng("sched", i)}
+		list[i] = &sched{w: w, n: i, planner: i >= w.Spec.Schedulers.Count, rng: w.rng("sched", i)}
 	}
 	return list
 }
 
+// tell reports a sight of it.
+func (s *sched) tell(what seen.What, status int) {
+	if !s.planner {
+		s.w.tell(seen.Sight{What: what, Sched: s.n, Status: status})
+	}
+}
+
+func (s *sched) name() string {
+	if s.planner {
+		return "p" + strconv.Itoa(s.n-s.w.Spec.Schedulers.Count+1)
+	}
+	return "s" + strconv.Itoa(s.n+1)
+}
+
 // begin starts its first process, at a drawn moment of the spread of starts.
 func (s *sched) begin() {
+	if s.n >= len(s.w.scheds)-s.w.Spec.Planners.Idle {
+		return
+	}
 	s.w.at(time.Duration(s.rng.Float64()*float64(s.w.Spec.Schedulers.StartOver)), s.start)
 }
 
@@ -64,8 +84,8 @@
 	s.sprout++
 	s.alive, s.ready, s.frozen, s.draining, s.termed, s.reloads = true, false, false, false, false, false
 	s.since, s.thawAt, s.disco = s.w.now, 0, s.w.disco.index
-	s.w.tell(seen.Sight{What: seen.SchedUp, Sched: s.n})
-	s.w.in(edge.In{Kind: edge.Start, Sched: s.n, Boot: &edge.Boot{Name: "s" + strconv.Itoa(s.n+1),
+	s.tell(seen.SchedUp, 0)
+	s.w.in(edge.In{Kind: edge.Start, Sched: s.n, Boot: &edge.Boot{Name: s.name(),
 		Seed:  s.w.rng("boot", s.n<<20|s.sprout).Uint64(), // whatever else was drawn
 		Known: v.known(), Disco: s.disco}})
 	v.begins()
@@ -84,14 +104,14 @@
 	switch o.Kind {
 	case edge.Ready:
 		s.ready = true
-		s.w.tell(seen.Sight{What: seen.SchedReady, Sched: s.n})
+		s.tell(seen.SchedReady, 0)
 		s.w.front.changed(s)
 		s.reloadWhenDue()
 	case edge.Unready:
 		s.ready = false
 		s.w.front.changed(s)
 	case edge.Exited:
-		s.w.tell(seen.Sight{What: seen.SchedExit, Sched: s.n, Status: o.Status})
+		s.tell(seen.SchedExit, o.Status)
 		back := s.back
 		if !s.termed {
 			back = crashedFor
@@ -128,7 +148,7 @@
 	if !s.alive {
 		return
 	}
-	s.w.tell(seen.Sight{What: seen.SchedKill, Sched: s.n})
+	s.tell(seen.SchedKill, 0)
 	s.w.in(edge.In{Kind: edge.Kill, Sched: s.n})
 	s.dead(back)
 }
@@ -140,7 +160,7 @@
 		return
 	}
 	s.termed, s.back, s.reloads = true, back, false
-	s.w.tell(seen.Sight{What: seen.SchedTerm, Sched: s.n})
+	s.tell(seen.SchedTerm, 0)
 	s.w.in(edge.In{Kind: edge.Terminate, Sched: s.n})
 	s.later(frontLeast+time.Duration(s.rng.Float64()*float64(frontSpread)), func() {
 		s.draining = true
@@ -162,7 +182,7 @@
 	s.thawAt = max(s.thawAt, s.w.now+d)
 	if !s.frozen {
 		s.frozen = true
-		s.w.tell(seen.Sight{What: seen.SchedFroze, Sched: s.n})
+		s.tell(seen.SchedFroze, 0)
 		s.w.in(edge.In{Kind: edge.Freeze, Sched: s.n})
 		s.w.front.changed(s)
 	}
@@ -171,7 +191,7 @@
 			return
 		}
 		s.frozen = false
-		s.w.tell(seen.Sight{What: seen.SchedWoke, Sched: s.n})
+		s.tell(seen.SchedWoke, 0)
 		s.w.in(edge.In{Kind: edge.Resume, Sched: s.n})
 		s.w.front.changed(s)
 	})
@@ -189,11 +209,11 @@
 }
 
 func (s *sched) reloadWhenDue() {
-	if !s.reloads || !s.ready || s.w.now < s.since+firstHup {
+	if !s.reloads || !s.ready && !s.planner || s.w.now < s.since+firstHup {
 		return
 	}
 	s.reloads, s.disco = false, s.w.disco.index
-	s.w.tell(seen.Sight{What: seen.SchedHup, Sched: s.n})
+	s.tell(seen.SchedHup, 0)
 	s.w.in(edge.In{Kind: edge.Reload, Sched: s.n, Disco: s.disco})
 	s.w.disco.views[s.n].hup()
 }
--- a/internal/lab/world/views.go
+++ b/internal/lab/world/views.go
@@ -167,11 +167,18 @@
 	up := as.state != hostAbsent && as.boot > v.told[n]
 	if up || as.state == hostUp && v.drained[n] == as.boot {
 		v.told[n], v.drained[n] = as.boot, 0
-		v.d.w.tell(seen.Sight{What: seen.Started, Sched: v.sched, Node: n, Boot: as.boot})
+		v.tell(seen.Sight{What: seen.Started, Sched: v.sched, Node: n, Boot: as.boot})
 	}
 	if as.state != hostUp && v.drained[n] != as.boot {
 		v.drained[n] = as.boot
-		v.d.w.tell(seen.Sight{What: seen.Drained, Sched: v.sched, Node: n, Boot: as.boot})
+		v.tell(seen.Sight{What: seen.Drained, Sched: v.sched, Node: n, Boot: as.boot})
+	}
+}
+
+// tell reports a sight, if it is a scheduler's.
+func (v *view) tell(s seen.Sight) {
+	if !v.d.w.scheds[v.sched].planner {
+		v.d.w.tell(s)
 	}
 }
 
