Play forwarders and planners in virtual time, with every hard case, and planners that are spoiled

Change: where a scenario has planners the driver gives each scheduler package follow as its module and each planner a book with a module. Between them it models connections (delay, jitter, order, cuts that hold up, breaks, processes that end) that carry frames, and gossip (rounds, probes through others, suspicion, refutation). Fifteen scenarios of the library are the hard cases; random plays draw any number of both with whatever goes wrong; seven seeded faults of planners, and queries at which every planner's module panics, are held against guards and judge.

--- a/internal/lab/virtual/play.go
+++ b/internal/lab/virtual/play.go
@@ -1,6 +1,7 @@
 package virtual
 
 import (
+	"errors"
 	"fmt"
 	"slices"
 	"time"
@@ -11,6 +12,7 @@
 	"valvecove/internal/lab/scenario"
 	"valvecove/internal/lab/seen"
 	"valvecove/internal/lab/world"
+	"valvecove/internal/planner"
 )
 
 // Epoch is the Unix time at which every play starts: 2026-01-01.
@@ -31,6 +33,10 @@
 	// Trace is told all that crossed the border, nil: nobody is; nothing of it may be kept.
 	Trace  func(now time.Duration, ins []edge.In, outs []edge.Out)
 	Digest bool // sum up all that crossed the border
+	// Spoil is what a planner says instead of what it decided; nil: that. It may change the list that it is given.
+	Spoil func(planner int, outs []planner.Out) []planner.Out
+	// Plan puts something before a module of a planner; nil: nothing.
+	Plan func(planner int, m planner.Module) planner.Module
 }
 
 // Outcome counts what a play came to.
@@ -43,6 +49,7 @@
 	Answers  uint64        // and answers that left one
 	Attempts uint64        // sent to worker nodes
 	Digest   uint64        // of all that crossed the border, if it was asked for
+	Tiers    TierFigures   // where there are planners
 }
 
 // Play plays a checked scenario to its end. An error says that it could not be played.
@@ -51,17 +58,34 @@
 	shown := *spec
 	shown.Bad = nil // see Unseen
 	p.world = world.New(&shown, seed, Epoch, watchers(opt.Watch))
+	if spec.Planners.Count > 0 {
+		if opt.Module != nil {
+			return nil, errors.New("where there are planners, the module is the one that is in service")
+		}
+		p.tiers = newTiers(spec, seed)
+	}
 	for n := range spec.Schedulers.Count {
 		s, err := NewScheduler(spec, n, Epoch, opt.Model, p.world)
 		if err != nil {
 			return nil, err
 		}
+		if p.tiers != nil {
+			s.tiers, s.figures, p.tiers.seats[n] = p.tiers, &p.got.Tiers, s
+		}
 		var side edge.Scheduler = s
 		if opt.Wrap != nil {
 			side = opt.Wrap(side)
 		}
 		p.sides = append(p.sides, side)
 	}
+	for n := range spec.Planners.Count {
+		n += spec.Schedulers.Count
+		s, err := newPlanSeat(spec, n, p.opt, p.tiers, &p.got.Tiers)
+		if err != nil {
+			return nil, err
+		}
+		p.tiers.seats[n], p.sides = s, append(p.sides, s)
+	}
 	p.next, p.ins = make([]time.Duration, len(p.sides)), make([][]edge.In, len(p.sides))
 	for n := range p.next {
 		p.next[n] = never
@@ -75,6 +99,11 @@
 	}
 	p.least = never
 	err := p.play(end)
+	if p.tiers != nil {
+		for _, s := range p.tiers.seats {
+			s.end()
+		}
+	}
 	if p.digest != nil {
 		p.got.Digest = p.digest.Sum64()
 	}
@@ -101,6 +130,7 @@
 	opt    *Options
 	got    *Outcome
 	world  *world.World
+	tiers  *tiers // nil: there are no planners
 	sides  []edge.Scheduler
 	next   []time.Duration // by scheduler: when it wants a turn
 	least  time.Duration   // the first of these
@@ -145,6 +175,9 @@
 	if !ok {
 		first = never
 	}
+	if p.tiers != nil {
+		first = min(first, p.tiers.next())
+	}
 	return min(first, p.least)
 }
 
@@ -164,10 +197,16 @@
 		}
 		p.ins[in.Sched] = append(p.ins[in.Sched], *in)
 	}
+	if p.tiers != nil {
+		for _, n := range p.tiers.step(now) {
+			if !slices.Contains(p.met, n) {
+				p.met = append(p.met, n)
+			}
+		}
+	}
 	if p.least <= now {
-		p.met = p.met[:0]
 		for n, at := range p.next {
-			if at <= now || len(p.ins[n]) > 0 {
+			if at <= now && !slices.Contains(p.met, n) {
 				p.met = append(p.met, n)
 			}
 		}
--- a/internal/lab/virtual/process.go
+++ b/internal/lab/virtual/process.go
@@ -43,9 +43,10 @@
 	ready    bool // /up answers 200
 	told     bool // the host group may have changed
 	draining bool
-	closing  bool     // takes no query any more
-	over     bool     // there is nothing more to stay for
-	taken    []string // the calls of the queries taken since the last step, by their numbers from first on
+	closing  bool       // takes no query any more
+	over     bool       // there is nothing more to stay for
+	up       *forwarder // nil: there are no planners
+	taken    []string   // the calls of the queries taken since the last step, by their numbers from first on
 	first    uint64
 }
 
@@ -61,13 +62,22 @@
 	p.servers = newServerLinks(p, servers, s.set.ConnectTimeout, s.set.ConnIdle)
 	seed := boot.Seed
 	module := func() ledger.Module {
+		if p.up != nil {
+			return p.up.module()
+		}
 		seed++
 		if s.model.Module == nil {
 			return logic.New(s.set.Settings, seed)
 		}
 		return s.model.Module(s.set.Settings, seed, p)
 	}
+	if s.tiers != nil {
+		p.up = newForwarder(p, boot.Name, seed)
+	}
 	p.ledger = ledger.New(s.set.TryLimit, s.set.Names, module, boot.Known, p.servers, s.model.log(s.n))
+	if p.up != nil {
+		p.up.join()
+	}
 	return p
 }
 
@@ -129,6 +139,11 @@
 
 // turn is what ends each turn of the loop: timers, one step of the ledger, and whether there is more to stay for.
 func (p *process) turn() (exited bool) {
+	if p.up != nil {
+		p.up.before(p.s.news)
+		clear(p.s.news)
+		p.s.news = p.s.news[:0]
+	}
 	for p.timers.Len() > 0 && p.timers.First().At <= p.now {
 		t := p.timers.First()
 		p.timers.Remove(t)
@@ -138,11 +153,17 @@
 		p.ledger.Step(p.now)
 		p.taken = p.taken[:0]
 	}
+	if p.up != nil {
+		p.up.after()
+	}
 	if p.told {
 		p.told = false
 		p.tellReady()
 	}
 	if p.over && p.ledger.Open() == 0 {
+		if p.up != nil {
+			p.s.tiers.gossip.leave(p.s.n)
+		}
 		p.emit(edge.Out{Kind: edge.Exited})
 		return true
 	}
@@ -155,6 +176,11 @@
 	if p.timers.Len() > 0 && (!ok || p.timers.First().At < at) {
 		at, ok = p.timers.First().At, true
 	}
+	if p.up != nil {
+		if t := p.up.members.Next(); t > 0 && (!ok || t < at) {
+			at, ok = t, true
+		}
+	}
 	return at, ok
 }
 
--- a/internal/lab/virtual/scheduler.go
+++ b/internal/lab/virtual/scheduler.go
@@ -3,6 +3,10 @@
 // what internal/link does with connections and of what internal/run does on signals. The same scenario and seed are
 // the same play, byte for byte, whatever the machine.
 //
+// Where a scenario has planners, schedulers are forwarders: their module is package follow, as in the real program, and
+// planners are package planner's books, each with a module of its own. Between them lies a model of connections, which
+// carry frames (package frame) in order and may be cut or break, and one of the gossip that package membership goes by.
+//
 // What takes no time here takes little in a real process: parsing, writing, deciding. What this driver can't show
 // (Unseen) is to be left out of its verdicts.
 package virtual
@@ -12,12 +16,14 @@
 	"time"
 
 	"valvecove/internal/config"
+	"valvecove/internal/frame"
 	"valvecove/internal/lab/edge"
 	"valvecove/internal/lab/platform"
 	"valvecove/internal/lab/scenario"
 	"valvecove/internal/lab/world"
 	"valvecove/internal/lab/yardstick"
 	"valvecove/internal/ledger"
+	"valvecove/internal/tier"
 	"valvecove/logic"
 )
 
@@ -57,6 +63,12 @@
 	waiting []edge.In // at the sockets of a frozen process, and its signals
 	links   uint64    // opened so far, by all its processes
 	out     []edge.Out
+
+	// Where there are planners.
+	tiers   *tiers // nil: there are none
+	sprout  int    // counts processes
+	news    []tierNews
+	figures *TierFigures
 }
 
 // NewScheduler returns scheduler n of a checked scenario, whose play starts at the Unix time epoch. see is what an
@@ -77,7 +89,7 @@
 		s.take(&ins[i])
 	}
 	if s.p != nil && !s.frozen && s.p.turn() {
-		s.p = nil
+		s.end()
 	}
 	dst, s.out = s.out, nil
 	return dst
@@ -86,11 +98,12 @@
 func (s *Scheduler) take(in *edge.In) {
 	switch in.Kind {
 	case edge.Start:
-		s.p, s.frozen = newProcess(s, in.Boot), false
+		s.sprout++
+		s.p, s.frozen, s.news = newProcess(s, in.Boot), false, s.news[:0]
 		clear(s.waiting)
 		s.waiting = s.waiting[:0]
 	case edge.Kill:
-		s.p, s.frozen = nil, false
+		s.end()
 	case edge.Freeze:
 		s.frozen = s.p != nil
 	case edge.Resume:
@@ -112,6 +125,31 @@
 	}
 }
 
+// end is that of its process.
+func (s *Scheduler) end() {
+	if s.p != nil && s.p.up != nil {
+		s.figures.addForwarder(s.p.up)
+		s.tiers.gone(s.n)
+	}
+	s.p, s.frozen = nil, false
+}
+
+func (s *Scheduler) alive() (sprout int, runs, frozen bool) { return s.sprout, s.p != nil, s.frozen }
+
+// reach has something come from a planner, or by gossip.
+func (s *Scheduler) reach(n tierNews) {
+	if s.p != nil {
+		s.news = append(s.news, n)
+	}
+}
+
+// say writes a message. What can't be written is left out, as it would be in a real process.
+func (s *Scheduler) say(w *frame.Writer, m *tier.Message) {
+	if w.Add(m) != nil {
+		s.figures.Unwritten++
+	}
+}
+
 // Next tells when the process wants a turn at the latest.
 func (s *Scheduler) Next() (at time.Duration, ok bool) {
 	if s.p == nil || s.frozen {
--- /dev/null
+++ b/internal/lab/virtual/tiers_test.go
@@ -0,0 +1,228 @@
+package virtual
+
+import (
+	"runtime"
+	"sync"
+	"testing"
+	"time"
+
+	"valvecove/internal/lab/seen"
+	"valvecove/internal/planner"
+	"valvecove/internal/tier"
+	"valvecove/logic"
+)
+
+// busyTiers has something of most of what may go wrong among forwarders and planners.
+const busyTiers = `
+length = "8s"
+drivers = ["virtual"]
+fleet = { nodes = 14, zones = ["a", "b"] }
+schedulers = { count = 4 }
+planners = { count = 4, idle = 1, drops = "5s" }
+load = { of = 0.7, shape = "bursty" }
+net = { delay = "1ms", jitter = 0.5 }
+fault = [
+  { what = "planner_kill", at = "1s", for = "1s", on.planners = [0] },
+  { what = "planner_freeze", at = "2s", for = "1500ms", on.planners = [1] },
+  { what = "planner_slow", at = "3s", for = "2s", on.planners = [2] },
+  { what = "planner_cut", at = "4s", for = "1s", on = { planners = [0], schedulers = [1, 2] } },
+  { what = "planner_cut_one_way", at = "4500ms", for = "1s", between = "planners", and = "planners", on.planners = [2] },
+  { what = "planner_start", at = "5s", on.planners = [3] },
+  { what = "planner_drop", at = "5500ms" },
+  { what = "planner_term", at = "6s", for = "300ms", on.planners = [1] },
+  { what = "sched_kill", at = "4s", for = "300ms", on.schedulers = [1] },
+  { what = "restart", at = "3s", for = "500ms", on.share = 0.3 },
+]`
+
+// With planners, too, the same scenario and seed are the same bytes, whatever the machine does besides.
+func TestSameTiers(t *testing.T) {
+	spec := parse(t, busyTiers)
+	play := func(seed uint64) uint64 {
+		got, err := Play(spec, seed, Options{Digest: true})
+		x := got.Tiers
+		if err != nil || !got.Over || x.Queries < 100 || x.Orders < x.Queries || x.Unwritten > 0 {
+			t.Errorf("%+v, %v", got, err)
+		}
+		return got.Digest
+	}
+	want := play(1)
+	if play(2) == want {
+		t.Error("two seeds are one play")
+	}
+	old := runtime.GOMAXPROCS(max(8, runtime.GOMAXPROCS(0)))
+	var all sync.WaitGroup
+	for range 3 {
+		all.Go(func() {
+			if play(1) != want {
+				t.Error("another play beside others")
+			}
+		})
+	}
+	all.Wait()
+	runtime.GOMAXPROCS(old)
+}
+
+// spoiler is a fault that is seeded in a planner: what it says besides an order to send, or in place of it.
+type spoiler struct {
+	stopped []tier.Why // for any of these reasons
+	say     func(d *spoiled, o planner.Out, dst []planner.Out) []planner.Out
+}
+
+// spoiled is what a spoiler knows of a play.
+type spoiled struct {
+	drained uint64        // a worker node that drains, by all lists
+	last    []planner.Out // orders to send, a while ago
+	n       int
+}
+
+func again(o planner.Out, change func(m *tier.Message)) planner.Out {
+	change(&o.Msg)
+	return o
+}
+
+var spoilers = map[string]spoiler{
+	"each order twice": {[]tier.Why{tier.Repeated}, func(_ *spoiled, o planner.Out, dst []planner.Out) []planner.Out {
+		return append(dst, o, o)
+	}},
+	"a copy at the same worker node": {[]tier.Why{tier.TwiceAtNode},
+		func(_ *spoiled, o planner.Out, dst []planner.Out) []planner.Out {
+			return append(dst, o, again(o, func(m *tier.Message) { m.Attempt++ }))
+		}},
+	"to a worker node that drains": {[]tier.Why{tier.NodeDrains, tier.NoSuchNode},
+		func(d *spoiled, o planner.Out, dst []planner.Out) []planner.Out {
+			if d.drained > 0 {
+				o.Msg.Worker = d.drained
+			}
+			return append(dst, o)
+		}},
+	"of an old epoch": {[]tier.Why{tier.OldEpoch}, func(_ *spoiled, o planner.Out, dst []planner.Out) []planner.Out {
+		return append(dst, again(o, func(m *tier.Message) { m.Epoch-- }), o)
+	}},
+	// A second order for whatever was sent a while ago: it is out, may have run, or is over.
+	"for what may have run": {[]tier.Why{tier.MayHaveRun, tier.OutsideGroup}, func(d *spoiled, o planner.Out,
+		dst []planner.Out) []planner.Out {
+		if len(d.last) > 6 {
+			old := d.last[0]
+			d.last = d.last[1:]
+			dst = append(dst, again(old, func(m *tier.Message) { m.Attempt++; m.Worker = o.Msg.Worker }))
+		}
+		d.last = append(d.last, o)
+		return append(dst, o)
+	}},
+	"a refusal of what may have run": {[]tier.Why{tier.NotHarmless},
+		func(d *spoiled, o planner.Out, dst []planner.Out) []planner.Out {
+			if dst = append(dst, o); d.n%5 == 0 {
+				dst = append(dst, again(o, func(m *tier.Message) { m.Kind = tier.Refuse }))
+			}
+			return dst
+		}},
+	"of another forwarder's query": {[]tier.Why{tier.NoSuchQuery},
+		func(_ *spoiled, o planner.Out, dst []planner.Out) []planner.Out {
+			return append(dst, again(o, func(m *tier.Message) { m.Query += 1 << 20 }), o)
+		}},
+}
+
+// Whatever a planner orders, its forwarders' guards let nothing through that breaks a rule.
+func TestSpoiledPlanners(t *testing.T) {
+	for name, s := range spoilers {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			spec := parse(t, `
+length = "6s"
+drivers = ["virtual"]
+fleet = { nodes = 12 }
+schedulers = { count = 3 }
+planners = { count = 2 }
+load = { of = 0.5 }
+fault = [{ what = "drain", at = "1s", on.names = ["w-3"] }, { what = "crash", at = "3s", for = "1s", on.share = 0.2 }]`)
+			d := &spoiled{}
+			watch := func(x *seen.Sight) {
+				if x.What == seen.Drained && x.Node == 3 {
+					d.drained = hostNumber("w-3")
+				}
+			}
+			got, verdict := judged(t, spec, 1, Options{Watch: []seen.Watcher{watch},
+				Spoil: func(_ int, outs []planner.Out) (dst []planner.Out) {
+					for _, o := range outs {
+						if o.Kind == planner.Say && o.Msg.Kind == tier.Send {
+							d.n++
+							dst = s.say(d, o, dst)
+						} else {
+							dst = append(dst, o)
+						}
+					}
+					return dst
+				}})
+			for _, b := range verdict.Broken {
+				t.Errorf("%v\n%s", b, b.Story)
+			}
+			stopped := 0
+			for _, why := range s.stopped {
+				stopped += got.Tiers.ByWhy[why]
+			}
+			if stopped < 3 || d.n < 100 {
+				t.Errorf("%d orders, stopped %v", d.n, got.Tiers.ByWhy)
+			}
+		})
+	}
+}
+
+// poisoned is a module that panics at some queries, whichever planner has it.
+type poisoned struct{ planner.Module }
+
+func poisonous(j logic.Job) bool { return j.Class == 0 && j.Hint%29 == 0 && j.Hint > 0 }
+
+func (m poisoned) Step(now time.Duration, events []logic.Event, dst []logic.Action) []logic.Action {
+	for _, e := range events {
+		switch e := e.(type) {
+		case logic.Job:
+			if poisonous(e) {
+				panic("poisonous")
+			}
+		case logic.Resumed:
+			if poisonous(e.Job) {
+				panic("poisonous")
+			}
+		}
+	}
+	return m.Module.Step(now, events, dst)
+}
+
+// Queries at which every planner's module panics cost each planner that has them a module, and no other query
+// anything: they are given up after the second, and never come to a third.
+func TestPoisonousQueries(t *testing.T) {
+	spec := parse(t, `
+length = "6s"
+drivers = ["virtual"]
+fleet = { nodes = 20 }
+schedulers = { count = 5 }
+planners = { count = 4 }
+load = { of = 0.5, hints = "exact" }
+clients = { retries = 0 }`)
+	failed, served := 0, 0
+	got, verdict := judged(t, spec, 2, Options{
+		Plan: func(_ int, m planner.Module) planner.Module { return poisoned{m} },
+		Watch: []seen.Watcher{func(x *seen.Sight) {
+			switch {
+			case x.What == seen.Answered && x.Status == 200:
+				served++
+			case x.What == seen.Answered:
+				failed++
+			}
+		}}})
+	for _, b := range verdict.Broken {
+		t.Errorf("%v\n%s", b, b.Story)
+	}
+	f := &got.Tiers
+	if f.Poisonous < 3 || f.Panics != 2*f.Poisonous || f.GivenBack != f.Panics || failed < f.Poisonous ||
+		failed > f.Poisonous+3 || served < 200 {
+		t.Errorf("%d failed, %d served: %+v", failed, served, f)
+	}
+}
+
+// Planners are what is in service, or nothing.
+func TestTiersTakeNoYardstick(t *testing.T) {
+	if _, err := Play(parse(t, busyTiers), 1, Options{Model: policy("random")}); err == nil {
+		t.Error("a planner with a yardstick's module")
+	}
+}
--- /dev/null
+++ b/internal/lab/virtual/unraced_test.go
@@ -0,0 +1,6 @@
+//go:build !race
+
+package virtual
+
+// playsAtOnce are as many random plays as take a few seconds.
+const playsAtOnce = 400
--- a/internal/lab/virtual/unseen.go
+++ b/internal/lab/virtual/unseen.go
@@ -27,6 +27,10 @@
 			all = append(all, fmt.Sprintf("Fault %s: %s", f.What, why))
 		}
 	}
+	if spec.Planners.Count > 0 {
+		all = append(all, "What forwarders and planners say to each other is written and read in frames, but connections and"+
+			" gossip are models: nothing is seen of sockets, of the time that a hop takes in a process, or of the engine.")
+	}
 	if spec.Schedulers.Ops != "" {
 		all = append(all, "Of the operators' file [aperture] counts alone: the other features have to do with sockets and files.")
 	}
