--- a/internal/aperture/aperture.go
+++ b/internal/aperture/aperture.go
@@ -33,7 +33,7 @@
 
 // Config is how wide the aperture is. All schedulers of a deployment should have the same.
 type Config struct {
-	Least    int           // ready worker nodes that a scheduler looks at, at least; a quarter of them for a bound class
+	Least    int           // ready worker nodes that a scheduler looks at, at least; a tenth for each bound class
 	Cover    int           // schedulers that look at each worker node, on the mean, at least; 2 or more
 	OffBelow int           // a fleet of fewer worker nodes is looked at whole
 	Most     float64       // load widens the aperture to so many times its width at most
--- a/internal/aperture/fleet.go
+++ b/internal/aperture/fleet.go
@@ -10,8 +10,8 @@
 )
 
 const (
-	rings     = 2 // that schedulers take turns on; each has an order of its own
-	boundPart = 4 // of Config.Least, what each class that is bound to kinds or zones finds in the aperture
+	rings     = 2  // that schedulers take turns on; each has an order of its own
+	boundPart = 10 // of Config.Least, what each class that is bound to kinds or zones finds in the aperture
 )
 
 // node is what is known of a worker node.
