Take neither a wide job, nor a dropped repeat, nor one's own late start for a full fleet

Wide jobs wait more often than others; they count as one. (2) A copy of a keyed job that its cell drops as a repeat is told no start. It looked like a queue, and its worker got nothing more: a cell with one worker that hung stood still. It says nothing now.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -472,7 +472,7 @@
 	late := d.promptBy(j)
 	for _, a := range w.out {
 		// A worker that leaves one of ours unstarted has a queue: it cannot start the next one now.
-		if !a.started && d.now-a.sent > late {
+		if !a.started && d.now-a.sent > late && !a.repeats() {
 			return false
 		}
 	}
@@ -503,7 +503,7 @@
 		}
 		// A room of one for each of many dispatchers is still a queue at the worker. Where even that one is
 		// late, leave the worker alone as long as it waited, longer each time, until one starts promptly.
-		if w.room <= 1 {
+		if w.room <= 1 && d.set.Replicas > 1 {
 			d.leave(w, d.now-a.sent)
 		}
 		w.cut, w.room = d.now, max(1, w.room-1)
@@ -594,7 +594,7 @@
 // overdue looks at an attempt that has not started, or not ended, when it should have.
 func (d *Dispatcher) overdue(a *attempt) {
 	j, w := a.job, a.worker
-	if a.ended { // a job that has ended still shows by its attempts how a worker fares
+	if a.ended || !a.started && a.repeats() { // an ended job still shows by its attempts how a worker fares
 		return
 	}
 	if d.wokeAt == d.now { // what tells of it may have come meanwhile, and be read in a moment
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -301,7 +301,9 @@
 
 // Incident: with many dispatchers a room of one each is still a long queue at the worker.
 func TestRestAfterLateStartWithRoomOfOne(t *testing.T) {
-	s := newScene(t, testSettings())
+	set := testSettings()
+	set.Replicas = 2
+	s := newScene(t, set)
 	s.workers(1)
 	s.step(s.job(1, 1, 100*ms))
 	s.wait(150 * ms)
--- a/logic/members.go
+++ b/logic/members.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"math/bits"
+	"slices"
 	"time"
 )
 
@@ -100,14 +101,19 @@
 // excused tells whether we ourselves were late while an attempt was out.
 func (d *Dispatcher) excused(a *attempt) bool { return a.sent < d.wokeAt && d.wokeAt > 0 }
 
-// countLate counts the slots of those that wait.
+// repeats tells whether its worker may drop an attempt as a repeat: it is told no start then, and waits for another's run.
+func (a *attempt) repeats() bool {
+	return a.job.class.Effect == Keyed && slices.ContainsFunc(a.job.attempts[:a.number], (*attempt).mayHaveRun)
+}
+
+// countLate counts those that wait; a wide one is one, as it waits more often than others.
 func (d *Dispatcher) countLate() {
 	d.unstarted.sort(d.now, func(class int) time.Duration { return d.promptWithin(&d.set.Classes[class]) },
 		func(a *attempt) bool { return a.started || a.ended || d.now-a.sent >= silence*d.lateStart })
 	d.waiting = 0
 	for _, a := range d.unstarted.over {
-		if a.job.index < 0 && !a.job.closed && a.number == len(a.job.attempts)-1 {
-			d.waiting += a.job.need
+		if a.job.index < 0 && !a.job.closed && a.number == len(a.job.attempts)-1 && !a.repeats() {
+			d.waiting++
 		}
 	}
 }
--- a/logic/starve_test.go
+++ b/logic/starve_test.go
@@ -111,3 +111,51 @@
 	s.step(s.job(3, 0, 20*ms))
 	expectJobs(t, taken[Send](s), 3)
 }
+
+// Found: one job of four slots that waited at a worker stopped all sends, as if most of what was out did.
+func TestWideJobThatWaitsIsOne(t *testing.T) {
+	s := newScene(t, testSettings())
+	s.workers(10)
+	wide := s.job(1, 1, 300*ms) // unsafe: never moved
+	wide.Slots = 4
+	s.step(wide, s.job(2, 1, 300*ms))
+	s.step(Started{Job: 2, Worker: taken[Send](s)[1].Worker})
+	s.wait(200 * ms)
+	s.step(s.job(3, 1, 20*ms), s.job(4, 1, 20*ms))
+	expectJobs(t, taken[Send](s), 3, 4)
+}
+
+// Found: copies of keyed jobs were dropped as repeats by the cells that had the first ones, and told no start. Each looked
+// like a queue, and its worker was sent nothing more: in a cell with one worker that hung, all others idled.
+func TestRepeatLooksLikeNoQueue(t *testing.T) {
+	set := testSettings()
+	set.Classes[1].Effect, set.Classes[1].Group, set.Classes[1].Window = Keyed, GroupAll, 20*time.Second
+	s := newScene(t, set)
+	s.workers(2)
+	s.d.workers[1].room, s.d.workers[2].room = 4, 4
+	s.step(s.job(1, 1, 100*ms))
+	sick := taken[Send](s)[0].Worker
+	s.wait(600 * ms)
+	sends := taken[Send](s)
+	if len(sends) != 1 || sends[0].Worker == sick {
+		t.Fatalf("%v: expected a copy at the other worker", sends)
+	}
+	s.wait(600 * ms)
+	s.step(s.job(2, 0, 20*ms))
+	if sends := taken[Send](s); len(sends) != 1 || sends[0].Worker == sick {
+		t.Fatalf("%v: expected the other worker to be sent job 2 as well", sends)
+	}
+}
+
+// Found: the only dispatcher of a fleet left an idle worker alone for seconds after a late start, though nobody else's
+// jobs can have been in its way.
+func TestLoneDispatcherLeavesNoWorkerAlone(t *testing.T) {
+	s := newScene(t, testSettings())
+	s.workers(1)
+	s.step(s.job(1, 1, 100*ms))
+	s.wait(150 * ms)
+	s.step(Started{Job: 1, Worker: 1}, s.done(1, 0, 1, OK))
+	s.take()
+	s.step(s.job(2, 1, 100*ms))
+	expectJobs(t, taken[Send](s), 2)
+}
--- a/logic/state.go
+++ b/logic/state.go
@@ -39,7 +39,7 @@
 	used                  float64         // our slots in use at all workers
 	unstarted             lateness        // attempts that are out and have not started
 	scout                 time.Duration   // when the last attempt was sent; 0: it has started
-	waiting               float64         // slots of those that are late, as of this step
+	waiting               float64         // those that are late, as of this step
 	lateStart             time.Duration   // mean delay of late starts
 	busy                  map[int]float64 // by zone: how likely a worker has no free slot
 	kept                  *worker         // takes nothing but keptFor, a large job
