Have a planner that wakes read part by part, so that it sends its old orders

Seen: in two_freeze no order of an old session reached a guard: the model's planner read all that had waited, the new session included, before it decided once. A real one reads on socket by socket.

--- a/internal/lab/virtual/planner.go
+++ b/internal/lab/virtual/planner.go
@@ -19,6 +19,9 @@
 
 func plannerName(n int) string { return "p" + strconv.Itoa(n+1) }
 
+// mostAtOnce is how many things that have reached a planner it may take in in one turn.
+const mostAtOnce = 16
+
 // planSeat is one planner, over all of its processes: an edge.Scheduler to the world, whom no client and no worker
 // node comes to.
 type planSeat struct {
@@ -195,8 +198,12 @@
 func (p *planProcess) turn() (exited bool) {
 	s := p.s
 	p.now = s.epoch + s.now
-	n := 0
-	for ; n < len(s.waiting) && s.waiting[n].at <= s.now; n++ {
+	// Of much that waits, as after a freeze, it takes in a part at a time, and decides on that before it reads on.
+	n, most := 0, len(s.waiting)
+	if most > 1 {
+		most = 1 + s.t.rngs[s.n].IntN(mostAtOnce)
+	}
+	for ; n < min(most, len(s.waiting)) && s.waiting[n].at <= s.now; n++ {
 		p.take(&s.waiting[n])
 	}
 	rest := copy(s.waiting, s.waiting[n:])
