Poison fewer queries in the test of them, so that no planner reaches its limit of panics

Cause: the change of the module sent more of the poisonous queries to one planner. The limit is not what this test is about, so fewer are poisonous now; every check stands as it was.

--- a/internal/lab/virtual/tiers_test.go
+++ b/internal/lab/virtual/tiers_test.go
@@ -170,7 +170,8 @@
 // poisoned is a module that panics at some queries, whichever planner has it.
 type poisoned struct{ planner.Module }
 
-func poisonous(j logic.Job) bool { return j.Class == 0 && j.Hint%29 == 0 && j.Hint > 0 }
+// So few that no planner comes to the six panics in 10 s at which it lets all its heads go, none given back.
+func poisonous(j logic.Job) bool { return j.Class == 0 && j.Hint%37 == 0 && j.Hint > 0 }
 
 func (m poisoned) Step(now time.Duration, events []logic.Event, dst []logic.Action) []logic.Action {
 	for _, e := range events {
