Find starvation from outside: tries that wait or are refused while worker nodes idle

Change: internal/lab/starve watches a play's sights as the judge does; its package doc says when a worker node is plainly idle, when a try is starved, and what is excused. It draws more widely (larger fleets, bound classes, no copies, hints off by 30, zones, closed loads) and plays no yardstick.

--- a/cmd/covelab/experiments.go
+++ b/cmd/covelab/experiments.go
@@ -194,6 +194,7 @@
 	At     int           `help:"Plays at once; 0: as many as there are processors." default:"0"`
 	Policy string        `help:"Policy that is hunted." default:"logic"`
 	Top    string        `help:"Yardstick that it is held against." default:"all-seeing"`
+	Starve bool          `help:"Hunt for tries that wait or are refused while worker nodes are idle; no yardstick is played."`
 }
 
 // Run hunts.
@@ -201,7 +202,7 @@
 	ctx, cancel := context.WithTimeout(ctx, c.For)
 	defer cancel()
 	h := experiment.Hunt{Seed: c.Seed, Subject: experiment.Subject{Name: c.Policy, Policy: c.Policy}, Top: c.Top,
-		Keep: c.Keep, At: c.At, Most: c.Most}
+		Keep: c.Keep, At: c.At, Most: c.Most, Starve: c.Starve}
 	from := time.Now()
 	got, err := h.Run(ctx, func(f *experiment.Find, plays int) {
 		fmt.Fprintf(s.err, "%6.0fs  play %d, draw %d: %s; %d of %d faults left\n", time.Since(from).Seconds(), plays, f.Draw,
--- a/cmd/covelab/play.go
+++ b/cmd/covelab/play.go
@@ -47,6 +47,12 @@
 	if err := report.Page(s.out, p.Result(), p.Doc.Verdict, p.Doc.Met); err != nil {
 		return err
 	}
+	if v := p.Starved; v != nil {
+		fmt.Fprintf(s.out, "starvation: %v\n", v)
+		for _, x := range v.Cases {
+			fmt.Fprintf(s.out, "  %9.3f  %s\n", x.At.Seconds(), x.Text)
+		}
+	}
 	stories(s.out, p)
 	if o.Report != "" {
 		fmt.Fprintf(s.out, "report: %s\n", filepath.Join(o.Report, "index.html"))
@@ -92,6 +98,7 @@
 	Driver   string `help:"virtual or live." enum:"virtual,live" default:"virtual"`
 	Seed     uint64 `help:"Seed; 0: that of the scenario, or else 1." default:"0"`
 	Mutant   string `help:"Put a seeded fault before each scheduler; virtual only. See covelab mutants."`
+	Starve   bool   `help:"Look for tries that wait or are refused while worker nodes are idle."`
 	Quiet    bool   `short:"q" help:"No progress."`
 	Logs     string `help:"Keep the schedulers' configuration and logs in this folder; live only." type:"path"`
 	subject
@@ -122,7 +129,7 @@
 	case seed == 0:
 		seed = max(1, uint64(spec.Seed))
 	}
-	job := experiment.Job{Spec: spec, Seed: seed, Driver: c.Driver,
+	job := experiment.Job{Spec: spec, Seed: seed, Driver: c.Driver, Starve: c.Starve,
 		Subject: experiment.Subject{Name: c.Policy, Policy: c.Policy, Mutant: c.Mutant, Set: c.Set, Binary: c.Binary}}
 	if c.Driver == scenario.Live {
 		job.Subject.Name, job.Subject.Policy = "valvecove", ""
--- a/internal/lab/experiment/experiment_test.go
+++ b/internal/lab/experiment/experiment_test.go
@@ -202,6 +202,10 @@
 	if err != nil || p.Result().Worth.Mix != f.Got || p.Broken() == 0 {
 		t.Errorf("%v: the kept play is another", err)
 	}
+	h.Starve = true // breaks are kept just so, and nobody plays beside it
+	if got, err = h.Run(context.Background(), nil); err != nil || got.Broken == 0 || got.Worst[0].Top != 0 {
+		t.Errorf("%+v, %v: expected a hunt for starvation to keep broken rules, and to play no yardstick", got, err)
+	}
 }
 
 // A longer hunt begins as a shorter one: a draw follows from the seed and its number.
--- a/internal/lab/experiment/hunt.go
+++ b/internal/lab/experiment/hunt.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"valvecove/internal/lab/scenario"
+	"valvecove/internal/lab/starve"
 )
 
 // Hunt looks for plays that go badly: scenarios and seeds drawn at random, each held against the yardstick that sees
@@ -23,20 +24,24 @@
 	Keep    int    // so many of the worst; default 8
 	At      int    // plays at once
 	Most    int    // draws; 0: until the context ends
+	// Starve hunts for starvation (package starve) and broken rules in plays drawn more widely, and for no regret: no
+	// yardstick is played.
+	Starve bool
 
 	trim func(s *scenario.Scenario) // changes each draw; nil: nothing does
 }
 
 // Find is a play that went badly.
 type Find struct {
-	Spec   *scenario.Scenario // its Seed is the play's
-	Rule   string             // that was broken; empty: none was
-	Got    float64            // the mixed worth, and the yardstick's
-	Top    float64
-	Faults int    // left of those drawn
-	Drawn  int    // faults that were drawn
-	Draw   int    // which draw it was
-	Error  string // what the play ended with, if it could not be played on
+	Spec    *scenario.Scenario // its Seed is the play's
+	Rule    string             // that was broken, or starve.Rule; empty: none was
+	Starved int                // tries that were
+	Got     float64            // the mixed worth, and the yardstick's
+	Top     float64
+	Faults  int    // left of those drawn
+	Drawn   int    // faults that were drawn
+	Draw    int    // which draw it was
+	Error   string // what the play ended with, if it could not be played on
 }
 
 // Regret is how far a play stayed under the yardstick.
@@ -47,6 +52,8 @@
 	switch {
 	case f.Error != "":
 		return "it stopped: " + strings.SplitN(f.Error, "\n", 2)[0]
+	case f.Rule == starve.Rule:
+		return fmt.Sprintf("%d tries starved", f.Starved)
 	case f.Rule != "":
 		return "rule " + f.Rule + " broken"
 	}
@@ -58,7 +65,7 @@
 	if f.Error != "" {
 		return "!" + strings.SplitN(f.Error, "\n", 2)[0]
 	}
-	if f.Rule != "" {
+	if f.Rule != "" && f.Rule != starve.Rule {
 		return "rule " + f.Rule
 	}
 	var kinds []string
@@ -68,7 +75,7 @@
 		}
 	}
 	slices.Sort(kinds)
-	return strings.Join(kinds, "+")
+	return f.Rule + " " + strings.Join(kinds, "+")
 }
 
 // File is the find as a scenario file that plays it again.
@@ -184,7 +191,8 @@
 // look plays a scenario, and the yardstick beside it.
 func (h *Hunt) look(ctx context.Context, spec *scenario.Scenario, draw int) (*Find, error) {
 	f := &Find{Spec: spec, Draw: draw, Drawn: len(spec.Faults), Faults: len(spec.Faults)}
-	p, err := Run(ctx, Job{Spec: spec, Seed: uint64(spec.Seed), Driver: scenario.Virtual, Subject: h.Subject})
+	p, err := Run(ctx, Job{Spec: spec, Seed: uint64(spec.Seed), Driver: scenario.Virtual, Subject: h.Subject,
+		Starve: h.Starve})
 	if err != nil {
 		f.Error = err.Error()
 		return f, nil
@@ -194,6 +202,12 @@
 			f.Rule = t.Rule
 		}
 	}
+	if h.Starve {
+		if f.Starved = p.Starved.Starved(); f.Starved > 0 && f.Rule == "" {
+			f.Rule = starve.Rule
+		}
+		return f, nil
+	}
 	f.Got = p.Result().Worth.Mix
 	top := h.Top
 	if top == "" {
@@ -289,6 +303,9 @@
 	rng := rand.New(rand.NewPCG(h.Seed, uint64(i)))
 	for {
 		s := draw(rng)
+		if h.Starve {
+			widen(rng, s)
+		}
 		if h.trim != nil {
 			h.trim(s)
 		}
@@ -351,6 +368,53 @@
 	return s
 }
 
+// widen draws what starvation may come from and other hunts hold fixed: larger fleets, many schedulers, bound classes,
+// copies that are not allowed, hints far off, zones, and clients that each wait for their answer.
+func widen(rng *rand.Rand, s *scenario.Scenario) {
+	one := func(of int) bool { return rng.IntN(of) == 0 }
+	round := func(x float64) float64 { return math.Round(x*100) / 100 }
+	if one(4) {
+		s.Fleet.Nodes = int(40 * math.Exp(rng.Float64()*math.Log(10)))
+		s.Schedulers.Count = 1 + rng.IntN(16)
+		s.Length = scenario.Span(8 * time.Second)
+	}
+	s.Schedulers.Sockets = 8192
+	s.Schedulers.MemoryMB = 256
+	if one(4) {
+		s.Load.Hints, s.Load.HintFactor = "wrong", round(math.Exp((2*rng.Float64()-1)*math.Log(30)))
+	}
+	if one(3) {
+		c := &s.Classes[rng.IntN(len(s.Classes))]
+		c.Kind = s.Fleet.Kinds[rng.IntN(len(s.Fleet.Kinds))].Name
+		if one(2) {
+			c.Share = round(c.Share / 4)
+		}
+	}
+	if one(4) {
+		s.Schedulers.SecondCopies = false
+	}
+	if one(6) {
+		s.Schedulers.Cancelling = false
+	}
+	if one(6) {
+		s.Schedulers.Probes = false
+	}
+	if one(4) {
+		s.Fleet.Zones = []string{"a", "b", "c"}[:2+rng.IntN(2)]
+	}
+	if one(4) {
+		f := math.Exp((2*rng.Float64() - 1) * math.Log(4))
+		for i := range s.Classes {
+			c := &s.Classes[i]
+			c.Work = scenario.Span(time.Duration(float64(c.Work) * f).Round(time.Millisecond))
+		}
+	}
+	if one(8) {
+		s.Load = scenario.Load{Closed: 1 + rng.IntN(3*s.Fleet.Nodes), Shape: "steady", Hints: s.Load.Hints,
+			HintFactor: s.Load.HintFactor, OverWorth: s.Load.OverWorth, Quota: s.Load.Quota}
+	}
+}
+
 func drawFault(rng *rand.Rand, s *scenario.Scenario) scenario.Fault {
 	f := scenario.Fault{What: huntable[rng.IntN(len(huntable))]}
 	length := s.Length.D()
--- a/internal/lab/experiment/run.go
+++ b/internal/lab/experiment/run.go
@@ -25,6 +25,7 @@
 	"valvecove/internal/lab/scenario"
 	"valvecove/internal/lab/score"
 	"valvecove/internal/lab/seen"
+	"valvecove/internal/lab/starve"
 	"valvecove/internal/lab/virtual"
 	"valvecove/internal/lab/yardstick"
 	"valvecove/internal/ledger"
@@ -60,13 +61,16 @@
 	Tally func(t *score.Tally)
 	// Unjudged leaves the judge out, where only speed or worth is asked for.
 	Unjudged bool
-	Live     live.Options // Watch is overwritten
+	// Starve has tries looked for that wait or are refused while worker nodes are idle.
+	Starve bool
+	Live   live.Options // Watch is overwritten
 }
 
 // Played is what came of a play.
 type Played struct {
 	Doc     report.Doc
 	Judged  judge.Verdict
+	Starved *starve.Verdict  // nil: not looked for
 	Virtual *virtual.Outcome // of a virtual play
 	Live    *live.Outcome    // of a live one
 }
@@ -193,17 +197,21 @@
 
 // books are the judge's and the score's of one play.
 type books struct {
-	judge *judge.Judge
-	score *score.Score
-	also  seen.Watcher
-	spec  *scenario.Scenario
-	tally func(t *score.Tally)
-	stand score.Tally
-	next  time.Duration
+	judge  *judge.Judge
+	score  *score.Score
+	also   seen.Watcher
+	starve *starve.Watcher
+	spec   *scenario.Scenario
+	tally  func(t *score.Tally)
+	stand  score.Tally
+	next   time.Duration
 }
 
 func newBooks(spec *scenario.Scenario, job Job) *books {
 	b := &books{spec: spec, score: score.New(spec, score.Options{Seed: job.Seed, Driver: job.Driver}), also: job.Watch, tally: job.Tally}
+	if job.Starve {
+		b.starve = starve.New(spec)
+	}
 	if !job.Unjudged {
 		b.judge = judge.New(spec, judge.Options{Live: job.Driver == scenario.Live})
 	}
@@ -215,6 +223,9 @@
 	if b.judge != nil {
 		all = append(all, b.judge.Watch)
 	}
+	if b.starve != nil {
+		all = append(all, b.starve.Watch)
+	}
 	if b.also != nil {
 		all = append(all, b.also)
 	}
@@ -242,6 +253,10 @@
 func (b *books) close(p *Played, unseen []string, void string) {
 	r := b.score.Result()
 	p.Doc.Result = r
+	if b.starve != nil {
+		v := b.starve.Verdict()
+		p.Starved, p.Doc.Starved = &v, &v
+	}
 	if b.judge == nil {
 		return
 	}
--- a/internal/lab/judge/judge.go
+++ b/internal/lab/judge/judge.go
@@ -300,7 +300,7 @@
 	case seen.Settled:
 		j.settle(s)
 		return
-	case seen.Probed, seen.Linked:
+	case seen.Probed, seen.Linked, seen.Sent, seen.Dialled, seen.Struck, seen.Spared, seen.Stands:
 		return
 	case seen.OddBegan:
 		j.counts.Bad++
--- a/internal/lab/report/report.go
+++ b/internal/lab/report/report.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"valvecove/internal/lab/score"
+	"valvecove/internal/lab/starve"
 )
 
 // Verdict is what the judge found.
@@ -54,11 +55,12 @@
 
 // Doc is a play's report.
 type Doc struct {
-	Result   *score.Result `json:"result"`
-	Verdict  *Verdict      `json:"verdict"` // nil: not judged
-	Met      []score.Met   `json:"expectations"`
-	Build    string        `json:"build,omitempty"`    // of what was played with: version, policy
-	Scenario string        `json:"scenario,omitempty"` // its text
+	Result   *score.Result   `json:"result"`
+	Verdict  *Verdict        `json:"verdict"` // nil: not judged
+	Met      []score.Met     `json:"expectations"`
+	Starved  *starve.Verdict `json:"starved,omitempty"`  // nil: not looked for
+	Build    string          `json:"build,omitempty"`    // of what was played with: version, policy
+	Scenario string          `json:"scenario,omitempty"` // its text
 }
 
 // WriteJSON writes a Doc, a Comparison or a Sweep.
--- a/internal/lab/seen/seen.go
+++ b/internal/lab/seen/seen.go
@@ -37,6 +37,11 @@
 	Linked                     // a connection was opened to Node by Sched
 	Pushed                     // work of Slots x Work (s) arrived at a cold Node from Sched; Share is its capacity, in cores at speed 1, then
 	Fell                       // Node was pushed over while cold; Share: part of the work that came from schedulers that knew of its start
+	Sent                       // an attempt was wholly written on a connection to Node: Call, Node, Sched. It may never reach it. Live: told with Reached
+	Dialled                    // Sched began to open a connection to Node, Conn, which may never be Linked. Live: told once it has come up
+	Struck                     // a fault of the timeline, or a pause, begins to hold for Node: Text (what)
+	Spared                     // it no longer does: Node, Text
+	Stands                     // Node runs at the play's start, and long has: Boot; Slots that it has, Text its kind
 	Unread                     // the connection to Node over which an attempt was wholly written is over for its scheduler, which has closed it or been told so, and Node has not read it: Call, Node, Sched, First
 )
 
--- /dev/null
+++ b/internal/lab/starve/play_test.go
@@ -0,0 +1,69 @@
+package starve_test
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"valvecove/internal/lab/scenario"
+	"valvecove/internal/lab/seen"
+	"valvecove/internal/lab/starve"
+	"valvecove/internal/lab/virtual"
+	"valvecove/internal/lab/yardstick"
+	"valvecove/internal/ledger"
+	"valvecove/logic"
+)
+
+// spoiled is the module in service, but for jobs of one class, of which it hears nothing, so that they are held, or of
+// which it refuses each at once.
+type spoiled struct {
+	*logic.Dispatcher
+	refuses bool
+}
+
+func (m spoiled) Step(now time.Duration, events []logic.Event, dst []logic.Action) []logic.Action {
+	var turned []logic.Action
+	events = slices.DeleteFunc(slices.Clone(events), func(e logic.Event) bool {
+		j, ok := e.(logic.Job)
+		if ok && j.Class == 0 && m.refuses {
+			turned = append(turned, logic.Refuse{Job: j.ID})
+		}
+		return ok && j.Class == 0
+	})
+	return append(m.Dispatcher.Step(now, events, dst), turned...)
+}
+
+// A play of the module in service has no starvation; spoiled, it is all in the class that it is spoiled for.
+func TestPlays(t *testing.T) {
+	spec := scenario.Default()
+	spec.Length, spec.Load.Of = scenario.Span(12*time.Second), 0.3
+	spec.Fleet.Kinds[0].NoteLost, spec.Fleet.Kinds[1].NoteLost = 0, 0
+	for _, c := range []struct {
+		name            string
+		spoils, refuses bool
+		held, refused   bool
+	}{{name: "as it is"}, {name: "held", spoils: true, held: true},
+		{name: "refused", spoils: true, refuses: true, refused: true}} {
+		w := starve.New(spec)
+		opt := virtual.Options{Watch: []seen.Watcher{w.Watch}}
+		opt.Module = func(set logic.Settings, seed uint64, _ yardstick.Oracle) ledger.Module {
+			if d := logic.New(set, seed); c.spoils {
+				return spoiled{d, c.refuses}
+			} else {
+				return d
+			}
+		}
+		if _, err := virtual.Play(spec, 1, opt); err != nil {
+			t.Fatal(err)
+		}
+		v := w.Verdict()
+		if v.Tries < 100 || v.Held > 0 != c.held || v.Refused > 0 != c.refused {
+			t.Errorf("%s: %s", c.name, v.String())
+		}
+		for _, x := range v.Cases {
+			if x.Class != spec.Classes[0].Name || x.Refused != c.refuses {
+				t.Errorf("%s: %+v", c.name, x)
+			}
+		}
+	}
+}
--- a/internal/lab/world/faults.go
+++ b/internal/lab/world/faults.go
@@ -130,7 +130,19 @@
 		x.inTurn(x.nodes, x.strikeNode)
 	default:
 		x.left = 1
-		x.until(x.strikeAll())
+		struck := x.strikeAll()
+		x.tell(seen.Struck, x.nodes)
+		x.until(func() {
+			struck()
+			x.tell(seen.Spared, x.nodes)
+		})
+	}
+}
+
+// tell says of worker nodes that it strikes them, or no longer does.
+func (x *fault) tell(what seen.What, nodes []int) {
+	for _, n := range nodes {
+		x.f.w.tell(seen.Sight{What: what, Node: n, Text: x.What})
 	}
 }
 
@@ -172,15 +184,23 @@
 
 func (x *fault) strikeNode(i int) {
 	n, s, back := x.f.w.nodes[i], &x.f.strains[i], x.For.D()
+	x.tell(seen.Struck, []int{i})
+	spared := func() { x.tell(seen.Spared, []int{i}) }
 	whenBack := func() {
 		if back > 0 {
-			x.f.waits[i] = append(x.f.waits[i], x.over)
+			x.f.waits[i] = append(x.f.waits[i], spared, x.over)
 		}
 	}
+	until := func(undo func()) {
+		x.until(func() {
+			undo()
+			spared()
+		})
+	}
 	count := func(c *int, set func(on bool)) {
 		*c++
 		set(true)
-		x.until(func() {
+		until(func() {
 			*c--
 			set(*c > 0)
 		})
@@ -189,7 +209,7 @@
 	list := func(l *[]float64, set func()) {
 		*l = append(*l, x.Size)
 		set()
-		x.until(func() {
+		until(func() {
 			at := slices.Index(*l, x.Size)
 			*l = slices.Delete(*l, at, at+1)
 			set()
@@ -217,10 +237,11 @@
 		n.remove()
 	case "handback":
 		n.handBack()
+		spared()
 		x.over()
 	case "pause":
 		n.pause(back)
-		x.until(func() {})
+		until(func() {})
 	case "hang":
 		count(&s.hang, n.hang)
 	case "full":
--- a/internal/lab/world/faults_test.go
+++ b/internal/lab/world/faults_test.go
@@ -5,6 +5,7 @@
 	"math"
 	"reflect"
 	"slices"
+	"strconv"
 	"testing"
 	"time"
 
@@ -68,6 +69,19 @@
 		s.Check(off[x.Text] <= on[x.Text], "%q ends %d times", x.Text, off[x.Text])
 	}
 	s.Check(maps.Equal(on, off), "began: %v, ended: %v, of %s", on, off, scenario.Encode(spec))
+	holds := map[string]int{} // by worker node and what strikes it
+	for _, x := range f.sights {
+		switch at := x.Text + " w-" + strconv.Itoa(x.Node); x.What {
+		case seen.Struck:
+			holds[at]++
+		case seen.Spared:
+			holds[at]--
+			s.Check(holds[at] >= 0, "%s is spared too often", at)
+		}
+	}
+	for at, n := range holds {
+		s.Check(n == 0, "%s still strikes", at)
+	}
 }
 
 // state is what faults may change, but for what they leave behind by their nature: new processes and machines.
--- a/internal/lab/world/nodes.go
+++ b/internal/lab/world/nodes.go
@@ -9,6 +9,7 @@
 
 	"valvecove/internal/lab/edge"
 	"valvecove/internal/lab/scenario"
+	"valvecove/internal/lab/seen"
 )
 
 // node is a worker node: a machine, and on it one process after another. Its parts are in files of their own:
@@ -170,6 +171,7 @@
 }
 
 func (n *node) begin() {
+	n.w.tell(seen.Sight{What: seen.Stands, Node: n.n, Boot: n.boot, Slots: float64(n.kind.Slots), Text: n.kind.Name})
 	if n.kind.PauseEvery > 0 && n.kind.Pause > 0 {
 		n.planPause(n.w.rng("pauses", n.n))
 	}
@@ -180,7 +182,9 @@
 	every, long := rng.ExpFloat64()*float64(n.kind.PauseEvery), rng.ExpFloat64()*float64(n.kind.Pause)
 	n.w.after(time.Duration(every), func() {
 		if n.state == nodeUp {
+			n.w.tell(seen.Sight{What: seen.Struck, Node: n.n, Text: "pause"})
 			n.stall(time.Duration(long))
+			n.w.after(time.Duration(long), func() { n.w.tell(seen.Sight{What: seen.Spared, Node: n.n, Text: "pause"}) })
 		}
 		n.planPause(rng)
 	})
@@ -214,6 +218,7 @@
 // did takes what a scheduler has done to the worker node. It arrives later.
 func (n *node) did(o *edge.Out) {
 	if o.Kind == edge.Dial {
+		n.w.tell(seen.Sight{What: seen.Dialled, Node: n.n, Sched: o.Sched, Conn: uint64(o.Conn)})
 		n.dialled(o)
 		return
 	}
@@ -234,6 +239,7 @@
 	a := &attempt{n: n, call: o.Call, key: o.Key, sched: o.Sched, budget: o.Budget, first: o.First}
 	a.told = kind == edge.Sent && !n.cold.warm && n.fleet.told(o.Sched, n)
 	if kind == edge.Sent {
+		n.w.tell(seen.Sight{What: seen.Sent, Call: a.call, Node: n.n, Sched: a.sched})
 		l.sent = a
 	}
 	n.w.toFar(c, func() { n.came(l, kind, a) })
