Answer operators at a management address: readiness and figures

Ruled out: a listener of net/http, which would wait for the loop all the same. Change: one more listener on the loop, at most 16 operator links of one call each, looked at first in a turn; package tally counts jobs where queries end, and attempts where their last byte leaves.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -29,11 +29,13 @@
 	Name      string
 	Listen    netip.AddrPort
 	Discovery netip.AddrPort
-	Seed      uint64
-	Limits    Limits
-	Known     ledger.HostGroup // as it was last seen, perhaps long ago
-	Settings  Settings
-	Platform  []byte // the settings as the platform's text has them
+	// Management is where operators' calls are answered; not valid: nowhere.
+	Management netip.AddrPort
+	Seed       uint64
+	Limits     Limits
+	Known      ledger.HostGroup // as it was last seen, perhaps long ago
+	Settings   Settings
+	Platform   []byte // the settings as the platform's text has them
 }
 
 // Limits where the configuration names none: those of the smallest machine that the platform has.
@@ -42,8 +44,8 @@
 // fewestSockets leaves room for the scheduler's own descriptors, some server links and some client links.
 const fewestSockets = 64
 
-// Load reads the file that PROXY_CONFIG names; PROXY_NAME, PROXY_LISTEN and PROXY_DISCOVERY stand in for keys
-// that it lacks.
+// Load reads the file that PROXY_CONFIG names; PROXY_NAME, PROXY_LISTEN, PROXY_DISCOVERY and
+// PROXY_MANAGEMENT stand in for keys that it lacks.
 func Load(env func(string) string) (Config, error) {
 	c, faults := Read(env)
 	if len(faults) > 0 {
@@ -80,10 +82,12 @@
 	}
 	stays("name", next.Name != c.Name)
 	stays("listen", next.Listen != c.Listen)
+	stays("management", next.Management != c.Management)
 	stays("limits.cores", next.Limits.Cores != c.Limits.Cores)
 	stays("settings", !reflect.DeepEqual(next.Settings, c.Settings))
 	next.Limits.Cores = c.Limits.Cores
 	next.Name, next.Listen, next.Settings, next.Seed, next.Known = c.Name, c.Listen, c.Settings, c.Seed, c.Known
+	next.Management = c.Management
 	return next, kept, nil
 }
 
@@ -96,7 +100,7 @@
 func decode(text []byte, env func(string) string) (Config, faults) {
 	c := Config{Limits: defaultLimits}
 	d := decoder{walker: walker{it: jsoniter.ParseBytes(jsoniter.ConfigDefault, text)}}
-	listen, discovery, seed, settings := "", "", "", false
+	listen, discovery, management, seed, settings := "", "", "", "", false
 	d.object(func(key string) {
 		switch key {
 		case "name":
@@ -105,6 +109,8 @@
 			listen = d.text()
 		case "discovery":
 			discovery = d.text()
+		case "management":
+			management = d.text()
 		case "seed":
 			seed = d.text()
 		case "limits":
@@ -142,6 +148,9 @@
 	}
 	c.Listen = address("listen", "PROXY_LISTEN", listen, env, d.faults.add)
 	c.Discovery = address("discovery", "PROXY_DISCOVERY", discovery, env, d.faults.add)
+	if management != "" || env("PROXY_MANAGEMENT") != "" {
+		c.Management = address("management", "PROXY_MANAGEMENT", management, env, d.faults.add)
+	}
 	if c.Seed, err = strconv.ParseUint(seed, 16, 64); err != nil {
 		h := fnv.New64a() // any text will do for a seed
 		h.Write([]byte(seed + c.Name))
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -86,7 +86,7 @@
 // Read again, a file changes what can be changed under way; the rest stays and is named. A fault changes nothing.
 func TestReload(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "config.json")
-	env := func(string) string { return path }
+	env := func(name string) string { return map[string]string{"PROXY_CONFIG": path}[name] }
 	put := func(text string) {
 		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 			t.Fatal(err)
--- a/internal/config/ops_test.go
+++ b/internal/config/ops_test.go
@@ -147,7 +147,7 @@
 		{nil, many, strings.Repeat("o; ", mostFaults-1) + "o"},
 	} {
 		path, ops := put("c", strings.NewReplacer(c.platform...).Replace(sound)), put("o", c.ops)
-		env := func(string) string { return path }
+		env := func(name string) string { return map[string]string{"PROXY_CONFIG": path}[name] }
 		_, _, faults := ReadAll(env, ops)
 		var told []string
 		for _, f := range faults {
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -69,6 +69,7 @@
 	closed   bool
 	left     bool    // closed by its client
 	over     bool    // and the observers have been told
+	answer   Answer  // which of the three it got
 	outcome  Outcome // what its attempts have come to so far
 }
 
@@ -161,6 +162,12 @@
 	l.close(q)
 }
 
+// conclude closes a query that gets this answer now.
+func (l *Ledger) conclude(q *Query, a Answer) {
+	q.answer = a
+	l.close(q)
+}
+
 // close is the end of what is owed. The query itself stays for as long as attempts are out.
 func (l *Ledger) close(q *Query) {
 	if q.closed = true; l.calls[q.Call] == q {
@@ -199,13 +206,13 @@
 		l.tell(News{What: NewsEnded, Query: q, Attempt: a, Fault: fault})
 	}
 	if fault == nil && !q.closed {
-		l.close(q)
+		l.conclude(q, Answered200)
 		q.asker.Serve(got)
 	}
 	// What one worker node can't use none can: sent on, it would cost each of them, and each would look as if it
 	// failed. The query ends here, and the module hears of an attempt that says nothing of the worker node.
 	if fault != nil && fault.Reason == Unusable && !q.closed && q.out == 0 {
-		l.close(q)
+		l.conclude(q, AnsweredFailed)
 		q.asker.Fail()
 	}
 	l.events = append(l.events, logic.Outcome{Job: q.ID, Attempt: a.Number, Worker: a.Worker,
@@ -311,6 +318,9 @@
 	return false
 }
 
+// Listed counts the worker nodes in the list.
+func (l *Ledger) Listed() int { return len(l.ready) }
+
 // Bytes counts what the bodies of queries take up, of those too that are answered and have attempts out.
 func (l *Ledger) Bytes() int { return l.bytes }
 
@@ -394,11 +404,12 @@
 	case q.closed:
 		return
 	case len(q.attempts) == 0:
+		l.conclude(q, AnsweredBusy)
 		q.asker.Throttle(0) // nothing was sent, so trying again is harmless
 	default:
+		l.conclude(q, AnsweredFailed)
 		q.asker.Fail()
 	}
-	l.close(q)
 }
 
 // inOrder is all queries as they came: map order decides nothing.
@@ -430,13 +441,13 @@
 		l.send(now, a)
 	case logic.Refuse:
 		if q := l.queries[a.Job]; q != nil && !q.closed {
+			l.conclude(q, AnsweredBusy)
 			q.asker.Throttle(a.After)
-			l.close(q)
 		}
 	case logic.Fail:
 		if q := l.queries[a.Job]; q != nil && !q.closed {
+			l.conclude(q, AnsweredFailed)
 			q.asker.Fail()
-			l.close(q)
 		}
 	case logic.Cancel:
 		if q := l.queries[a.Job]; q != nil && a.Attempt >= 0 && a.Attempt < len(q.attempts) {
--- a/internal/ledger/observer.go
+++ b/internal/ledger/observer.go
@@ -57,6 +57,20 @@
 	return q.outcome
 }
 
+// Answer is which of the three final answers a query got.
+type Answer int
+
+// The answers. A query that its client has left stays unanswered.
+const (
+	Unanswered Answer = iota
+	Answered200
+	AnsweredBusy
+	AnsweredFailed
+)
+
+// Answer tells which answer a query got.
+func (q *Query) Answer() Answer { return q.answer }
+
 // What is the kind of a piece of news.
 type What int
 
@@ -69,6 +83,7 @@
 	NewsNote                // a worker node's note; Attempt is nil if it is about none that is out
 	NewsEnded               // an attempt that was sent has ended; Fault nil: served
 	NewsOver                // a query has its answer, or its client has left and nothing of it is out any more
+	NewsWritten             // the last byte of an attempt has left for its worker node
 	NewsDropped             // a query is forgotten: nothing more will be heard of its number
 )
 
@@ -129,3 +144,6 @@
 func (l *Ledger) Answered(a *Attempt, status int) {
 	l.tell(News{What: NewsAnswer, Query: a.Query, Attempt: a, Status: status})
 }
+
+// Written tells that the last byte of an attempt has left.
+func (l *Ledger) Written(a *Attempt) { l.tell(News{What: NewsWritten, Query: a.Query, Attempt: a}) }
--- a/internal/link/loop.go
+++ b/internal/link/loop.go
@@ -19,6 +19,7 @@
 	"valvecove/internal/due"
 	"valvecove/internal/figures"
 	"valvecove/internal/ledger"
+	"valvecove/logic"
 )
 
 // handler is one descriptor's side of the loop.
@@ -30,30 +31,32 @@
 
 // Loop is the one loop. Everything in this package runs on the goroutine that calls Run, but for Wake.
 type Loop struct {
-	epoll    int
-	wakeFD   int
-	now      time.Duration // of the present turn
-	clock    func() time.Duration
-	dial     func(to netip.AddrPort) (fd int, err error)
-	handlers []handler // by descriptor
-	events   [256]unix.EpollEvent
-	dying    []int // closed at the end of the turn, so that no event of this turn meets a reused descriptor
-	timers   due.Queue[*timer]
-	scratch  []byte
-	writing  []byte
-	message  Message
-	Ledger   *ledger.Ledger
-	log      *slog.Logger
-	linkLog  *slog.Logger // on client links, whose lines must not crowd out the others
-	onWake   func()
-	clients  *clientLinks
-	servers  *serverLinks
-	watch    *watch
-	status   *statusLinks      // nil: off
-	side     int               // descriptors for features
-	Capture  *capture.Recorder // nil: off
-	figures  *figures.Figures  // nil: off
-	lists    *address.Lists    // nil: off
+	epoll     int
+	wakeFD    int
+	now       time.Duration // of the present turn
+	clock     func() time.Duration
+	dial      func(to netip.AddrPort) (fd int, err error)
+	handlers  []handler // by descriptor
+	events    [256]unix.EpollEvent
+	dying     []int // closed at the end of the turn, so that no event of this turn meets a reused descriptor
+	timers    due.Queue[*timer]
+	scratch   []byte
+	writing   []byte
+	message   Message
+	Ledger    *ledger.Ledger
+	log       *slog.Logger
+	linkLog   *slog.Logger // on client links, whose lines must not crowd out the others
+	onWake    func()
+	clients   *clientLinks
+	servers   *serverLinks
+	watch     *watch
+	status    *statusLinks      // nil: off
+	operators *operatorLinks    // nil: off
+	decides   *logic.Dispatcher // the module that runs, under whatever wraps it
+	side      int               // descriptors for features
+	Capture   *capture.Recorder // nil: off
+	figures   *figures.Figures  // nil: off
+	lists     *address.Lists    // nil: off
 }
 
 // newLoop returns a loop that counts time from the Unix epoch, so that any start time that discovery tells is
@@ -102,9 +105,12 @@
 		return fmt.Errorf("epoll wait: %w", err)
 	}
 	l.now = l.clock()
-	for i := range max(n, 0) {
-		if h := l.handlers[l.events[i].Fd]; h != nil {
-			l.guard(h, func() { h.ready(l.events[i].Events) })
+	for _, first := range [...]bool{true, false} {
+		for i := range max(n, 0) {
+			h := l.handlers[l.events[i].Fd]
+			if _, is := h.(urgent); h != nil && is == first {
+				l.guard(h, func() { h.ready(l.events[i].Events) })
+			}
 		}
 	}
 	for l.timers.Len() > 0 && l.timers.First().At <= l.now {
--- /dev/null
+++ b/internal/link/operators.go
@@ -0,0 +1,240 @@
+package link
+
+import (
+	"container/list"
+	"errors"
+	"net/netip"
+	"net/url"
+	"strings"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"valvecove/internal/tally"
+)
+
+const (
+	operatorsMost  = 16              // operator links at once
+	operatorWhole  = 2 * time.Second // a caller waits 1 s; one that has not sent its call by then never will
+	operatorLonger = 3 * time.Second // and for the answer to leave
+)
+
+// Paths of the operators' calls.
+const (
+	pathReady   = "/v1/readyz"
+	pathMetrics = "/v1/metrics"
+	pathNodes   = "/v1/worker-nodes/"
+)
+
+// operatorLinks accept connections at the management address. There are few, each is timed, and in each turn of the
+// loop they come first: an operator is answered however busy the scheduler is.
+type operatorLinks struct {
+	loop  *Loop
+	fd    int
+	count *tally.Tally
+	links list.List // of *operatorLink, the oldest first
+	text  []byte
+}
+
+// operatorLink is one of them. It carries one call.
+type operatorLink struct {
+	stream
+	home     *operatorLinks
+	place    *list.Element
+	since    time.Duration
+	asked    bool // its call is whole; nothing more is read
+	answered bool
+}
+
+// urgent marks what comes first in a turn.
+type urgent interface{ urgent() }
+
+func (o *operatorLinks) urgent() {}
+func (k *operatorLink) urgent()  {}
+
+// serveOperators answers the operators' calls at their own address.
+func (l *Loop) serveOperators(at netip.AddrPort, count *tally.Tally) (err error) {
+	o := &operatorLinks{loop: l, count: count}
+	if o.fd, err = l.listen(at, o); err == nil {
+		l.operators = o
+		o.sweep()
+	}
+	return err
+}
+
+func (o *operatorLinks) broken() {}
+
+// ready accepts what waits.
+func (o *operatorLinks) ready(uint32) {
+	for range operatorsMost {
+		fd, _, err := unix.Accept4(o.fd, unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
+		if err != nil { // none waits, or no descriptor is left: it is told again
+			return
+		}
+		o.adopt(fd)
+	}
+}
+
+// adopt makes a link of a connection. Where there are too many, the oldest goes that does not wait for its answer: one
+// that stalls never keeps out a good one.
+func (o *operatorLinks) adopt(fd int) {
+	if o.links.Len() >= operatorsMost {
+		oldest := o.links.Front().Value.(*operatorLink)
+		for e := o.links.Front(); e != nil; e = e.Next() {
+			if k := e.Value.(*operatorLink); !k.asked || k.answered {
+				oldest = k
+				break
+			}
+		}
+		oldest.end()
+	}
+	k := &operatorLink{home: o, since: o.loop.now}
+	var err error
+	if k.stream, err = o.loop.stream(fd, streamEvents, k); err != nil {
+		_ = unix.Close(fd)
+		return
+	}
+	k.place = o.links.PushBack(k)
+	// What it calls for has most likely come with it, and another turn may be long.
+	o.loop.guard(k, func() { k.ready(unix.EPOLLIN) })
+}
+
+// sweep ends links whose call does not come, or whose answer is not taken.
+func (o *operatorLinks) sweep() {
+	o.loop.after(sweepEvery, o, o.sweep)
+	for e := o.links.Front(); e != nil; {
+		k := e.Value.(*operatorLink)
+		e = e.Next()
+		switch age := o.loop.now - k.since; {
+		case !k.asked && age >= operatorWhole:
+			k.answer(408, "", []byte("call not whole\n"))
+		case age >= operatorLonger:
+			k.end()
+		}
+	}
+}
+
+func (k *operatorLink) broken() { k.end() }
+
+func (k *operatorLink) end() {
+	if !k.closed {
+		k.home.links.Remove(k.place)
+		k.close()
+	}
+}
+
+func (k *operatorLink) ready(events uint32) {
+	if events&unix.EPOLLOUT != 0 {
+		if k.flush() != nil {
+			k.end()
+			return
+		}
+		if k.answered && len(k.out) == 0 {
+			_ = unix.Shutdown(k.fd, unix.SHUT_WR)
+		}
+	}
+	ended := false
+	if events&^unix.EPOLLOUT != 0 {
+		var err error
+		if k.asked {
+			_, ended, err = k.discard() // closed over unread bytes, a link is reset and may take the answer along
+		} else {
+			ended, err = k.fill()
+		}
+		if err != nil {
+			k.end()
+			return
+		}
+	}
+	if !k.asked && len(k.in) > 0 {
+		m := &k.loop.message
+		_, err := m.ParseRequest(k.in)
+		var bad *BadMessage
+		switch {
+		case errors.As(err, &bad):
+			k.answer(bad.Status, "", []byte(bad.What+"\n"))
+		case err == nil:
+			k.call(string(m.Method), string(m.Target))
+		case m.Expect && !ended:
+			m.Expect = false
+			_ = k.send([]byte(interim))
+		}
+	}
+	switch {
+	case k.closed || !ended:
+	case len(k.out) == 0 && (k.answered || !k.asked):
+		k.end()
+	default: // its end is told for as long as it is asked for
+		k.listen(k.events &^ streamEvents)
+	}
+}
+
+// call does what an operator asks for.
+func (k *operatorLink) call(method, target string) {
+	k.asked, k.in = true, nil
+	path, _, _ := strings.Cut(target, "?")
+	want := "GET"
+	node, what, _ := strings.Cut(strings.TrimPrefix(path, pathNodes), "/")
+	id, err := url.PathUnescape(node)
+	switch {
+	case path == pathReady || path == pathMetrics:
+	case strings.HasPrefix(path, pathNodes) && (what == "suspend" || what == "resume") && err == nil && id != "":
+		want = "PUT"
+	default:
+		k.answer(404, "", []byte("no such path\n"))
+		return
+	}
+	if method != want {
+		k.answer(405, "Allow: "+want+"\r\n", []byte(want+" only\n"))
+		return
+	}
+	switch path {
+	case pathReady:
+		if why := k.loop.unready(); why != "" {
+			k.answer(503, "", []byte(why+"\n"))
+		} else {
+			k.answer(200, "", []byte("ready\n"))
+		}
+	case pathMetrics:
+		o := k.home
+		o.text = o.count.Append(o.text[:0], tally.Now{Inflight: k.loop.Ledger.Open(), Listed: k.loop.Ledger.Listed(),
+			Down: k.loop.avoided()})
+		k.answer(200, "Content-Type: text/plain; charset=utf-8\r\nCache-Control: no-store\r\n", o.text)
+	default:
+		k.answer(404, "", []byte("no such worker node\n"))
+	}
+}
+
+// answer ends the call.
+func (k *operatorLink) answer(code int, fields string, body []byte) {
+	if k.closed || k.answered {
+		return
+	}
+	k.asked, k.answered, k.in = true, true, nil
+	if k.send(appendAnswer(nil, code, fields, body, false)) != nil {
+		k.end()
+		return
+	}
+	if len(k.out) == 0 {
+		_ = unix.Shutdown(k.fd, unix.SHUT_WR)
+	}
+}
+
+// unready tells why this process is not ready to serve; nothing if it is.
+func (l *Loop) unready() string {
+	switch {
+	case l.clients.draining:
+		return "draining"
+	case !l.Ledger.CanServe():
+		return "no worker node known"
+	}
+	return ""
+}
+
+// avoided counts the listed worker nodes that the module avoids.
+func (l *Loop) avoided() int {
+	if l.decides == nil {
+		return 0
+	}
+	return l.decides.Avoided()
+}
--- /dev/null
+++ b/internal/link/operators_test.go
@@ -0,0 +1,218 @@
+package link
+
+import (
+	"fmt"
+	"net/netip"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"valvecove/internal/ledger"
+	"valvecove/internal/steps"
+	"valvecove/internal/tally"
+	"valvecove/logic"
+)
+
+// withOperators is a world with a management address.
+func withOperators(s *steps.Steps) *world {
+	w := newWorld(s)
+	count := tally.New([]string{"a"})
+	if err := w.loop.serveOperators(netip.MustParseAddrPort("127.0.0.1:0"), count); err != nil {
+		s.T.Fatal(err)
+	}
+	w.loop.Ledger.Attach(count)
+	return w
+}
+
+// operator connects to the management address.
+func (w *world) operator() *peer {
+	p, fd := w.pair()
+	w.loop.operators.adopt(fd)
+	return p
+}
+
+// call makes one call and gives the answer's status and body.
+func (w *world) call(text string) string {
+	p := w.operator()
+	p.write([]byte(text))
+	w.turn()
+	p.read(1 << 16)
+	return statusAndBody(string(p.got))
+}
+
+func statusAndBody(answer string) string {
+	head, body, _ := strings.Cut(answer, "\r\n\r\n")
+	if !strings.Contains(head, "\r\nConnection: close") {
+		return "no close in " + answer
+	}
+	return strings.Split(head, " ")[1] + " " + strings.TrimSpace(body)
+}
+
+const metricsAtFirst = "edge_proxy.success.a=0\nedge_proxy.busy.a=0\nedge_proxy.failure.a=0\nedge_proxy.backend_calls=0\n" +
+	"edge_proxy.inflight=0\nedge_proxy.hosts_listed=1\nedge_proxy.hosts_down=0"
+
+// An operator's call is answered once, in whatever pieces it comes, with a close; callers that stall make room for
+// those that don't, and none is held for ever.
+func FuzzOperatorLink(f *testing.F) {
+	asks := []struct{ text, want string }{
+		{"GET /v1/readyz HTTP/1.1\r\n\r\n", "200 ready"},
+		{"GET /v1/metrics?x HTTP/1.1\r\nConnection: keep-alive\r\n\r\n", "200 " + metricsAtFirst},
+		{"GET /v1/metrics HTTP/1.1\r\nContent-Length: 2\r\n\r\nhiGET /v1/readyz HTTP/1.1\r\n\r\n", "200 " + metricsAtFirst},
+		{"POST /v1/readyz HTTP/1.1\r\n\r\n", "405 GET only"},
+		{"GET /v1/worker-nodes/s-0/suspend HTTP/1.1\r\n\r\n", "405 PUT only"},
+		{"PUT /v1/worker-nodes/s-1/suspend HTTP/1.1\r\n\r\n", "404 no such worker node"},
+		{"PUT /v1/worker-nodes//suspend HTTP/1.1\r\n\r\n", "404 no such path"},
+		{"PUT /v1/worker-nodes/s-0/stop HTTP/1.1\r\n\r\n", "404 no such path"},
+		{"GET /up HTTP/1.1\r\n\r\n", "404 no such path"},
+		{"nonsense\r\n\r\n", "400 not a request line"},
+		{"GET /" + strings.Repeat("x", maxHead) + " HTTP/1.1\r\n\r\n", "431 head too large"},
+	}
+	steps.Fuzz(f, func(s *steps.Steps) {
+		w := withOperators(s)
+		type caller struct {
+			*peer
+			text, unsent, want string
+			began              time.Duration
+			late               bool
+		}
+		var open []*caller
+		for s.More() {
+			switch what := s.Pick(8); {
+			case what < 2:
+				ask := asks[s.Pick(len(asks))]
+				open = append(open, &caller{peer: w.operator(), text: ask.text, unsent: ask.text, want: ask.want, began: w.now})
+				if len(open) > operatorsMost { // the oldest has made room
+					w.turn()
+					open[0].read(1 << 16)
+					s.Check(open[0].ended, "the oldest of too many is held")
+					open = open[1:]
+				}
+				s.Did("connect")
+			case what < 7 && len(open) > 0:
+				c := open[s.Pick(len(open))]
+				i := min(len(c.unsent), 1+s.Pick(4)*s.Pick(256))
+				c.write([]byte(c.unsent[:i]))
+				c.unsent = c.unsent[i:]
+				s.Did(fmt.Sprint("write ", i, " of ", len(c.text)))
+			case what == 7:
+				w.now += time.Duration(s.Pick(5)) * 250 * time.Millisecond
+				s.Did("wait")
+			}
+			w.turn()
+			var left []*caller
+			for _, c := range open {
+				c.read(1 << 16)
+				age := w.now - c.began
+				if !c.ended {
+					s.Check(c.unsent != "" || len(c.got) > 0, "a whole call has no answer")
+					s.Check(age < operatorLonger+sweepEvery, "held for %v", age)
+					left = append(left, c)
+					continue
+				}
+				c.close()
+				w.turn()
+				got := statusAndBody(string(c.got))
+				// One that stalled is told so; of one cut short nothing more can be said.
+				s.Check(got == c.want || c.unsent != "" && age >= operatorWhole && got == "408 call not whole",
+					"%q gets %q, expected %q", c.text, got, c.want)
+			}
+			open = left
+		}
+	})
+}
+
+// An answered link is over with its answer: what is in its way is only that the caller reads it.
+func TestOperatorBeforeClients(t *testing.T) {
+	s := &steps.Steps{T: t}
+	w := withOperators(s)
+	if got := w.call("GET /v1/metrics HTTP/1.1\r\n\r\n"); got != "200 "+metricsAtFirst {
+		t.Errorf("at first %q", got)
+	}
+	w.loop.Drain()
+	if got := w.call("GET /v1/readyz HTTP/1.1\r\n\r\n"); got != "503 draining" {
+		t.Errorf("draining: %q", got)
+	}
+	// A client link that is ready in the same turn, and by a lower descriptor, is looked at later.
+	var order []string
+	first := func(what string) handler { return probeHandler{func() { order = append(order, what) }} }
+	a, fdA := w.pair()
+	b, fdB := w.pair()
+	_ = w.loop.add(fdA, streamEvents, first("client"))
+	_ = w.loop.add(fdB, streamEvents, urgentHandler{first("operator")})
+	a.write([]byte("x"))
+	b.write([]byte("x"))
+	if err := w.loop.turn(0); err != nil || strings.Join(order, " ") != "operator client" {
+		t.Errorf("order of a turn: %v, %v", order, err)
+	}
+}
+
+type probeHandler struct{ act func() }
+
+func (p probeHandler) ready(uint32) { p.act() }
+func (p probeHandler) broken()      {}
+
+type urgentHandler struct{ handler }
+
+func (urgentHandler) urgent() {}
+
+// Each job that is over is counted once, by what its client was told; those that left are counted nowhere.
+func FuzzTally(f *testing.F) {
+	steps.Fuzz(f, func(s *steps.Steps) {
+		w := withOperators(s)
+		count, worker := w.loop.operators.count, w.worker()
+		taken, left, n := 0, 0, 0
+		var open []*ledger.Query
+		answered := 0
+		for s.More() {
+			switch s.Pick(5) {
+			case 0:
+				n++
+				q, err := w.loop.Ledger.Take(w.now, ledger.Arrival{Call: strconv.Itoa(n), Job: logic.Job{Left: time.Second},
+					Asker: counted{&answered}})
+				if err != nil {
+					s.T.Fatal(err)
+				}
+				open = append(open, q)
+				taken++
+			case 1, 2:
+				if len(open) > 0 {
+					q := open[s.Pick(len(open))]
+					w.module.Next = append(w.module.Next, []logic.Action{logic.Send{Job: q.ID, Worker: worker},
+						logic.Refuse{Job: q.ID}, logic.Fail{Job: q.ID}}[s.Pick(3)])
+					w.loop.Ledger.Wake()
+				}
+			case 3:
+				if len(open) > 0 {
+					q := open[s.Pick(len(open))]
+					result := "x"
+					_, _ = w.loop.Ledger.Tell(ledger.Note{ID: q.Call, From: "s-0", State: "done", Result: &result})
+				}
+			case 4:
+				if len(open) > 0 {
+					i := s.Pick(len(open))
+					if open[i].Answer() == ledger.Unanswered {
+						left++
+					}
+					w.loop.Ledger.Gone(open[i])
+					open = append(open[:i], open[i+1:]...)
+				}
+			}
+			w.turn()
+			ended := 0
+			for _, a := range []ledger.Answer{ledger.Answered200, ledger.AnsweredBusy, ledger.AnsweredFailed} {
+				ended += int(count.Ended(a, 0))
+			}
+			s.Check(ended == answered, "%d counted, %d answered", ended, answered)
+			s.Check(taken == ended+left+w.loop.Ledger.Open(), "%d taken, %d ended, %d left, %d open", taken, ended, left,
+				w.loop.Ledger.Open())
+		}
+	})
+}
+
+// counted counts final answers.
+type counted struct{ n *int }
+
+func (c counted) Serve([]byte)           { *c.n++ }
+func (c counted) Throttle(time.Duration) { *c.n++ }
+func (c counted) Fail()                  { *c.n++ }
--- a/internal/link/servers.go
+++ b/internal/link/servers.go
@@ -281,8 +281,10 @@
 
 // written notes once the last byte has left: from there on it may run.
 func (k *serverLink) written() {
-	if len(k.out) == 0 {
-		k.reach(ledger.AllWritten)
+	if len(k.out) == 0 && k.stage < ledger.AllWritten {
+		if k.reach(ledger.AllWritten); k.errand.kind == carrying {
+			k.loop.Ledger.Written(k.errand.attempt)
+		}
 	}
 }
 
--- a/internal/link/start.go
+++ b/internal/link/start.go
@@ -15,6 +15,7 @@
 	"valvecove/internal/ledger"
 	"valvecove/internal/oplog"
 	"valvecove/internal/status"
+	"valvecove/internal/tally"
 	"valvecove/logic"
 )
 
@@ -31,7 +32,7 @@
 	if ops.Addresses != nil {
 		l.lists = address.New(*ops.Addresses)
 	}
-	l.side = forFeatures(ops)
+	l.side = forFeatures(c, ops)
 	servers, clients := share(c.Limits.Sockets, l.side)
 	l.serve(servers, c.Settings.ConnectTimeout, c.Settings.ConnIdle)
 	l.watch = &watch{stream: stream{loop: l}, to: c.Discovery}
@@ -45,6 +46,7 @@
 	module := func() ledger.Module {
 		seed++
 		d := logic.New(c.Settings.Settings, seed)
+		l.decides = d
 		m := ledger.Module(d)
 		if l.Capture != nil {
 			m = l.Capture.Wrap(d)
@@ -63,6 +65,13 @@
 	if l.clients.fd, err = l.listen(c.Listen, l.clients); err != nil {
 		return nil, err
 	}
+	if c.Management.IsValid() {
+		count := tally.New(c.Settings.Names.Classes)
+		if err := l.serveOperators(c.Management, count); err != nil {
+			return nil, fmt.Errorf("key \"management\": %w", err)
+		}
+		l.Ledger.Attach(count)
+	}
 	if ops.Status != nil {
 		table := status.New(*ops.Status, c.Settings.Names, c.Settings.TellsStart, l.Now)
 		if err := l.serveStatus(ops.StatusAddr(c), table); err != nil {
@@ -86,7 +95,10 @@
 func (l *Loop) Now() time.Duration { return l.now }
 
 // forFeatures counts the descriptors that features take up.
-func forFeatures(ops config.Ops) (n int) {
+func forFeatures(c config.Config, ops config.Ops) (n int) {
+	if c.Management.IsValid() {
+		n += operatorsMost + 2 // and the listener; one more is accepted before another makes room
+	}
 	if ops.Status != nil {
 		n += statusMost + 2 // and the listener; one more is accepted before another makes room
 	}
@@ -116,7 +128,7 @@
 
 // SharesOf tells what Open would make of the limits.
 func SharesOf(c config.Config, ops config.Ops) Shares {
-	s := Shares{Own: ownDescriptors, Features: forFeatures(ops), Buffers: bufferBudget(c)}
+	s := Shares{Own: ownDescriptors, Features: forFeatures(c, ops), Buffers: bufferBudget(c)}
 	s.Servers, s.Clients = share(c.Limits.Sockets, s.Features)
 	s.Queries = mostQueries(s.Clients)
 	return s
--- a/logic/members.go
+++ b/logic/members.go
@@ -312,3 +312,13 @@
 		}
 	}
 }
+
+// Avoided counts the listed workers that this dispatcher sends nothing now, by its own choice.
+func (d *Dispatcher) Avoided() (n int) {
+	for _, w := range d.order {
+		if w.listed && w.Ready && d.suspect(w) {
+			n++
+		}
+	}
+	return n
+}
