--- a/logic/logic.go
+++ b/logic/logic.go
@@ -8,7 +8,6 @@
 	"cmp"
 	"fmt"
 	"math"
-	"math/rand/v2"
 	"slices"
 	"time"
 )
@@ -63,32 +62,6 @@
 	lateSelf    = 20 * time.Millisecond  // so late for its own timer a process says nothing of workers
 )
 
-// New returns a dispatcher that knows nothing but its settings.
-func New(set Settings, seed uint64) *Dispatcher {
-	src := rand.NewPCG(seed, 0)
-	d := &Dispatcher{set: set, rng: rand.New(src), src: src, jobs: map[uint64]*job{},
-		workers: map[uint64]*worker{}, kinds: map[int]*kind{},
-		busy: map[int]float64{}, keyWork: map[uint64]float64{}, spread: firstSpread, copies: copyBurst}
-	d.furnish()
-	aims := 0.0
-	for _, c := range set.Classes {
-		aims += c.Aim.Seconds() / float64(len(set.Classes))
-		d.sizeLog = append(d.sizeLog, [4]float64{})
-		d.tail = append(d.tail, 1)
-		d.meanWorth += c.Worth / float64(len(set.Classes))
-	}
-	d.muShort, d.cutLog = max(aims, 1e-3), math.Log(max(aims, 1e-3))
-	d.lateStart = seconds(aims / silence)
-	d.fullLeft = make([]time.Duration, len(set.Classes))
-	d.weights = make([]float64, len(set.Classes)+2)
-	d.weights[len(set.Classes)] = 1 // prior: the chance of running long rises with the hint
-	d.startBest = max(set.ConnectTimeout/promptPart, time.Millisecond)
-	d.probeBest = d.startBest
-	d.quota, d.quotaAt = slices.Clone(set.TenantQuota), make([]time.Duration, len(set.TenantQuota))
-	d.alarm(&d.tick, 0)
-	return d
-}
-
 // before is the order in which held jobs leave, older that of those over tau.
 func before(a, b *job) bool {
 	if a.passes == b.passes && a.spare != b.spare {
@@ -994,28 +967,10 @@
 		d.asked = true
 		d.do(Subscribe{})
 	}
-	for i := range d.tail {
-		d.tail[i] = max(1, d.tail[i]*(1-upkeepEvery.Seconds()/forgetTail.Seconds()))
-	}
+	d.fade()
 	bad, broken, ready := 0, 0, 0
-	d.idleNews.fade(1 - upkeepEvery.Seconds()/forgetSpeed.Seconds())
-	if d.idleMost > 0 && d.now-d.idleAt > forgetSpeed {
-		d.idleMost, d.idleAt = 2*d.idleMost, d.now
-	}
-	for z := range d.busy {
-		d.busy[z] *= 1 - upkeepEvery.Seconds()/forgetSpeed.Seconds()
-	}
 	sum, best := 0.0, -featureClip
 	for _, w := range d.order {
-		was := w.speed
-		if w.learned == 0 {
-			w.speed = w.kin.speed
-		} else if d.now-w.learned > sweepEvery {
-			w.speed += (w.kin.speed - w.speed) * upkeepEvery.Seconds() / forgetSpeed.Seconds()
-		}
-		if w.speed != was {
-			w.pace = math.Exp(w.speed)
-		}
 		if w.Ready {
 			ready++
 			sum += w.speed
--- a/logic/members.go
+++ b/logic/members.go
@@ -3,12 +3,39 @@
 import (
 	"math"
 	"math/bits"
+	"math/rand/v2"
 	"slices"
 	"time"
 )
 
 // What is here keeps the books that decisions go by: members and their places, attempts, alarms, and how late we are.
 
+// New returns a dispatcher that knows nothing but its settings.
+func New(set Settings, seed uint64) *Dispatcher {
+	src := rand.NewPCG(seed, 0)
+	d := &Dispatcher{set: set, rng: rand.New(src), src: src, jobs: map[uint64]*job{},
+		workers: map[uint64]*worker{}, kinds: map[int]*kind{},
+		busy: map[int]float64{}, keyWork: map[uint64]float64{}, spread: firstSpread, copies: copyBurst}
+	d.furnish()
+	aims := 0.0
+	for _, c := range set.Classes {
+		aims += c.Aim.Seconds() / float64(len(set.Classes))
+		d.sizeLog = append(d.sizeLog, [4]float64{})
+		d.tail = append(d.tail, 1)
+		d.meanWorth += c.Worth / float64(len(set.Classes))
+	}
+	d.muShort, d.cutLog = max(aims, 1e-3), math.Log(max(aims, 1e-3))
+	d.lateStart = seconds(aims / silence)
+	d.fullLeft = make([]time.Duration, len(set.Classes))
+	d.weights = make([]float64, len(set.Classes)+2)
+	d.weights[len(set.Classes)] = 1 // prior: the chance of running long rises with the hint
+	d.startBest = max(set.ConnectTimeout/promptPart, time.Millisecond)
+	d.probeBest = d.startBest
+	d.quota, d.quotaAt = slices.Clone(set.TenantQuota), make([]time.Duration, len(set.TenantQuota))
+	d.alarm(&d.tick, 0)
+	return d
+}
+
 // alarm sets one to go off at an instant, in place of when it would have.
 func (d *Dispatcher) alarm(a *alarm, at time.Duration) {
 	if a.at = max(at, d.now+1); a.index > 0 {
@@ -322,3 +349,28 @@
 	}
 	return n
 }
+
+// fade lets what was learnt of sizes, links, zones and speeds drift back for want of news, by one round of upkeep.
+func (d *Dispatcher) fade() {
+	for i := range d.tail {
+		d.tail[i] = max(1, d.tail[i]*(1-upkeepEvery.Seconds()/forgetTail.Seconds()))
+	}
+	d.idleNews.fade(1 - upkeepEvery.Seconds()/forgetSpeed.Seconds())
+	if d.idleMost > 0 && d.now-d.idleAt > forgetSpeed {
+		d.idleMost, d.idleAt = 2*d.idleMost, d.now
+	}
+	for z := range d.busy {
+		d.busy[z] *= 1 - upkeepEvery.Seconds()/forgetSpeed.Seconds()
+	}
+	for _, w := range d.order {
+		was := w.speed
+		if w.learned == 0 {
+			w.speed = w.kin.speed
+		} else if d.now-w.learned > sweepEvery {
+			w.speed += (w.kin.speed - w.speed) * upkeepEvery.Seconds() / forgetSpeed.Seconds()
+		}
+		if w.speed != was {
+			w.pace = math.Exp(w.speed)
+		}
+	}
+}
