Take worker nodes out by hand and bring them back, as events of the module

Ruled out: entering a ban into the list, which a new list would undo. Change: logic.Suspended and Restored, recorded and replayed; the ledger sends nothing against a ban and tells bans to a module that starts anew; bans stand in a file of $TMPDIR before the yes. A worker that comes back is cold from its start or the call, and what was out there takes no room.

--- a/internal/capture/recorder.go
+++ b/internal/capture/recorder.go
@@ -208,6 +208,10 @@
 		return r.at(e.Worker, Line{In: inProbed, Result: e.Result, Report: e.Report})
 	case logic.TimerFired:
 		return Line{In: inTimer}
+	case logic.Suspended:
+		return r.at(e.Worker, Line{In: inOut})
+	case logic.Restored:
+		return r.at(e.Worker, Line{In: inBack})
 	case logic.WorkerList:
 		l := Line{In: inHosts, Kind: e.Kind}
 		for _, w := range e.Workers {
--- a/internal/capture/replay.go
+++ b/internal/capture/replay.go
@@ -263,6 +263,10 @@
 		return logic.ClientGone{Job: l.Job}
 	case inProbed:
 		return logic.Probed{Worker: l.Number, Result: l.Result, Report: l.Report}
+	case inOut:
+		return logic.Suspended{Worker: l.Number}
+	case inBack:
+		return logic.Restored{Worker: l.Number}
 	case inHosts:
 		list := logic.WorkerList{Kind: l.Kind}
 		for _, w := range l.Workers {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -31,11 +31,13 @@
 	Discovery netip.AddrPort
 	// Management is where operators' calls are answered; not valid: nowhere.
 	Management netip.AddrPort
-	Seed       uint64
-	Limits     Limits
-	Known      ledger.HostGroup // as it was last seen, perhaps long ago
-	Settings   Settings
-	Platform   []byte // the settings as the platform's text has them
+	// Dir holds what outlives this process, for the one that replaces it: $TMPDIR, if there are operators' calls.
+	Dir      string
+	Seed     uint64
+	Limits   Limits
+	Known    ledger.HostGroup // as it was last seen, perhaps long ago
+	Settings Settings
+	Platform []byte // the settings as the platform's text has them
 }
 
 // Limits where the configuration names none: those of the smallest machine that the platform has.
@@ -87,7 +89,7 @@
 	stays("settings", !reflect.DeepEqual(next.Settings, c.Settings))
 	next.Limits.Cores = c.Limits.Cores
 	next.Name, next.Listen, next.Settings, next.Seed, next.Known = c.Name, c.Listen, c.Settings, c.Seed, c.Known
-	next.Management = c.Management
+	next.Management, next.Dir = c.Management, c.Dir
 	return next, kept, nil
 }
 
@@ -150,6 +152,7 @@
 	c.Discovery = address("discovery", "PROXY_DISCOVERY", discovery, env, d.faults.add)
 	if management != "" || env("PROXY_MANAGEMENT") != "" {
 		c.Management = address("management", "PROXY_MANAGEMENT", management, env, d.faults.add)
+		c.Dir = env("TMPDIR")
 	}
 	if c.Seed, err = strconv.ParseUint(seed, 16, 64); err != nil {
 		h := fnv.New64a() // any text will do for a seed
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -118,6 +118,7 @@
 	table      hostTable
 	generation int64
 	ready      map[uint64]logic.Worker // the list as the module holds it
+	bans       map[uint64]bool         // hosts taken out by hand
 }
 
 // New returns a ledger that knows the host group as it was once seen. start makes a module that knows nothing. What
@@ -125,7 +126,7 @@
 func New(tries int, names Names, start func() Module, known HostGroup, carrier Carrier, log *slog.Logger) *Ledger {
 	l := &Ledger{tries: tries, names: names, start: start, module: start(), carrier: carrier, log: log,
 		queries: map[uint64]*Query{}, calls: map[string]*Query{}, live: map[attemptKey]*Attempt{},
-		table: hostTable{map[string]uint64{}, map[uint64]Host{}}, ready: map[uint64]logic.Worker{}}
+		table: hostTable{map[string]uint64{}, map[uint64]Host{}}, ready: map[uint64]logic.Worker{}, bans: map[uint64]bool{}}
 	known.Reset = true
 	l.hosts(known, logic.ListCached)
 	return l
@@ -311,7 +312,7 @@
 // CanServe tells whether a query that came now could be sent anywhere.
 func (l *Ledger) CanServe() bool {
 	for _, w := range l.ready {
-		if w.Ready {
+		if w.Ready && !l.bans[w.ID] {
 			return true
 		}
 	}
@@ -432,6 +433,9 @@
 		list.Workers = append(list.Workers, w)
 	}
 	slices.SortFunc(list.Workers, func(a, b logic.Worker) int { return cmp.Compare(a.ID, b.ID) })
+	for _, id := range slices.Sorted(maps.Keys(l.bans)) {
+		l.events = append(l.events, logic.Suspended{Worker: id})
+	}
 	l.events = append(l.events, list)
 }
 
@@ -485,7 +489,7 @@
 	}
 	key := attemptKey{q.Call, a.From}
 	switch {
-	case q.closed || now >= q.Deadline || a.Number >= l.tries || l.live[key] != nil ||
+	case q.closed || now >= q.Deadline || a.Number >= l.tries || l.live[key] != nil || l.bans[s.Worker] ||
 		slices.Contains(q.noted, a.From):
 		// Over, out of time or of tries; or the worker node has one of this query, and gets no second. Nor does one
 		// whose note ended an earlier one: notes are told until they are answered and name no attempt, so that note
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -293,3 +293,77 @@
 		}
 	}
 }
+
+// Bans are of an id, not of a count; they hold for what the list does not name now, and for a module that starts anew.
+// Nothing is sent against one, even if the module wants it.
+func FuzzBans(f *testing.F) {
+	steps.Fuzz(f, func(s *steps.Steps) {
+		module := &steps.Script{}
+		carrier := &sentTo{}
+		l := New(6, Names{Classes: []string{"a"}}, func() Module { return module }, HostGroup{Hosts: []Host{{ID: "s-0", State: "up"},
+			{ID: "s-1", State: "up"}, {ID: "s-2", State: "up"}}}, carrier, slog.New(slog.DiscardHandler))
+		out, n := map[string]bool{}, 0
+		for s.More() {
+			id := "s-" + strconv.Itoa(s.Pick(4))
+			switch what := s.Pick(6); what {
+			case 0, 1:
+				known, full := l.Suspend(id)
+				s.Check(known == (id != "s-3") && !full, "suspend %s: known %v, full %v", id, known, full)
+				if known {
+					out[id] = true
+				}
+			case 2:
+				s.Check(l.Restore(id) == (id != "s-3"), "restore %s", id)
+				delete(out, id)
+			case 3:
+				l.Hosts(HostGroup{Reset: true, Hosts: []Host{{ID: "s-1", State: "up", StartedMs: int64(s.Pick(9))}}})
+			case 4:
+				module.Panic = true
+				module.Heard = nil
+				l.Wake()
+				l.Step(time.Second)
+				l.Step(time.Second)
+				told := 0
+				for _, e := range module.Heard {
+					if _, is := e.(logic.Suspended); is {
+						told++
+					}
+				}
+				s.Check(told == len(out), "a module that starts anew hears of %d bans of %d", told, len(out))
+			case 5:
+				n++
+				q, err := l.Take(time.Second, Arrival{Call: strconv.Itoa(n), Job: logic.Job{Left: time.Hour}, Asker: nobody{}})
+				if err != nil || l.table.numbers[id] == 0 {
+					continue
+				}
+				module.Next = []logic.Action{logic.Send{Job: q.ID, Worker: l.table.numbers[id]}}
+				carrier.to = ""
+				l.Step(time.Second)
+				s.Check((carrier.to == id) == !out[id], "sent to %q, wanted %s, out %v", carrier.to, id, out)
+			}
+			s.Did(id)
+			var want []string
+			for id := range out {
+				want = append(want, id)
+			}
+			slices.Sort(want)
+			s.Check(slices.Equal(l.Bans(), want), "bans %v, expected %v", l.Bans(), want)
+		}
+	})
+}
+
+// sentTo is a carrier that notes where the last attempt went.
+type sentTo struct{ to string }
+
+func (c *sentTo) Carry(a *Attempt) { c.to = a.From }
+func (c *sentTo) GiveUp(*Attempt)  {}
+func (c *sentTo) Probe(uint64)     {}
+func (c *sentTo) FreeLinks(uint64) {}
+func (c *sentTo) Watch(int64)      {}
+
+// nobody is an asker that does not listen.
+type nobody struct{}
+
+func (nobody) Serve([]byte)           {}
+func (nobody) Throttle(time.Duration) {}
+func (nobody) Fail()                  {}
--- a/internal/link/loop.go
+++ b/internal/link/loop.go
@@ -10,6 +10,7 @@
 	"log/slog"
 	"net/netip"
 	"runtime/debug"
+	"sync"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -57,6 +58,9 @@
 	Capture   *capture.Recorder // nil: off
 	figures   *figures.Figures  // nil: off
 	lists     *address.Lists    // nil: off
+	keeper    *keeper           // nil: nothing outlives this process
+	posted    []func()          // by other goroutines, for the loop to call
+	posting   sync.Mutex
 }
 
 // newLoop returns a loop that counts time from the Unix epoch, so that any start time that discovery tells is
@@ -76,6 +80,14 @@
 	return l, l.add(l.wakeFD, unix.EPOLLIN, (*waker)(l))
 }
 
+// post has the loop call act soon. It may be called from any goroutine.
+func (l *Loop) post(act func()) {
+	l.posting.Lock()
+	l.posted = append(l.posted, act)
+	l.posting.Unlock()
+	l.Wake()
+}
+
 // Wake has the loop call onWake soon. It may be called from any goroutine.
 func (l *Loop) Wake() { _, _ = unix.Write(l.wakeFD, []byte{1, 0, 0, 0, 0, 0, 0, 0}) }
 
@@ -84,6 +96,13 @@
 func (w *waker) ready(uint32) {
 	var b [8]byte
 	_, _ = unix.Read(w.wakeFD, b[:])
+	w.posting.Lock()
+	acts := w.posted
+	w.posted = nil
+	w.posting.Unlock()
+	for _, act := range acts {
+		act()
+	}
 	w.onWake()
 }
 
--- a/internal/link/operators.go
+++ b/internal/link/operators.go
@@ -201,10 +201,51 @@
 			Down: k.loop.avoided()})
 		k.answer(200, "Content-Type: text/plain; charset=utf-8\r\nCache-Control: no-store\r\n", o.text)
 	default:
-		k.answer(404, "", []byte("no such worker node\n"))
+		k.ban(id, what == "suspend")
 	}
 }
 
+// ban takes a worker node out, or brings it back. The ban holds before the yes, in the ledger and in what outlives this
+// process.
+func (k *operatorLink) ban(id string, out bool) {
+	k.loop.ban(id, out, func(code int, what string) { k.answer(code, "", []byte(what+"\n")) })
+}
+
+// ban sets or ends a ban, and tells done how a caller is to be answered.
+func (l *Loop) ban(id string, out bool, done func(code int, what string)) {
+	known, full := true, false
+	if out {
+		known, full = l.Ledger.Suspend(id)
+	} else {
+		known = l.Ledger.Restore(id)
+	}
+	switch {
+	case !known:
+		done(404, "no such worker node")
+		return
+	case full:
+		done(503, "too many worker nodes are out")
+		return
+	}
+	word := "serving"
+	if out {
+		word = "out"
+	}
+	l.log.Info("worker node by hand", "host", id, "now", word)
+	if l.keeper == nil {
+		done(200, word)
+		return
+	}
+	l.keeper.save(l.Ledger.Bans(), func(err error) {
+		if err != nil { // the ban holds all the same, for as long as this process lives
+			l.log.Error("worker nodes out by hand are not kept", "error", err)
+			done(503, "not kept: "+err.Error())
+			return
+		}
+		done(200, word)
+	})
+}
+
 // answer ends the call.
 func (k *operatorLink) answer(code int, fields string, body []byte) {
 	if k.closed || k.answered {
--- a/internal/link/operators_test.go
+++ b/internal/link/operators_test.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"net/netip"
+	"os"
+	"path/filepath"
 	"strconv"
 	"strings"
 	"testing"
@@ -216,3 +218,55 @@
 func (c counted) Serve([]byte)           { *c.n++ }
 func (c counted) Throttle(time.Duration) { *c.n++ }
 func (c counted) Fail()                  { *c.n++ }
+
+// A worker node that was listed is taken out and brought back, whatever the number of calls; an id that never was gets a no.
+// The yes comes once the ban is kept, and a process that starts later reads it.
+func TestWorkerNodeByHand(t *testing.T) {
+	dir := t.TempDir()
+	s := &steps.Steps{T: t}
+	w := withOperators(s)
+	w.loop.keep(dir)
+	put := func(what, id string) string {
+		p := w.operator()
+		p.write([]byte("PUT /v1/worker-nodes/" + id + "/" + what + " HTTP/1.1\r\nContent-Length: 0\r\n\r\n"))
+		for !p.ended { // the file is written by another goroutine, which wakes the loop
+			if err := w.loop.turn(1000); err != nil {
+				t.Fatal(err)
+			}
+			p.read(1 << 16)
+		}
+		return statusAndBody(string(p.got))
+	}
+	for _, c := range []struct{ what, id, want, kept string }{
+		{"suspend", "s-1", "404 no such worker node", ""},
+		{"resume", "s-1", "404 no such worker node", ""},
+		{"suspend", "s-0", "200 out", "s-0"},
+		{"suspend", "s%2D0", "200 out", "s-0"},
+		{"resume", "s-0", "200 serving", ""},
+		{"resume", "s-0", "200 serving", ""},
+		{"suspend", "s-0", "200 out", "s-0"},
+	} {
+		if got := put(c.what, c.id); got != c.want {
+			t.Errorf("%s %s: %q, expected %q", c.what, c.id, got, c.want)
+		}
+		if out, err := readBans(dir); err != nil || strings.Join(out, " ") != c.kept {
+			t.Errorf("%s %s: kept %v, %v", c.what, c.id, out, err)
+		}
+	}
+	if w.loop.unready() == "" {
+		t.Error("ready with its only worker node out")
+	}
+	next := newWorld(s)
+	out, _ := readBans(dir)
+	if next.loop.Ledger.SetBans(out); next.loop.Ledger.CanServe() {
+		t.Error("the next process sends to a worker node that is out")
+	}
+	for _, text := range []string{"", "{", `{"form":2,"out":["s-0"]}`, strings.Repeat(" ", mostKept+1)} {
+		if err := os.WriteFile(filepath.Join(dir, bansFile), []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if out, err := readBans(dir); err == nil || out != nil {
+			t.Errorf("of a spoilt file: %v, %v", out, err)
+		}
+	}
+}
--- a/internal/link/start.go
+++ b/internal/link/start.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/netip"
+	"strings"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -71,6 +72,14 @@
 			return nil, fmt.Errorf("key \"management\": %w", err)
 		}
 		l.Ledger.Attach(count)
+		l.keep(c.Dir)
+		out, err := readBans(c.Dir)
+		if err != nil { // served on: a worker node that should be out is out again with the next call
+			l.log.Error("worker nodes out by hand can't be read", "error", err)
+		}
+		if l.Ledger.SetBans(out); len(out) > 0 {
+			l.log.Info("worker nodes out by hand", "hosts", strings.Join(out, " "))
+		}
 	}
 	if ops.Status != nil {
 		table := status.New(*ops.Status, c.Settings.Names, c.Settings.TellsStart, l.Now)
--- a/logic/api.go
+++ b/logic/api.go
@@ -202,6 +202,10 @@
 		Of, Me int
 		Part   float64
 	}
+	// Suspended takes a worker out by hand, listed or not: no attempt goes there until Restored, whatever lists say.
+	Suspended struct{ Worker uint64 }
+	// Restored ends that, however often the worker was suspended. Its process counts as started at this moment.
+	Restored struct{ Worker uint64 }
 	// Taught brings what another dispatcher had learnt, so long ago, as Dispatcher.Lesson gives it. It is for one that
 	// has learnt nothing yet but has the list of workers, and sends this part of what the other sent. A lesson that can't
 	// be read, or of other classes, teaches nothing.
@@ -233,6 +237,8 @@
 func (Resumed) event()     {}
 func (Shared) event()      {}
 func (Taught) event()      {}
+func (Suspended) event()   {}
+func (Restored) event()    {}
 
 // Action is something the dispatcher wants done.
 type Action interface{ action() }
--- a/logic/handover.go
+++ b/logic/handover.go
@@ -20,6 +20,10 @@
 		d.shared = Shared{Of: max(1, e.Of), Me: max(0, e.Me), Part: clip(finite(e.Part), 1)}
 	case Taught:
 		d.learnFrom(e)
+	case Suspended:
+		d.suspend(e.Worker)
+	case Restored:
+		d.restore(e.Worker)
 	}
 }
 
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -184,6 +184,9 @@
 		d.settle(w)
 	}
 	d.touched = d.touched[:0]
+	if d.barred {
+		d.turnOut()
+	}
 	if d.roll.n == 0 {
 		return
 	}
@@ -567,7 +570,7 @@
 // overdue looks at an attempt that has not started, or not ended, when it should have.
 func (d *Dispatcher) overdue(a *attempt) {
 	j, w := a.job, a.worker
-	if a.ended || !a.started && a.repeats() { // an ended job still shows by its attempts how a worker fares
+	if a.ended || a.void || !a.started && a.repeats() { // an ended job's still show how a worker fares
 		return
 	}
 	if d.wokeAt == d.now { // what tells of it may have come meanwhile, and be read in a moment
@@ -632,6 +635,41 @@
 
 func (d *Dispatcher) coldCost(j *job) float64 { return j.work * j.Slots * d.tail[j.Class] }
 
+// ---- Taken out by hand ----
+
+// suspend keeps all new work from a worker; what is out there runs on.
+func (d *Dispatcher) suspend(id uint64) {
+	if _, out := d.banned[id]; !out {
+		d.banned[id] = d.now
+	}
+	if w := d.workers[id]; w != nil {
+		w.Ready = false
+		d.touch(w)
+	}
+	d.bar()
+}
+
+// restore ends that. The worker was restarted meanwhile, just now if no list has told when: it is cold, has nothing
+// of ours, and what was out there is most likely lost.
+func (d *Dispatcher) restore(id uint64) {
+	since, out := d.banned[id]
+	delete(d.banned, id)
+	d.bar()
+	w := d.workers[id]
+	if w == nil || !out {
+		return
+	}
+	w.anew()
+	if w.broken, w.rest, w.restUntil, w.back = false, 0, 0, 0; w.BootAt <= since {
+		w.back = d.now
+	}
+	w.Ready = w.up
+	for _, a := range d.vacate(w) {
+		d.rescue(a.job)
+	}
+	d.touch(w)
+}
+
 // ---- Attempts, and the one place that knows rules 1 and 2 ----
 
 var neverRan = [...]bool{Full: true, NoConnect: true, NotSent: true}
@@ -813,39 +851,44 @@
 	a.ended, a.result = true, e.Result
 	j.out--
 	w.ended = d.now
-	w.used, d.used = max(0, w.used-j.need), max(0, d.used-j.need)
-	w.out = leave(w.out, a)
+	if a.void {
+		w.voids--
+	} else {
+		w.used, d.used = max(0, w.used-j.need), max(0, d.used-j.need)
+		w.out = leave(w.out, a)
+	}
 	d.unset(&a.due)
 	d.touch(w)
 	// A report is older than the end that it comes with: the slots that this leaves are not in it yet.
 	d.report(w, e.Report)
-	if a.started {
+	if a.started && !a.void {
 		w.free += j.need
 		w.running -= j.Slots
 	}
-	switch e.Result {
-	case OK:
+	switch {
+	case a.void: // it tells of a process that has gone
+	case e.Result == OK:
 		w.streak, w.worked = 0, d.now
 		d.alive(w)
 		d.learn(a, d.now-a.start)
 		if !d.set.TellsStart { // by what is known of sizes by now: where hints are low all would look late
 			d.grow(w, a, d.now-a.sent <= j.class.Aim+seconds(j.class.Stretch*d.expectedWork(j)/w.pace))
 		}
-	case Full:
+	case e.Result == Full:
 		w.heard = d.now
 		d.noteBusy(w, true)
 		d.shrink(w, a)
 		if d.leave(w, firstPause); w.used == 0 && j.need > 1 {
 			w.tooBig = j.need // it may never be able to run this
 		}
-	case Failed:
+	case e.Result == Failed:
 		w.heard = d.now
 		d.shrink(w, a)
 		// A worker that fails fast looks empty and would draw all work: two failures in a row are enough.
 		if w.streak++; w.streak > 1 {
 			d.blame(w, true, "fails")
 		}
-	case NoConnect, Reset:
+	case e.Result == NoConnect || e.Result == Reset:
 		if w.links = len(w.out); a.idle > 0 && !a.started {
 			d.linkNews(a, false) // first of all the link's fault: the next attempt opens a new one
 			break
@@ -857,7 +900,7 @@
 		w.lost = w.lost || e.Result == Reset
 		d.shrink(w, a)
 		d.blame(w, true, "is unreachable")
-	case TimedOut:
+	case e.Result == TimedOut:
 		d.shrink(w, a)
 	}
 	d.forget(w)
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -1121,3 +1121,42 @@
 		t.Fatalf("links are trusted for %v", f.d.idleMost)
 	}
 }
+
+// A worker that comes back by hand is cold from then on, if the list tells of no later start, and what was out there takes
+// up none of its room: else it would stay unused until that has timed out.
+func TestRestoredWorkerIsColdAndUsed(t *testing.T) {
+	for _, told := range []bool{false, true} {
+		set := testSettings()
+		set.Cold, set.ColdFrom, set.Overload, set.OverloadSpan = 20*time.Second, 0.2, 3, 2*time.Second
+		s := newScene(t, set)
+		s.workers(1)
+		s.busy(1)
+		s.step(Suspended{Worker: 1}, Suspended{Worker: 1})
+		s.wait(3 * time.Second)
+		if told {
+			s.step(WorkerList{Kind: ListFull, Workers: []Worker{{ID: 1, Ready: true, BootAt: s.now}}})
+			s.wait(4 * time.Second)
+		}
+		s.take()
+		s.step(Restored{Worker: 1})
+		share := s.d.coldShare(s.d.workers[1])
+		if told && (share < 0.35 || share > 0.37) || !told && share > 0.21 {
+			t.Errorf("told of the start: %v; taken to have %v of its capacity", told, share)
+		}
+		s.wait(3 * time.Second) // past the span in which none of ours is known to have been sent
+		s.step(s.job(7, 0, 10*ms))
+		expectJobs(t, taken[Send](s), 7)
+	}
+}
+
+// With every listed worker out nobody is left to wait for: a query is refused at once, and served again after a call back.
+func TestAllTakenOut(t *testing.T) {
+	s := newScene(t, testSettings())
+	s.workers(2)
+	s.step(Suspended{Worker: 1}, Suspended{Worker: 2}, s.job(1, 0, 10*ms))
+	if got := taken[Refuse](s); len(got) != 1 || got[0].Job != 1 {
+		t.Fatalf("refused %v", got)
+	}
+	s.step(Restored{Worker: 2}, s.job(2, 0, 10*ms))
+	expectJobs(t, taken[Send](s), 2)
+}
--- a/logic/members.go
+++ b/logic/members.go
@@ -14,7 +14,7 @@
 func New(set Settings, seed uint64) *Dispatcher {
 	src := rand.NewPCG(seed, 0)
 	d := &Dispatcher{set: set, rng: rand.New(src), src: src, jobs: map[uint64]*job{},
-		workers: map[uint64]*worker{}, kinds: map[int]*kind{},
+		workers: map[uint64]*worker{}, kinds: map[int]*kind{}, banned: map[uint64]time.Duration{},
 		busy: map[int]float64{}, keyWork: map[uint64]float64{}, spread: firstSpread, copies: copyBurst}
 	d.furnish()
 	aims := 0.0
@@ -59,7 +59,7 @@
 }
 
 func (d *Dispatcher) forget(w *worker) {
-	if w.listed || len(w.out) > 0 || d.workers[w.ID] != w {
+	if w.listed || len(w.out)+w.voids > 0 || d.workers[w.ID] != w {
 		return
 	}
 	delete(d.workers, w.ID)
@@ -176,11 +176,11 @@
 			d.order = append(d.order, w)
 		}
 		if x.BootAt > w.BootAt && w.ID != 0 { // a new process: what we knew of the old one is void
-			w.room, w.pause, w.badUntil, w.streak, w.tooBig, w.reported = 1, 0, 0, 0, 0, 0
-			w.lost, w.back, w.learned = false, 0, 0
+			w.anew()
+			w.back = 0
 		}
-		w.Worker, w.listed = x, !x.Gone
-		w.Ready = x.Ready && w.listed
+		w.Worker, w.listed, w.up = x, !x.Gone, x.Ready && !x.Gone
+		w.Ready = w.up && !d.isOut(w)
 		w.kin = d.kind(x.Kind)
 		if d.touch(w); w.Ready {
 			d.best = max(d.best, w.speed) // known at once: a job thought out of reach is refused
@@ -191,11 +191,57 @@
 	}
 	for i := len(d.order) - 1; i >= 0 && e.Kind != ListDelta; i-- { // each that goes leaves its place to the last
 		if w := d.order[i]; !w.listed {
-			w.Ready = false
+			w.Ready, w.up = false, false
 			d.touch(w)
 			d.forget(w)
 		}
 	}
+	d.bar()
+}
+
+// anew forgets what was known of a worker's process.
+func (w *worker) anew() {
+	w.room, w.pause, w.badUntil, w.streak, w.tooBig, w.reported = 1, 0, 0, 0, 0, 0
+	w.lost, w.learned = false, 0
+}
+
+// vacate frees the slots of what is out at a worker whose process has gone; the attempts themselves are still out, and
+// come back for each that may be lost.
+func (d *Dispatcher) vacate(w *worker) (out []*attempt) {
+	for _, a := range w.out {
+		a.void = true
+		d.used = max(0, d.used-a.job.need)
+	}
+	out = w.out
+	w.out, w.used, w.running, w.links = nil, 0, 0, 0
+	w.voids += len(out)
+	return out
+}
+
+// isOut tells whether a worker is taken out by hand.
+func (d *Dispatcher) isOut(w *worker) bool {
+	_, out := d.banned[w.ID]
+	return out
+}
+
+// bar notes whether all listed workers are banned.
+func (d *Dispatcher) bar() {
+	d.barred = len(d.banned) > 0 && len(d.order) > 0
+	for _, w := range d.order {
+		d.barred = d.barred && (!w.listed || d.isOut(w))
+	}
+}
+
+// turnOut ends all held jobs that have nothing out: there is nobody to send them to.
+func (d *Dispatcher) turnOut() {
+	for i := range d.roll.shapes {
+		for held := &d.roll.shapes[i].held; !held.empty(); {
+			j := held.first()
+			if d.unhold(j); j.out == 0 {
+				d.end(j)
+			}
+		}
+	}
 }
 
 // furnish makes what holds jobs, workers and alarms.
@@ -340,10 +386,10 @@
 	}
 }
 
-// Avoided counts the listed workers that this dispatcher sends nothing now, by its own choice.
+// Avoided counts the listed workers that this dispatcher avoids now, by hand or by its own choice.
 func (d *Dispatcher) Avoided() (n int) {
 	for _, w := range d.order {
-		if w.listed && w.Ready && d.suspect(w) {
+		if w.listed && (d.isOut(w) || w.Ready && d.suspect(w)) {
 			n++
 		}
 	}
--- a/logic/rules_test.go
+++ b/logic/rules_test.go
@@ -17,6 +17,7 @@
 	last    map[uint64]Worker // as it was last listed
 	named   map[uint64]bool
 	probing map[uint64]bool
+	out     map[uint64]bool // taken out by hand
 	leaving map[uint64]bool // clients gone in this batch: what was decided before that is disregarded
 	timers  []time.Duration
 	faults  []string
@@ -40,7 +41,7 @@
 
 func newReferee(set Settings) *referee {
 	return &referee{set: set, jobs: map[uint64]*heardJob{}, ready: map[uint64]Worker{}, last: map[uint64]Worker{}, named: map[uint64]bool{},
-		probing: map[uint64]bool{}, leaving: map[uint64]bool{}}
+		probing: map[uint64]bool{}, out: map[uint64]bool{}, leaving: map[uint64]bool{}}
 }
 
 func (r *referee) fault(format string, args ...any) {
@@ -76,6 +77,10 @@
 			r.leaving[e.Job] = true
 		case Probed:
 			r.probing[e.Worker] = false
+		case Suspended:
+			r.out[e.Worker] = true
+		case Restored:
+			delete(r.out, e.Worker)
 		case WorkerList:
 			if e.Kind == ListLost {
 				continue
@@ -165,6 +170,9 @@
 	if !ready {
 		r.fault("send to worker %d, which drains or is gone", a.Worker)
 	}
+	if r.out[a.Worker] {
+		r.fault("send to worker %d, which is taken out", a.Worker)
+	}
 	c := r.set.Classes[j.Class]
 	if c.Kinds != nil && !slices.Contains(c.Kinds, w.Kind) || c.Zones != nil && !slices.Contains(c.Zones, w.Zone) {
 		r.fault("job %d of class %d sent to kind %d in zone %d", a.Job, j.Class, w.Kind, w.Zone)
@@ -261,6 +269,12 @@
 				events = append(events, j)
 			}
 		}
+		if rng.IntN(20) == 0 {
+			events = append(events, Suspended{Worker: uint64(rng.IntN(10) + 1)}) // repeated, not listed yet, or any
+		}
+		for n := range rng.IntN(3) / 2 * 3 {
+			events = append(events, Restored{Worker: uint64(rng.IntN(10) + n + 1)})
+		}
 		if rng.IntN(60) == 0 {
 			events = append(events, Shared{Of: rng.IntN(4), Me: rng.IntN(4), Part: rng.Float64() * float64(rng.IntN(2))})
 		}
--- a/logic/snapshot.go
+++ b/logic/snapshot.go
@@ -270,6 +270,11 @@
 		c.int(zone)
 		c.float(part)
 	})
+	table(c, d.banned, func(id *uint64, since *time.Duration) {
+		c.uint(id)
+		c.span(since)
+	})
+	c.flag(&d.barred)
 	c.population(d)
 	c.keys(d)
 	fixed(c, d.idleNews[:], func(n *tally) { c.float(&n.good, &n.bad) })
@@ -458,7 +463,7 @@
 	c.int(&a.zone)
 	c.int(&a.cell)
 	c.at(&a.sent, &a.start, &a.told)
-	c.flag(&a.started, &a.ended, &a.limited)
+	c.flag(&a.started, &a.ended, &a.limited, &a.void)
 	c.span(&a.idle, &a.expect)
 	c.int((*int)(&a.result))
 }
@@ -470,7 +475,7 @@
 	c.int(&w.Zone)
 	c.int(&w.Rank)
 	c.int(&w.Of)
-	c.flag(&w.Ready, &w.Gone, &w.listed, &w.lost, &w.probing, &w.broken, &w.touched)
+	c.flag(&w.Ready, &w.Gone, &w.listed, &w.up, &w.lost, &w.probing, &w.broken, &w.touched)
 	c.float(&w.Size, &w.used, &w.room, &w.speed, &w.pace, &w.seen, &w.free, &w.running, &w.tooBig)
 	c.at(&w.BootAt, &w.heard, &w.learned, &w.cut, &w.restUntil, &w.badUntil, &w.back, &w.reported, &w.probed, &w.ended,
 		&w.worked)
@@ -478,6 +483,7 @@
 	c.int(&w.streak)
 	c.int(&w.breaks)
 	c.int(&w.links)
+	c.int(&w.voids)
 	list(c, &w.out, func(a **attempt) { c.attempt(a) })
 	list(c, &w.ledger, func(s *spend) {
 		c.at(&s.at)
--- a/logic/state.go
+++ b/logic/state.go
@@ -52,12 +52,14 @@
 	quotaAt               []time.Duration
 	asked, follows        bool
 	askAt, askWait        time.Duration
-	probeBest             time.Duration // least delay of any answer to a probe
-	wokeAt, wokeLate      time.Duration // when this process was last late itself, and by how much
-	idleMost              time.Duration // links idle longer are closed first
-	idleNews              idleNews      // how attempts on links idle for so long fared of late
-	idleAt                time.Duration // when idleMost was set
-	shared                Shared        // in place of the settings'; Of 0: not told
+	probeBest             time.Duration            // least delay of any answer to a probe
+	wokeAt, wokeLate      time.Duration            // when this process was last late itself, and by how much
+	idleMost              time.Duration            // links idle longer are closed first
+	idleNews              idleNews                 // how attempts on links idle for so long fared of late
+	idleAt                time.Duration            // when idleMost was set
+	banned                map[uint64]time.Duration // workers taken out by hand, and since when
+	barred                bool                     // all that are listed are
+	shared                Shared                   // in place of the settings'; Of 0: not told
 }
 
 // job is a request that is owed a final answer, or whose attempts are still out.
@@ -87,6 +89,7 @@
 	sent, start    time.Duration
 	told           time.Duration // when it last told of itself
 	started, ended bool
+	void           bool          // its worker was taken out and came back: it takes no slots there any more
 	limited        bool          // room was what limited us
 	idle           time.Duration // how long its connection had been idle; 0: a new one
 	result         Result
@@ -98,6 +101,7 @@
 type worker struct {
 	Worker
 	listed           bool
+	up               bool // ready by the list; Ready besides asks that it is not banned
 	used, room       float64
 	speed            float64 // log of speed against a standard core
 	pace             float64 // speed itself
@@ -115,6 +119,7 @@
 	probing, broken  bool    // broken: suspected on more than late starts
 	tooBig           float64 // refused a job of this size while idle; 0: none
 	out              []*attempt
+	voids            int // attempts out that take no slots any more
 	ledger           []spend
 	links            int           // connections that we have open
 	ended            time.Duration // when an attempt last ended
