Hand all sockets and state to the process that replaces this one, in one step

Ruled out: two processes side by side on SO_REUSEPORT, see docs/design/daily-operation.md; that stays where there is no channel. The elder owns all until the heir says it has it.

--- a/internal/capture/recorder.go
+++ b/internal/capture/recorder.go
@@ -21,6 +21,7 @@
 	retryAfter  = 5 * time.Second // a segment that could not be kept is followed by another after this
 	whyStart    = "start"
 	whyRestart  = "restart"     // another module, after a panic of the one before
+	whyTaken    = "taken over"  // by another process, from this state on
 	whyContinue = "goes on"     // the segment before was full
 	whyGap      = "after a gap" // some was lost
 )
@@ -88,6 +89,16 @@
 	if r.modules > 1 {
 		why = whyRestart
 	}
+	return r.begin(m, why)
+}
+
+// Continue records a module that goes on from a state which another process had.
+func (r *Recorder) Continue(m *logic.Dispatcher) ledger.Module {
+	r.modules++
+	return r.begin(m, whyTaken)
+}
+
+func (r *Recorder) begin(m *logic.Dispatcher, why string) ledger.Module {
 	r.edge = &edge{m, r}
 	r.guard(func() { r.open(why) })
 	return r.edge
--- a/internal/ledger/bans.go
+++ b/internal/ledger/bans.go
@@ -62,3 +62,9 @@
 		l.Suspend(id)
 	}
 }
+
+// Number is what the module knows a host by that was ever listed.
+func (l *Ledger) Number(id string) (worker uint64, known bool) {
+	worker, known = l.table.numbers[id]
+	return worker, known
+}
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -83,6 +83,7 @@
 	From     string // the host's own id
 	sent     bool   // the carrier has it, or had it
 	ended    bool
+	result   logic.Result // once it has
 }
 
 // Ended tells whether it has its outcome. A note may bring that about before a carrier has written all of it: one that
@@ -196,7 +197,7 @@
 		return
 	}
 	q := a.Query
-	a.ended = true
+	a.ended, a.result = true, result(fault)
 	q.out--
 	l.expiries.Remove(a)
 	if k := (attemptKey{q.Call, a.From}); l.live[k] == a {
@@ -217,7 +218,7 @@
 		q.asker.Fail()
 	}
 	l.events = append(l.events, logic.Outcome{Job: q.ID, Attempt: a.Number, Worker: a.Worker,
-		Result: result(fault), Closed: q.closed})
+		Result: a.result, Closed: q.closed})
 	l.drop(q)
 }
 
@@ -428,15 +429,7 @@
 		l.dismiss(q)
 	}
 	l.module, l.timer, l.events, l.actions = l.start(), 0, l.events[:0], nil
-	list := logic.WorkerList{Kind: logic.ListCached, Generation: l.generation}
-	for _, w := range l.ready {
-		list.Workers = append(list.Workers, w)
-	}
-	slices.SortFunc(list.Workers, func(a, b logic.Worker) int { return cmp.Compare(a.ID, b.ID) })
-	for _, id := range slices.Sorted(maps.Keys(l.bans)) {
-		l.events = append(l.events, logic.Suspended{Worker: id})
-	}
-	l.events = append(l.events, list)
+	l.events = append(l.events, l.asKnown()...)
 }
 
 func (l *Ledger) act(now time.Duration, action logic.Action) {
--- a/internal/link/clients.go
+++ b/internal/link/clients.go
@@ -78,11 +78,24 @@
 func mostQueries(links int) int { return links - max(8, links/10) }
 
 // listen opens a socket whose connections owner accepts.
-func (l *Loop) listen(at netip.AddrPort, owner handler) (int, error) {
+func (l *Loop) listen(at netip.AddrPort, owner handler) (int, error) { return l.listenWith(at, owner) }
+
+// listenShared lets another process listen at the same address.
+func (l *Loop) listenShared(at netip.AddrPort, owner handler) (int, error) {
+	return l.listenWith(at, owner, unix.SO_REUSEPORT)
+}
+
+func (l *Loop) listenWith(at netip.AddrPort, owner handler, options ...int) (int, error) {
 	fd, sa, err := socket(at)
 	if err != nil {
 		return -1, err
 	}
+	for _, o := range options {
+		if err := unix.SetsockoptInt(fd, unix.SOL_SOCKET, o, 1); err != nil {
+			_ = unix.Close(fd)
+			return -1, fmt.Errorf("listening at %v: %w", at, err)
+		}
+	}
 	_ = unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_REUSEADDR, 1)
 	_ = unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_RCVBUF, socketBuffer) // accepted ones inherit these
 	_ = unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_SNDBUF, socketBuffer)
@@ -268,6 +281,7 @@
 type turn struct {
 	link   *clientLink
 	query  *ledger.Query // while it is served
+	asked  uint64        // its number, between two processes
 	keep   bool          // the request lets the link live on
 	done   bool
 	status int
--- a/internal/link/loop.go
+++ b/internal/link/loop.go
@@ -51,15 +51,20 @@
 	clients   *clientLinks
 	servers   *serverLinks
 	watch     *watch
-	status    *statusLinks      // nil: off
-	operators *operatorLinks    // nil: off
-	decides   *logic.Dispatcher // the module that runs, under whatever wraps it
-	side      int               // descriptors for features
-	Capture   *capture.Recorder // nil: off
-	figures   *figures.Figures  // nil: off
-	lists     *address.Lists    // nil: off
-	keeper    *keeper           // nil: nothing outlives this process
-	posted    []func()          // by other goroutines, for the loop to call
+	status    *statusLinks                          // nil: off
+	operators *operatorLinks                        // nil: off
+	decides   *logic.Dispatcher                     // the module that runs, under whatever wraps it
+	side      int                                   // descriptors for features
+	Capture   *capture.Recorder                     // nil: off
+	figures   *figures.Figures                      // nil: off
+	lists     *address.Lists                        // nil: off
+	wrap      func(*logic.Dispatcher) ledger.Module // what stands round a module that goes on from another process; nil: none can
+	elder     *elder                                // nil: no successor can come
+	heir      *heir                                 // nil: nothing is to be taken over
+	ceded     bool                                  // a successor owns all that was here
+	onFail    func(error)                           // ends the process
+	keeper    *keeper                               // nil: nothing outlives this process
+	posted    []func()                              // by other goroutines, for the loop to call
 	posting   sync.Mutex
 }
 
@@ -137,7 +142,7 @@
 		l.timers.Remove(t)
 		l.guard(t.of, t.act)
 	}
-	if at, ok := l.Ledger.Next(); ok && at <= l.now {
+	if at, ok := l.Ledger.Next(); ok && at <= l.now && !l.ceded {
 		l.Ledger.Step(l.now)
 	}
 	for _, fd := range l.dying {
@@ -153,6 +158,9 @@
 // patience is how long the loop may sleep, in milliseconds. It rounds up: what is due is not due earlier.
 func (l *Loop) patience() int {
 	next, ok := l.Ledger.Next()
+	if l.ceded {
+		next, ok = 0, false
+	}
 	if l.timers.Len() > 0 && (!ok || l.timers.First().At < next) {
 		next, ok = l.timers.First().At, true
 	}
--- a/internal/link/operators.go
+++ b/internal/link/operators.go
@@ -10,6 +10,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"valvecove/internal/succession"
 	"valvecove/internal/tally"
 )
 
@@ -197,7 +198,7 @@
 		}
 	case pathMetrics:
 		o := k.home
-		o.text = o.count.Append(o.text[:0], tally.Now{Inflight: k.loop.Ledger.Open(), Listed: k.loop.Ledger.Listed(),
+		o.text = o.count.Append(o.text[:0], tally.Now{Inflight: k.loop.inflight(), Listed: k.loop.Ledger.Listed(),
 			Down: k.loop.avoided()})
 		k.answer(200, "Content-Type: text/plain; charset=utf-8\r\nCache-Control: no-store\r\n", o.text)
 	default:
@@ -213,6 +214,17 @@
 
 // ban sets or ends a ban, and tells done how a caller is to be answered.
 func (l *Loop) ban(id string, out bool, done func(code int, what string)) {
+	switch { // whoever serves has the bans
+	case l.ceded && l.elder.heir == nil:
+		done(503, "this process has been replaced")
+		return
+	case l.ceded:
+		l.elder.heir.handOn(id, out, done)
+		return
+	case l.heir != nil && l.heir.decides.Stand() != succession.Serving:
+		l.heir.handOn(id, out, done)
+		return
+	}
 	known, full := true, false
 	if out {
 		known, full = l.Ledger.Suspend(id)
@@ -232,6 +244,9 @@
 		word = "out"
 	}
 	l.log.Info("worker node by hand", "host", id, "now", word)
+	if l.elder != nil && l.elder.heir != nil && l.elder.heir.greeted {
+		_ = l.elder.heir.say(succession.KindBans, succession.Bans{Out: l.Ledger.Bans()}) // so that its figures are right
+	}
 	if l.keeper == nil {
 		done(200, word)
 		return
@@ -264,8 +279,12 @@
 // unready tells why this process is not ready to serve; nothing if it is.
 func (l *Loop) unready() string {
 	switch {
+	case l.ceded:
+		return "replaced"
 	case l.clients.draining:
 		return "draining"
+	case l.heir != nil && l.heir.unready() != "":
+		return l.heir.unready()
 	case !l.Ledger.CanServe():
 		return "no worker node known"
 	}
@@ -279,3 +298,11 @@
 	}
 	return l.decides.Avoided()
 }
+
+// inflight counts the jobs that this process has taken and that have not ended.
+func (l *Loop) inflight() int {
+	if l.ceded {
+		return 0
+	}
+	return l.Ledger.Open()
+}
--- a/internal/link/start.go
+++ b/internal/link/start.go
@@ -44,6 +44,14 @@
 		}
 	}
 	seed := c.Seed
+	if ops.Aperture == nil { // else what stands round the module has a state of its own
+		l.wrap = func(d *logic.Dispatcher) ledger.Module {
+			if l.Capture != nil {
+				return l.Capture.Continue(d)
+			}
+			return d
+		}
+	}
 	module := func() ledger.Module {
 		seed++
 		d := logic.New(c.Settings.Settings, seed)
@@ -63,7 +71,12 @@
 		l.Ledger.Attach(l.Capture)
 	}
 	l.accept(clients, bufferBudget(c), &c.Settings.Settings, c.Settings.Names)
-	if l.clients.fd, err = l.listen(c.Listen, l.clients); err != nil {
+	if !c.Management.IsValid() {
+		l.clients.fd, err = l.listen(c.Listen, l.clients)
+	} else {
+		err = l.begin(c)
+	}
+	if err != nil {
 		return nil, err
 	}
 	if c.Management.IsValid() {
@@ -72,14 +85,6 @@
 			return nil, fmt.Errorf("key \"management\": %w", err)
 		}
 		l.Ledger.Attach(count)
-		l.keep(c.Dir)
-		out, err := readBans(c.Dir)
-		if err != nil { // served on: a worker node that should be out is out again with the next call
-			l.log.Error("worker nodes out by hand can't be read", "error", err)
-		}
-		if l.Ledger.SetBans(out); len(out) > 0 {
-			l.log.Info("worker nodes out by hand", "hosts", strings.Join(out, " "))
-		}
 	}
 	if ops.Status != nil {
 		table := status.New(*ops.Status, c.Settings.Names, c.Settings.TellsStart, l.Now)
@@ -100,6 +105,31 @@
 	return l, nil
 }
 
+// begin takes the place of the process that serves here, or, if there is none, serves at once. Several processes may listen
+// at the clients' address, so that one that can't be reached by its successor can be replaced too.
+func (l *Loop) begin(c config.Config) error {
+	l.onFail = func(err error) { l.log.Error("can't go on", "error", err) }
+	out, err := readBans(c.Dir)
+	if err != nil { // served on: a worker node that should be out is out again with the next call
+		l.log.Error("worker nodes out by hand can't be read", "error", err)
+	}
+	if l.Ledger.SetBans(out); len(out) > 0 {
+		l.log.Info("worker nodes out by hand", "hosts", strings.Join(out, " "))
+	}
+	if l.keep(c.Dir); c.Dir != "" {
+		if waits, err := l.succeed(c.Dir, c.Listen); waits || err != nil {
+			return err
+		}
+	}
+	if l.clients.fd, err = l.listenShared(c.Listen, l.clients); err == nil && c.Dir != "" {
+		l.awaitHeir(c.Dir)
+	}
+	return err
+}
+
+// OnFail sets what is done when the process can't go on.
+func (l *Loop) OnFail(act func(error)) { l.onFail = act }
+
 // Now is the time of the present turn.
 func (l *Loop) Now() time.Duration { return l.now }
 
@@ -159,6 +189,9 @@
 
 // Addr is where the loop listens.
 func (l *Loop) Addr() netip.AddrPort {
+	if l.clients.fd < 0 { // the process that serves has the socket
+		return netip.AddrPort{}
+	}
 	sa, _ := unix.Getsockname(l.clients.fd)
 	return addrPort(sa)
 }
@@ -177,7 +210,11 @@
 func (l *Loop) Close() { l.clients.close() }
 
 // Finish gives final answers to the queries that came within the last span and are still open.
-func (l *Loop) Finish(span time.Duration) { l.Ledger.Finish(l.now - span) }
+func (l *Loop) Finish(span time.Duration) {
+	if !l.ceded {
+		l.Ledger.Finish(l.now - span)
+	}
+}
 
 // Quiet tells whether every query is answered and every answer has left.
-func (l *Loop) Quiet() bool { return l.Ledger.Open() == 0 && l.clients.quiet() }
+func (l *Loop) Quiet() bool { return (l.ceded || l.Ledger.Open() == 0) && l.clients.quiet() }
--- a/internal/run/run.go
+++ b/internal/run/run.go
@@ -2,6 +2,8 @@
 package run
 
 import (
+	"cmp"
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -29,6 +31,7 @@
 	killSpare = 700 * time.Millisecond
 	lastTaken = 900 * time.Millisecond // before SIGKILL: a query that comes later would hardly be served in time
 	lastWords = 300 * time.Millisecond // before SIGKILL: whatever is still open is answered
+	lastCalls = 500 * time.Millisecond // after a hand-over: for operators whose calls are under way
 	lastFlush = 200 * time.Millisecond // at the end: for a log or a disk that takes in what waits
 
 	logWaiting = 256 << 10 // bytes of log that may wait
@@ -41,6 +44,7 @@
 	loop     *link.Loop
 	draining bool
 	over     bool          // there is nothing more to stay for
+	failed   error         // why it can't go on
 	spool    *spool.Writer // before standard error
 	log      *slog.Logger
 }
@@ -114,8 +118,19 @@
 			}
 		}
 	}()
-	s.log.Info("listening", "addr", loop.Addr().String())
-	return loop.Run(func() bool { return s.over && loop.Quiet() })
+	loop.OnFail(func(err error) { s.failed = err })
+	loop.OnHeir(func() {
+		if s.draining { // it has come late, but not too late
+			s.loop.After(0, s.handOver)
+		}
+	})
+	if at := loop.Addr(); at.IsValid() {
+		s.log.Info("listening", "addr", at.String())
+	} else {
+		s.log.Info("another process serves here, and is to be replaced")
+	}
+	err = loop.Run(func() bool { return s.over && loop.Quiet() || s.failed != nil })
+	return cmp.Or(err, s.failed)
 }
 
 // offered is a target of figures that a spool stands before.
@@ -135,6 +150,7 @@
 		s.draining = true
 		s.log.Info("draining")
 		s.drain()
+		s.handOver()
 	}
 }
 
@@ -162,6 +178,19 @@
 	s.loop.After(killed, func() { s.over = true })
 }
 
+// handOver gives all that is here to the process that is to replace this one, if one stands by. Should it fail, this one
+// drains on.
+func (s *scheduler) handOver() {
+	switch err := s.loop.Cede(); {
+	case err == nil:
+		s.loop.After(lastCalls, func() { s.over = true })
+	case errors.Is(err, link.ErrBusy):
+		s.loop.After(time.Millisecond, s.handOver)
+	case !errors.Is(err, link.ErrNoHeir):
+		s.log.Error("still the owner", "error", err)
+	}
+}
+
 // reload goes on by the file as it is now; one with a fault changes nothing. While draining too: queries in hand
 // still need worker nodes, and drains and starts among those are still to be heard of.
 func (s *scheduler) reload() {
