Use a worker node soon after it was brought back by hand

Ruled out: the list (up since 1.5 s before the call back), old attempts (their slots are freed). Change: until something is sent there, such a worker comes before others alike, its own part of the cold budget may be used by whoever was told, and after 2 s a job that is safe to repeat goes though late.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -59,6 +59,8 @@
 	looked      = 256                    // and of all rows
 	trialShare  = 0.2                    // jobs that go though thought late, for each turned away
 	trialBurst  = 4.0                    // and at once
+	freedSlot   = 0.5                    // one brought back by hand comes before others alike
+	freedWait   = 2 * time.Second        // and takes a job that would be late, after this
 	lateSelf    = 20 * time.Millisecond  // so late for its own timer a process says nothing of workers
 )
 
@@ -342,7 +344,11 @@
 			if cost > best || !d.roomFor(j, w) {
 				continue
 			}
-			if roomless = false; !j.spare && d.now+d.expectedRun(j, w) > j.aim || !d.maySend(j, w) ||
+			if w.freed > 0 {
+				cost -= freedSlot
+			}
+			roomless = false
+			if !j.spare && !d.proves(j, w) && d.now+d.expectedRun(j, w) > j.aim || !d.maySend(j, w) ||
 				!d.healthyFor(j, w) || !d.coldAllows(j, w) {
 				continue
 			}
@@ -362,10 +368,6 @@
 
 // ---- Predictor: chance of running long, and size ----
 
-func (d *Dispatcher) features(j *job) (hint, slots float64) {
-	return clip(math.Log(j.work)-d.cutLog, featureClip), clip(math.Log2(j.Slots), featureClip)
-}
-
 func (d *Dispatcher) chanceLong(j *job) float64 {
 	h, s := d.features(j)
 	n := len(d.set.Classes)
@@ -436,8 +438,6 @@
 	return seconds(a.expect.Seconds() * math.Exp(overrun*d.spread))
 }
 
-func slotBucket(j *job) int { return min(3, int(math.Log2(j.Slots))) }
-
 // ---- Rooms: how much of ours a worker can start at once ----
 
 func (d *Dispatcher) roomFor(j *job, w *worker) bool {
@@ -630,11 +630,9 @@
 	// Equal parts for many dispatchers would hold no job: by its id all agree on a few owners of each.
 	rank, all := d.rank(w)
 	owners := max(1, min(all, int(budget/(ownerJobs*d.meanCost+1e-9))))
-	return rank < owners && d.now-d.born > span && sum <= budget/float64(owners)
+	return (rank < owners || w.freed > 0) && d.now-d.born > span && sum <= budget/float64(owners)
 }
 
-func (d *Dispatcher) coldCost(j *job) float64 { return j.work * j.Slots * d.tail[j.Class] }
-
 // ---- Taken out by hand ----
 
 // suspend keeps all new work from a worker; what is out there runs on.
@@ -650,7 +648,7 @@
 }
 
 // restore ends that. The worker was restarted meanwhile, just now if no list has told when: it is cold, has nothing
-// of ours, and what was out there is most likely lost.
+// of ours, and what was out there is lost.
 func (d *Dispatcher) restore(id uint64) {
 	since, out := d.banned[id]
 	delete(d.banned, id)
@@ -663,13 +661,18 @@
 	if w.broken, w.rest, w.restUntil, w.back = false, 0, 0, 0; w.BootAt <= since {
 		w.back = d.now
 	}
-	w.Ready = w.up
+	w.Ready, w.freed = w.up, d.now
 	for _, a := range d.vacate(w) {
 		d.rescue(a.job)
 	}
 	d.touch(w)
 }
 
+// proves lets a job that would be late go to a worker that was brought back, if nothing else has for a while.
+func (d *Dispatcher) proves(j *job, w *worker) bool {
+	return w.freed > 0 && d.now-w.freed > freedWait && j.class.Effect == Safe
+}
+
 // ---- Attempts, and the one place that knows rules 1 and 2 ----
 
 var neverRan = [...]bool{Full: true, NoConnect: true, NotSent: true}
@@ -733,7 +736,7 @@
 	if d.suspect(w) {
 		d.trialAt = d.now + firstPause
 	}
-	d.scout = d.now
+	d.scout, w.freed = d.now, 0
 	d.link(a)
 	d.do(Send{Job: j.ID, Worker: w.ID})
 	wait := d.overlong(a)
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -1160,3 +1160,26 @@
 	s.step(Restored{Worker: 2}, s.job(2, 0, 10*ms))
 	expectJobs(t, taken[Send](s), 2)
 }
+
+// A worker that was brought back is used soon, also by a dispatcher that is not among the owners of its cold budget, and by
+// a job that would be late there if no other comes.
+func TestRestoredWorkerIsNotLeftIdle(t *testing.T) {
+	set := testSettings()
+	set.Cold, set.ColdFrom, set.Overload, set.OverloadSpan = 20*time.Second, 0.2, 3, 2*time.Second
+	set.Replicas = 2
+	for me := range 2 {
+		set.Me = me
+		s := newScene(t, set)
+		s.workers(1)
+		s.wait(3 * time.Second)
+		s.step(Suspended{Worker: 1})
+		s.step(Restored{Worker: 1})
+		s.wait(freedWait + 10*ms)
+		s.take()
+		s.step(s.job(1, 0, 300*ms)) // far too long for its aim on a cold worker
+		expectJobs(t, taken[Send](s), 1)
+		s.step(s.done(1, 0, 1, OK))
+		s.step(s.job(2, 0, 300*ms))
+		expectJobs(t, taken[Send](s))
+	}
+}
--- a/logic/members.go
+++ b/logic/members.go
@@ -420,3 +420,11 @@
 		}
 	}
 }
+
+func (d *Dispatcher) features(j *job) (hint, slots float64) {
+	return clip(math.Log(j.work)-d.cutLog, featureClip), clip(math.Log2(j.Slots), featureClip)
+}
+
+func slotBucket(j *job) int { return min(3, int(math.Log2(j.Slots))) }
+
+func (d *Dispatcher) coldCost(j *job) float64 { return j.work * j.Slots * d.tail[j.Class] }
--- a/logic/snapshot.go
+++ b/logic/snapshot.go
@@ -478,7 +478,7 @@
 	c.flag(&w.Ready, &w.Gone, &w.listed, &w.up, &w.lost, &w.probing, &w.broken, &w.touched)
 	c.float(&w.Size, &w.used, &w.room, &w.speed, &w.pace, &w.seen, &w.free, &w.running, &w.tooBig)
 	c.at(&w.BootAt, &w.heard, &w.learned, &w.cut, &w.restUntil, &w.badUntil, &w.back, &w.reported, &w.probed, &w.ended,
-		&w.worked)
+		&w.worked, &w.freed)
 	c.span(&w.rest, &w.pause)
 	c.int(&w.streak)
 	c.int(&w.breaks)
--- a/logic/state.go
+++ b/logic/state.go
@@ -119,7 +119,8 @@
 	probing, broken  bool    // broken: suspected on more than late starts
 	tooBig           float64 // refused a job of this size while idle; 0: none
 	out              []*attempt
-	voids            int // attempts out that take no slots any more
+	freed            time.Duration // when it was brought back by hand, and sent nothing since; 0: never
+	voids            int           // attempts out that take no slots any more
 	ledger           []spend
 	links            int           // connections that we have open
 	ended            time.Duration // when an attempt last ended
