--- a/logic/logic.go
+++ b/logic/logic.go
@@ -647,8 +647,8 @@
 	d.bar()
 }
 
-// restore ends that. The worker was restarted meanwhile, just now if no list has told when: it is cold, has nothing
-// of ours, and what was out there is lost.
+// restore ends that. The worker was restarted meanwhile, just now if no list has told when: it is cold, has
+// nothing of ours, and what was out there is lost.
 func (d *Dispatcher) restore(id uint64) {
 	since, out := d.banned[id]
 	delete(d.banned, id)
