--- /dev/null
+++ b/internal/link/succession_test.go
@@ -0,0 +1,226 @@
+package link
+
+import (
+	"fmt"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"valvecove/internal/ledger"
+	"valvecove/internal/steps"
+	"valvecove/internal/succession"
+	"valvecove/logic"
+)
+
+// replaceable makes a world one whose process can be replaced, or can replace another.
+func (w *world) replaceable() {
+	w.loop.decides = logic.New(*w.loop.clients.set, 1)
+	w.loop.wrap = func(*logic.Dispatcher) ledger.Module { return w.module } // what it does is scripted, before and after
+	w.loop.onFail = func(err error) { w.T.Errorf("a process fails: %v", err) }
+}
+
+// succeeds makes a new world that stands by to replace this one.
+func (w *world) succeeds(dir string, at netip.AddrPort) *world {
+	next := newWorld(w.Steps)
+	next.replaceable()
+	next.now = w.now
+	waits, err := next.loop.succeed(dir, at)
+	w.Check(waits && err == nil, "no elder: %v, %v", waits, err)
+	for next.loop.heir.decides.Stand() == succession.Joining {
+		w.turn()
+		next.turn()
+	}
+	return next
+}
+
+// replacedBy hands over to it.
+func (w *world) replacedBy(next *world) error {
+	ended, heir := make(chan struct{}), next.loop.heir
+	go func() {
+		defer close(ended)
+		for !heir.closed && heir.decides.Stand() != succession.Serving {
+			_ = next.loop.turn(1000) // the elder does nothing else meanwhile, so this is another goroutine's
+		}
+	}()
+	err := w.loop.Cede()
+	if err != nil { // its channel is closed with that
+		_ = w.loop.turn(0)
+	}
+	<-ended
+	w.turn()
+	next.turn()
+	return err
+}
+
+func elderWorld(s *steps.Steps, dir string) (*world, netip.AddrPort) {
+	w := newWorld(s)
+	w.replaceable()
+	var err error
+	if w.loop.clients.fd, err = w.loop.listenShared(netip.MustParseAddrPort("127.0.0.1:0"), w.loop.clients); err != nil {
+		s.T.Fatal(err)
+	}
+	w.loop.awaitHeir(dir)
+	return w, w.loop.Addr()
+}
+
+// Wherever a hand-over cuts the bytes of a request, of an attempt, of a worker node's answer or of what has been answered, one
+// client on one connection gets each answer once, and worker nodes get each attempt once and whole.
+func FuzzHandOver(f *testing.F) {
+	steps.Fuzz(f, func(s *steps.Steps) {
+		dir := s.T.TempDir()
+		w, at := elderWorld(s, dir)
+		worker := w.worker()
+		client, fd := w.pair()
+		w.loop.clients.adopt(fd, netip.MustParseAddrPort("127.0.0.1:9"))
+		var nodes []*peer // the far ends of server links, of all processes
+		n, seen, answered := 0, 0, 0
+		unsent, answer, sent, out := "", "", false, false
+		text := func() string {
+			return fmt.Sprintf("POST /a/%d HTTP/1.1\r\nX-Call-Class: a\r\nX-Call-Id: q%d\r\nX-Caller: t\r\nContent-Length: %d\r\n\r\n%s",
+				n, n, 15000*(n%3), strings.Repeat("x", 15000*(n%3)))
+		}
+		body, want := func() string { return fmt.Sprintf("made of q%d", n) }, ""
+		look := func(reads int) {
+			w.turn()
+			s.Check((len(w.loop.Ledger.Bans()) == 1) == out, "bans %v", w.loop.Ledger.Bans())
+			nodes = append(nodes, w.dialed...)
+			w.dialed = nil
+			for i, p := range nodes {
+				p.read(reads)
+				var m Message
+				if k, err := m.ParseRequest(p.got); err == nil {
+					s.Check(string(m.Get("X-Call-Id")) == fmt.Sprint("q", n) && len(m.Body) == 15000*(n%3) && k == len(p.got), "attempt %q", p.got)
+					p.got = nil
+					seen++
+					s.Check(seen == n, "%d attempts of %d queries", seen, n)
+					nodes[i], nodes[len(nodes)-1] = nodes[len(nodes)-1], nodes[i]
+					answer = "HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n"
+					break
+				}
+			}
+			client.read(1 << 16)
+			s.Check(string(client.got) == want && !client.ended, "the client has %q, expected %q", client.got, want)
+		}
+		for s.More() {
+			switch what := s.Pick(10); {
+			case what == 0:
+				next := w.succeeds(dir, at)
+				err := w.replacedBy(next)
+				s.Check(err == nil, "hand-over: %v", err)
+				s.Check(w.loop.ceded && next.loop.elder != nil, "not replaced")
+				w = next
+				s.Did("hand over")
+			case what < 4 && unsent == "" && answer == "" && !sent && seen == n:
+				n++
+				unsent = text()
+				s.Did("ask")
+			case unsent != "":
+				i := min(len(unsent), 1+s.Pick(8)*s.Pick(200)*30)
+				client.write([]byte(unsent[:i]))
+				unsent = unsent[i:]
+				s.Did(fmt.Sprint("write ", i))
+			case what < 6 && !out && unsent == "" && seen < n && !sent && w.loop.Ledger.Open() == 1:
+				s.Check(w.loop.Ledger.Query(uint64(n)) != nil, "query %d has another number", n)
+				w.module.Next = []logic.Action{logic.Send{Job: uint64(n), Worker: worker}}
+				w.loop.Ledger.Wake()
+				sent = true
+				s.Did("send")
+			case what >= 5 && answer != "":
+				i := min(len(answer), 1+s.Pick(len(answer)))
+				nodes[len(nodes)-1].write([]byte(answer[:i]))
+				answer = answer[i:]
+				s.Did("answer")
+			case what >= 6 && answer == "" && sent && seen == n:
+				result := body()
+				_, _ = w.loop.Ledger.Tell(ledger.Note{ID: fmt.Sprint("q", n), From: "s-0", State: "done", Result: &result})
+				want += fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body()), body())
+				sent = false
+				answered++
+				s.Did("done")
+			case what == 8:
+				w.now += 20 * time.Millisecond
+			case what == 9 && !sent:
+				if out = !out; out {
+					w.loop.Ledger.Suspend("s-0")
+				} else {
+					w.loop.Ledger.Restore("s-0")
+				}
+				s.Did("ban or end it")
+			}
+			look(1 + s.Pick(4)*3000)
+		}
+		for range 20 { // whatever was under way when the steps ended gets there
+			look(1 << 16)
+		}
+		s.Check(!sent || seen == n, "an attempt did not come whole")
+		s.Check(unsent != "" || n == answered || w.loop.Ledger.Open() == 1, "a query is lost")
+	})
+}
+
+// A hand-over that fails changes nothing: the elder still has all, and serves; the heir has nothing of it and serves alone.
+func TestHandOverFails(t *testing.T) {
+	s := &steps.Steps{T: t}
+	dir := t.TempDir()
+	w, at := elderWorld(s, dir)
+	if err := w.loop.Cede(); err != ErrNoHeir {
+		t.Errorf("with no heir: %v", err)
+	}
+	client, fd := w.pair()
+	w.loop.clients.adopt(fd, at)
+	client.write([]byte("POST /a HTTP/1.1\r\nX-Call-Class: a\r\nX-Call-Id: q\r\nX-Caller: t\r\nContent-Length: 0\r\n\r\n"))
+	w.turn()
+	next := w.succeeds(dir, at)
+	second := newWorld(s)
+	second.replaceable()
+	denied := false
+	second.loop.onFail = func(error) { denied = true }
+	if waits, _ := second.loop.succeed(dir, at); !waits {
+		t.Error("the second heir finds no elder")
+	}
+	for !denied {
+		w.turn()
+		second.turn()
+	}
+	// The heir breaks off in the middle, by what it can't read.
+	next.loop.heir.decides = succession.Heir{}
+	if err := w.replacedBy(next); err == nil || w.loop.ceded {
+		t.Fatalf("handed over to one that did not take it: %v", err)
+	}
+	next.turn()
+	if next.loop.heir != nil || next.loop.clients.fd < 0 || next.loop.Ledger.Open() != 0 || len(next.loop.clients.links) != 0 {
+		t.Error("the heir does not serve alone")
+	}
+	if w.loop.Ledger.Open() != 1 {
+		t.Fatal("the elder has lost a query")
+	}
+	w.module.Next = []logic.Action{logic.Refuse{Job: 1}}
+	w.loop.Ledger.Wake()
+	w.turn()
+	client.read(1 << 16)
+	if !strings.HasPrefix(string(client.got), "HTTP/1.1 503 ") {
+		t.Errorf("the elder's client got %q", client.got)
+	}
+}
+
+// An elder that dies leaves its bans, in the file; what is left at the path of its socket is in nobody's way.
+func TestElderDies(t *testing.T) {
+	s := &steps.Steps{T: t}
+	dir := t.TempDir()
+	w, at := elderWorld(s, dir)
+	next := w.succeeds(dir, at)
+	if err := writeBans(dir+"/"+bansFile, []string{"s-0"}); err != nil {
+		t.Fatal(err)
+	}
+	w.loop.elder.heir.drop()
+	w.loop.remove(w.loop.elder.fd)
+	w.turn()
+	next.turn()
+	if got := next.loop.Ledger.Bans(); len(got) != 1 || got[0] != "s-0" || next.loop.clients.fd < 0 || next.loop.unready() == "" {
+		t.Errorf("after its elder's death: bans %v", got)
+	}
+	third := next.succeeds(dir, at)
+	if err := next.replacedBy(third); err != nil || len(third.loop.Ledger.Bans()) != 1 {
+		t.Errorf("the next one: %v", err)
+	}
+}
