Have many schedulers call discovery apart from each other

Change: of more than 8 dispatchers each waits for a random part of a span that grows with their number before its first call, if it has a list as once known, and between calls.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -59,6 +59,7 @@
 	looked      = 256                    // and of all rows
 	trialShare  = 0.2                    // jobs that go though thought late, for each turned away
 	trialBurst  = 4.0                    // and at once
+	manyAsk     = 8                      // of more dispatchers not all ask for the list at their start
 	freedSlot   = 0.5                    // one brought back by hand comes before others alike
 	freedWait   = 2 * time.Second        // and takes a job that would be late, after this
 	lateSelf    = 20 * time.Millisecond  // so late for its own timer a process says nothing of workers
@@ -766,25 +767,6 @@
 	}
 }
 
-// linkNews takes in how an attempt on an idle link went. Where of links idle for so long or longer two fared
-// badly of late, and more than did well, it is the links' fault and not the workers': a rack that is silent
-// has but its part of them. Forgotten by and by in upkeep.
-func (d *Dispatcher) linkNews(a *attempt, well bool) {
-	if a.idle == 0 {
-		return
-	}
-	age := idleAge(a.idle)
-	if d.idleNews[age].count(well); well {
-		return
-	}
-	for ; age >= 0; age-- {
-		if all := d.idleNews.from(age); all.bad > 1.5 && all.bad > all.good {
-			d.idleMost, d.idleAt = idleSpan(age), d.now
-			return
-		}
-	}
-}
-
 func (d *Dispatcher) started(a *attempt) {
 	if a == nil || a.started {
 		return
@@ -995,18 +977,27 @@
 	if e.Kind == ListLost {
 		d.follows = false
 		if d.asked || d.askWait == 0 {
-			d.askWait = min(max(d.set.AskEvery/20, 2*d.askWait), d.set.AskEvery/4)
+			d.askWait = min(max(d.askLeast(), 2*d.askWait), max(d.askLeast(), d.set.AskEvery/4))
 		}
 		d.asked = false
 		d.askAt = d.now + d.askWait/2 + time.Duration(d.rng.Int64N(int64(d.askWait)+1))
 		return
 	}
+	if e.Kind == ListCached && d.askAt == 0 && len(e.Workers) > 0 && d.set.Replicas > manyAsk {
+		d.askAt = d.now + time.Duration(d.rng.Int64N(int64(d.askLeast())+1))
+	}
 	if e.Kind != ListCached && d.asked {
 		d.asked, d.follows, d.askWait = false, true, 0
 	}
 	d.enter(e)
 }
 
+// askLeast is how long to wait before the list is asked for anew. One service answers all in turn: where
+// many ask at once, as after most were killed together, all would wait too long there.
+func (d *Dispatcher) askLeast() time.Duration {
+	return min(d.set.AskEvery/20*time.Duration(max(1, d.set.Replicas/4)), d.set.AskEvery/2)
+}
+
 func (d *Dispatcher) sweep() {
 	d.alarm(&d.tick, d.now+upkeepEvery)
 	if d.set.MustSubscribe && !d.follows && !d.asked && d.now >= d.askAt {
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -1183,3 +1183,26 @@
 		expectJobs(t, taken[Send](s))
 	}
 }
+
+// Many dispatchers that start together with a list as it was once known, or lose it together, do not all ask for it at once:
+// the service that answers in turn would have all of them wait too long. Few ask at once, and so does one without any list.
+func TestManyAskApart(t *testing.T) {
+	for _, c := range []struct {
+		of, soon int // of 40 dispatchers so many ask within half a second, at most
+		list     []Worker
+	}{{40, 12, []Worker{{ID: 1, Ready: true}}}, {2, 40, []Worker{{ID: 1, Ready: true}}}, {40, 40, nil}} {
+		set := testSettings()
+		set.Replicas, set.MustSubscribe, set.AskEvery = c.of, true, 6*time.Second
+		soon := 0
+		for seed := range uint64(40) {
+			s := newScene(t, set)
+			s.d = New(set, seed)
+			s.step(WorkerList{Kind: ListCached, Workers: c.list})
+			s.wait(500 * ms)
+			soon += len(taken[Subscribe](s))
+		}
+		if soon > c.soon || c.soon == 40 && soon < 40 {
+			t.Errorf("of %d, %d listed: %d of 40 ask within half a second", c.of, len(c.list), soon)
+		}
+	}
+}
--- a/logic/members.go
+++ b/logic/members.go
@@ -428,3 +428,22 @@
 func slotBucket(j *job) int { return min(3, int(math.Log2(j.Slots))) }
 
 func (d *Dispatcher) coldCost(j *job) float64 { return j.work * j.Slots * d.tail[j.Class] }
+
+// linkNews takes in how an attempt on an idle link went. Where of links idle for so long or longer two fared
+// badly of late, and more than did well, it is the links' fault and not the workers': a rack that is silent
+// has but its part of them. Forgotten by and by in upkeep.
+func (d *Dispatcher) linkNews(a *attempt, well bool) {
+	if a.idle == 0 {
+		return
+	}
+	age := idleAge(a.idle)
+	if d.idleNews[age].count(well); well {
+		return
+	}
+	for ; age >= 0; age-- {
+		if all := d.idleNews.from(age); all.bad > 1.5 && all.bad > all.good {
+			d.idleMost, d.idleAt = idleSpan(age), d.now
+			return
+		}
+	}
+}
