Share the limits between two processes, forget hosts that left, and replay what was taken over

Need: both processes count as one for memory and descriptors; the memory of ids must be bounded, a ban never dropped; a capture begun at a hand-over must replay. Change: while two run each does with half; hosts that left are forgotten over 16,384; check shows the management address. Tests for each, and of the configuration's key.

--- a/cmd/valvecove/check.go
+++ b/cmd/valvecove/check.go
@@ -111,6 +111,9 @@
 	p.line("ours", or(ours, "none, so that all features are off"))
 	p.line("name", or(c.Name, "none"))
 	p.line("listen", c.Listen.String())
+	if c.Management.IsValid() {
+		p.line("management", c.Management.String()+", see docs/on-call.md; what outlives the process is in "+or(c.Dir, "no directory, as TMPDIR is not set"))
+	}
 	watch := "its list comes by itself"
 	if c.Settings.MustSubscribe {
 		watch = "subscribed to"
--- a/internal/capture/capture_test.go
+++ b/internal/capture/capture_test.go
@@ -37,6 +37,7 @@
 	rng  *rand.Rand
 	rec  *Recorder
 	jobs int
+	set  logic.Settings
 }
 
 func (p *play) Probe(w uint64) { p.Ledger.Probed(w, nil) }
@@ -47,7 +48,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	p := &play{t: t, rng: rand.New(rand.NewPCG(seed, 3)), World: sides.World{Now: 1718000000123456789}}
+	p := &play{t: t, set: c.Settings.Settings, rng: rand.New(rand.NewPCG(seed, 3)), World: sides.World{Now: 1718000000123456789}}
 	p.rec, err = New(conf, c, func() time.Duration { return p.Now }, slog.New(slog.DiscardHandler))
 	if err != nil {
 		t.Fatal(err)
@@ -106,10 +107,45 @@
 		if p.rng.IntN(60) == 0 {
 			p.hosts()
 		}
+		if p.rng.IntN(60) == 0 {
+			p.Ledger.Suspend("s-" + strconv.Itoa(p.rng.IntN(9)))
+		}
+		if p.rng.IntN(30) == 0 {
+			p.Ledger.Restore("s-" + strconv.Itoa(p.rng.IntN(9)))
+		}
 		p.Ledger.Step(p.Now)
 	}
 }
 
+// A process that goes on with what another one had records that from its first step on, and it replays.
+func TestReplayTakenOver(t *testing.T) {
+	for seed := range uint64(6) {
+		p, next := newPlay(t, seed, config.Capture{MemoryKB: 512}), newPlay(t, seed+100, config.Capture{MemoryKB: 512})
+		p.run(150)
+		if next.Now = p.Now; !p.Ledger.Settle(p.Now) {
+			t.Fatal("it never settles")
+		}
+		book, open := p.Ledger.Estate()
+		askers := map[uint64]ledger.Asker{}
+		for _, q := range open {
+			askers[q.ID] = next
+		}
+		next.Ledger.TakeOver(next.Now, book, open, askers, func() ledger.Module {
+			d, err := logic.Restore(p.set, p.rec.edge.Snapshot(nil))
+			if err != nil {
+				t.Fatal(err)
+			}
+			return next.rec.Continue(d)
+		})
+		next.jobs = p.jobs
+		next.run(150)
+		text := next.rec.Dump()
+		if sends := same(t, text); sends == 0 || !bytes.Contains(text, []byte(`"why":"taken over"`)) || len(open) == 0 {
+			t.Errorf("%d sends, %d queries taken over", sends, len(open))
+		}
+	}
+}
+
 func replayed(t *testing.T, text []byte, ops string) (differences int, out, warnings string, err error) {
 	o, err := config.DecodeOps(ops)
 	if err != nil {
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -109,3 +109,24 @@
 		t.Errorf("%v, %v", next.Discovery, err)
 	}
 }
+
+// The management address is off where neither the file nor the environment names one; the file's word counts for more.
+func TestManagement(t *testing.T) {
+	const rest = `"listen":"127.0.0.1:1","discovery":"127.0.0.1:2","settings":{"classes":[{"name":"a","promise":1,"give_up":5}],` +
+		`"bounds":{"try_limit":1,"connect_timeout":5}}}`
+	for _, c := range []struct{ text, env, want, fault string }{
+		{`{`, "", "invalid AddrPort", ""},
+		{`{`, "127.0.0.1:3", "127.0.0.1:3", ""},
+		{`{"management":"127.0.0.1:4",`, "127.0.0.1:3", "127.0.0.1:4", ""},
+		{`{"management":"here",`, "", "", `key "management": expected an address and port, got "here"`},
+		{`{`, "there", "", `key "management": expected an address and port, got "there"`},
+	} {
+		got, err := Decode([]byte(c.text+rest), func(name string) string {
+			return map[string]string{"PROXY_MANAGEMENT": c.env, "TMPDIR": "/t"}[name]
+		})
+		if err != nil && err.Error() != c.fault || err == nil && (c.fault != "" || got.Management.String() != c.want ||
+			(got.Dir != "") != got.Management.IsValid()) {
+			t.Errorf("%s and %q: %v %q, %v; expected %s%s", c.text, c.env, got.Management, got.Dir, err, c.want, c.fault)
+		}
+	}
+}
--- a/internal/ledger/hosts.go
+++ b/internal/ledger/hosts.go
@@ -58,6 +58,22 @@
 	return n
 }
 
+// mostGone is how many hosts that have left are remembered, besides as many as are listed.
+const mostGone = 1 << 14
+
+// prune forgets hosts that have left, if there are too many. Of those in use nothing is forgotten, nor of those out by hand.
+func (t *hostTable) prune(listed map[uint64]logic.Worker, inUse func(n uint64) bool) {
+	if len(t.hosts) <= 2*len(listed)+mostGone {
+		return
+	}
+	for n, h := range t.hosts {
+		if _, is := listed[n]; !is && !inUse(n) {
+			delete(t.hosts, n)
+			delete(t.numbers, h.ID)
+		}
+	}
+}
+
 var hashID = func(id string) uint64 {
 	h := fnv.New64a()
 	h.Write([]byte(id))
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -293,6 +293,17 @@
 		}
 	}
 	l.events = append(l.events, logic.WorkerList{Kind: kind, Workers: list, Generation: g.Generation})
+	l.table.prune(l.ready, func(n uint64) bool {
+		if l.bans[n] {
+			return true
+		}
+		for k := range l.live {
+			if k.from == l.table.hosts[n].ID {
+				return true
+			}
+		}
+		return false
+	})
 }
 
 // NewSource tells that the host group comes from elsewhere from now on. The list at hand holds until that speaks,
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -367,3 +367,19 @@
 func (nobody) Serve([]byte)           {}
 func (nobody) Throttle(time.Duration) {}
 func (nobody) Fail()                  {}
+
+// Hosts that have left are not remembered for ever, but for those that are out by hand.
+func TestHostsForgotten(t *testing.T) {
+	l := New(6, Names{Classes: []string{"a"}}, func() Module { return &steps.Script{} }, HostGroup{}, &sentTo{}, slog.New(slog.DiscardHandler))
+	l.Hosts(HostGroup{Reset: true, Hosts: []Host{{ID: "out", State: "up"}}})
+	l.Suspend("out")
+	for n := range 3 * mostGone {
+		l.Hosts(HostGroup{Reset: true, Hosts: []Host{{ID: "s-" + strconv.Itoa(n), State: "up"}}})
+	}
+	if n := len(l.table.hosts); n > 2*mostGone || n != len(l.table.numbers) {
+		t.Errorf("%d hosts are remembered, %d numbers", n, len(l.table.numbers))
+	}
+	if known, _ := l.Suspend("out"); !known || len(l.Bans()) != 1 || l.Bans()[0] != "out" {
+		t.Errorf("of the one that is out: %v", l.Bans())
+	}
+}
--- a/internal/link/elder.go
+++ b/internal/link/elder.go
@@ -87,7 +87,9 @@
 		return
 	}
 	if k.home.heir == k {
-		k.home.heir = nil
+		if k.home.heir = nil; !k.home.ceded {
+			k.loop.divide(false)
+		}
 	}
 	k.loop.log.Info("successor gone", "cause", cause)
 	for _, done := range k.asked {
@@ -140,6 +142,7 @@
 			return err
 		}
 		l.log.Info("successor stands by")
+		l.divide(true)
 		if e.onArr != nil {
 			e.onArr()
 		}
--- a/internal/link/heir.go
+++ b/internal/link/heir.go
@@ -246,6 +246,7 @@
 	}
 	h.fd = -1
 	l.awaitHeir(h.dir)
+	l.divide(false)
 }
 
 // end takes in that the elder has gone, or makes no sense.
--- a/internal/link/loop.go
+++ b/internal/link/loop.go
@@ -17,6 +17,7 @@
 
 	"valvecove/internal/address"
 	"valvecove/internal/capture"
+	"valvecove/internal/config"
 	"valvecove/internal/due"
 	"valvecove/internal/figures"
 	"valvecove/internal/ledger"
@@ -61,10 +62,13 @@
 	wrap      func(*logic.Dispatcher) ledger.Module // what stands round a module that goes on from another process; nil: none can
 	elder     *elder                                // nil: no successor can come
 	heir      *heir                                 // nil: nothing is to be taken over
-	ceded     bool                                  // a successor owns all that was here
-	onFail    func(error)                           // ends the process
-	keeper    *keeper                               // nil: nothing outlives this process
-	posted    []func()                              // by other goroutines, for the loop to call
+	limits    config.Limits
+	halved    bool            // another process runs beside this one, and has half of them
+	onDivide  func(half bool) // does the same for memory
+	ceded     bool            // a successor owns all that was here
+	onFail    func(error)     // ends the process
+	keeper    *keeper         // nil: nothing outlives this process
+	posted    []func()        // by other goroutines, for the loop to call
 	posting   sync.Mutex
 }
 
--- a/internal/link/operators_test.go
+++ b/internal/link/operators_test.go
@@ -131,6 +131,13 @@
 	if got := w.call("GET /v1/metrics HTTP/1.1\r\n\r\n"); got != "200 "+metricsAtFirst {
 		t.Errorf("at first %q", got)
 	}
+	stranger, fd := w.pair() // at the clients' address these calls are not there
+	w.loop.clients.adopt(fd, netip.MustParseAddrPort("127.0.0.1:9"))
+	stranger.write([]byte("GET /v1/metrics HTTP/1.1\r\n\r\n"))
+	w.turn()
+	if stranger.read(1 << 16); !strings.HasPrefix(string(stranger.got), "HTTP/1.1 404 ") {
+		t.Errorf("a client gets %q", stranger.got)
+	}
 	w.loop.Drain()
 	if got := w.call("GET /v1/readyz HTTP/1.1\r\n\r\n"); got != "503 draining" {
 		t.Errorf("draining: %q", got)
--- a/internal/link/start.go
+++ b/internal/link/start.go
@@ -33,7 +33,7 @@
 	if ops.Addresses != nil {
 		l.lists = address.New(*ops.Addresses)
 	}
-	l.side = forFeatures(c, ops)
+	l.side, l.limits = forFeatures(c, ops), c.Limits
 	servers, clients := share(c.Limits.Sockets, l.side)
 	l.serve(servers, c.Settings.ConnectTimeout, c.Settings.ConnIdle)
 	l.watch = &watch{stream: stream{loop: l}, to: c.Discovery}
@@ -118,6 +118,7 @@
 	}
 	if l.keep(c.Dir); c.Dir != "" {
 		if waits, err := l.succeed(c.Dir, c.Listen); waits || err != nil {
+			l.divide(true)
 			return err
 		}
 	}
@@ -175,13 +176,39 @@
 
 // bufferBudget is how many bytes the buffers of client links may take up, and the bodies of queries as much again.
 // Twice a sixth, and as much garbage at most, leaves room on the smallest machine for the program itself.
-func bufferBudget(c config.Config) int { return c.Limits.MemoryMB << 20 / 6 }
+func bufferBudget(c config.Config) int { return bufferPart(c.Limits) }
+
+func bufferPart(l config.Limits) int { return l.MemoryMB << 20 / 6 }
+
+const fewestLinks = 16 // of a process beside another one, however small the machine
+
+// divide has this process do with half of the limits while another one runs beside it, as both count as one, or with all of
+// them. Idle client links over that are closed.
+func (l *Loop) divide(half bool) {
+	servers, clients := share(l.limits.Sockets, l.side)
+	budget := bufferPart(l.limits)
+	if half { // each has its own descriptors besides
+		most := max(fewestLinks, (servers+clients-ownDescriptors-l.side)/2)
+		servers = max(fewestLinks/2, most/6)
+		clients, budget = most-servers, budget/2
+	}
+	l.halved, l.servers.most = half, servers
+	l.clients.limit(clients, budget)
+	if l.onDivide != nil {
+		l.onDivide(half)
+	}
+}
+
+// OnDivide sets what is done about memory when a process begins or ceases to share its machine with another one.
+func (l *Loop) OnDivide(act func(half bool)) {
+	l.onDivide = act
+	act(l.halved)
+}
 
 // Reload goes on by another configuration: links, queries and what the module knows stay.
 func (l *Loop) Reload(c config.Config) {
-	servers, clients := share(c.Limits.Sockets, l.side)
-	l.servers.most = servers
-	l.clients.limit(clients, bufferBudget(c))
+	l.limits = c.Limits
+	l.divide(l.halved)
 	if c.Discovery != l.watch.to {
 		l.watch.move(c.Discovery)
 	}
--- a/internal/link/succession_test.go
+++ b/internal/link/succession_test.go
@@ -171,6 +171,9 @@
 	client.write([]byte("POST /a HTTP/1.1\r\nX-Call-Class: a\r\nX-Call-Id: q\r\nX-Caller: t\r\nContent-Length: 0\r\n\r\n"))
 	w.turn()
 	next := w.succeeds(dir, at)
+	if both := w.loop.clients.most + next.loop.clients.most; both > 1024-2*ownDescriptors {
+		t.Errorf("two processes hold %d client links", both)
+	}
 	second := newWorld(s)
 	second.replaceable()
 	denied := false
@@ -191,6 +194,9 @@
 	if next.loop.heir != nil || next.loop.clients.fd < 0 || next.loop.Ledger.Open() != 0 || len(next.loop.clients.links) != 0 {
 		t.Error("the heir does not serve alone")
 	}
+	if w.loop.halved || next.loop.halved {
+		t.Error("half of the limits for ever")
+	}
 	if w.loop.Ledger.Open() != 1 {
 		t.Fatal("the elder has lost a query")
 	}
@@ -224,3 +230,40 @@
 		t.Errorf("the next one: %v", err)
 	}
 }
+
+// A module's state that is of no use to the next build costs what was learnt, and no query: its module is told of each query
+// and what became of its attempts.
+func TestOtherModule(t *testing.T) {
+	s := &steps.Steps{T: t}
+	dir := t.TempDir()
+	w, at := elderWorld(s, dir)
+	client, fd := w.pair()
+	w.loop.clients.adopt(fd, at)
+	client.write([]byte("POST /a HTTP/1.1\r\nX-Call-Class: a\r\nX-Call-Id: q\r\nX-Caller: t\r\nContent-Length: 0\r\n\r\n"))
+	w.turn()
+	w.module.Next = []logic.Action{logic.Send{Job: 1, Worker: w.worker()}}
+	w.loop.Ledger.Wake()
+	w.turn()
+	next := w.succeeds(dir, at)
+	next.loop.wrap = nil
+	if err := w.replacedBy(next); err != nil {
+		t.Fatal(err)
+	}
+	next.turn()
+	var told []logic.Resumed
+	for _, e := range next.module.Heard {
+		if r, ok := e.(logic.Resumed); ok {
+			told = append(told, r)
+		}
+	}
+	if len(told) != 1 || told[0].Job.ID != 1 || len(told[0].Attempts) != 1 || told[0].Attempts[0].Ended {
+		t.Fatalf("told of %+v", told)
+	}
+	result := "made"
+	_, _ = next.loop.Ledger.Tell(ledger.Note{ID: "q", From: "s-0", State: "done", Result: &result})
+	next.turn()
+	client.read(1 << 16)
+	if !strings.HasSuffix(string(client.got), "made") {
+		t.Errorf("the client got %q", client.got)
+	}
+}
--- a/internal/link/world_test.go
+++ b/internal/link/world_test.go
@@ -11,6 +11,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"valvecove/internal/config"
 	"valvecove/internal/ledger"
 	"valvecove/internal/steps"
 	"valvecove/logic"
@@ -57,6 +58,7 @@
 		{ID: "s-0", Addr: "127.0.0.1:1", State: "up"}}}, l.servers, silent)
 	l.accept(50, 1<<20, &logic.Settings{Classes: []logic.Class{{GiveUp: 5 * time.Second}}}, names)
 	l.onWake = func() {}
+	l.limits = config.Limits{Sockets: 1024, MemoryMB: 64}
 	w.loop = l
 	s.T.Cleanup(func() {
 		for fd, h := range l.handlers {
--- a/internal/run/run.go
+++ b/internal/run/run.go
@@ -118,6 +118,13 @@
 			}
 		}
 	}()
+	loop.OnDivide(func(half bool) {
+		most := HeapLimit(s.conf.Limits)
+		if half {
+			most /= 2
+		}
+		debug.SetMemoryLimit(most)
+	})
 	loop.OnFail(func(err error) { s.failed = err })
 	loop.OnHeir(func() {
 		if s.draining { // it has come late, but not too late
