Carry out calls that cross a hand-over, and stand down when told to end

Found in review: a call out handed on while the elder hands over was left without an answer; a successor told to end while it stood by stayed for seconds and might have been handed all. Change: the new owner carries such calls out itself, in order; a process that stands by leaves at once. A test for each.

--- a/internal/link/heir.go
+++ b/internal/link/heir.go
@@ -28,12 +28,20 @@
 	listen  netip.AddrPort
 	fd      int // the socket that clients connect to, from the elder; -1: not yet
 	seq     uint64
-	asked   map[uint64]func(code int, what string) // operators' calls that the elder was asked to carry out
+	asked   []handedOn // operators' calls that the elder was asked to carry out, in order
 	came    estate
 	late    *timer
 	began   time.Duration
 }
 
+// handedOn is an operator's call that another process was asked to carry out.
+type handedOn struct {
+	seq  uint64
+	id   string
+	out  bool
+	done func(code int, what string)
+}
+
 // estate is what has come from an elder so far.
 type estate struct {
 	module  []byte
@@ -54,7 +62,7 @@
 		_ = unix.Close(fd)
 		return false, errors.New("another user's process has the place of the one to be replaced")
 	}
-	h := &heir{dir: dir, listen: listen, fd: -1, asked: map[uint64]func(int, string){}, began: l.now}
+	h := &heir{dir: dir, listen: listen, fd: -1, began: l.now}
 	if h.stream, err = l.stream(fd, streamEvents, h); err != nil {
 		_ = unix.Close(fd)
 		return false, err
@@ -171,9 +179,10 @@
 		if err := f.Decode(&b); err != nil {
 			return err
 		}
-		if done := h.asked[b.Seq]; done != nil {
-			delete(h.asked, b.Seq)
-			done(b.Code, b.What)
+		if len(h.asked) > 0 && h.asked[0].seq == b.Seq { // they are answered in order
+			call := h.asked[0]
+			h.asked = h.asked[1:]
+			call.done(b.Code, b.What)
 		}
 	case succession.KindBan: // the elder was called after it had handed over
 		var b succession.Ban
@@ -230,6 +239,25 @@
 	return nil
 }
 
+// StandDown has a process that stands by leave the one that serves alone, and tells whether it was one: it has nothing to
+// stay for.
+func (l *Loop) StandDown() bool {
+	h := l.heir
+	if h == nil || h.decides.Stand() == succession.Serving {
+		return false
+	}
+	l.stop(h.late)
+	h.drop()
+	if h.fd >= 0 {
+		_ = unix.Close(h.fd)
+	}
+	for _, fd := range h.came.sockets {
+		_ = unix.Close(fd)
+	}
+	l.heir = nil
+	return true
+}
+
 // settle takes the elder's place: clients connect here from now on, and the next heir comes here.
 func (h *heir) settle() {
 	l := h.loop
@@ -247,6 +275,11 @@
 	h.fd = -1
 	l.awaitHeir(h.dir)
 	l.divide(false)
+	asked := h.asked // the elder may have carried them out, or not: both ways they hold from here on
+	h.asked = nil
+	for _, call := range asked {
+		l.ban(call.id, call.out, call.done)
+	}
 }
 
 // end takes in that the elder has gone, or makes no sense.
@@ -261,10 +294,6 @@
 		_ = unix.Close(fd)
 	}
 	h.came = estate{}
-	for _, done := range h.asked {
-		done(503, "the process that serves has gone")
-	}
-	clear(h.asked)
 	h.drop()
 	if l.heir = nil; step == succession.Nothing {
 		return
@@ -283,7 +312,7 @@
 // handOn has the elder set or end a ban.
 func (h *heir) handOn(id string, out bool, done func(code int, what string)) {
 	h.seq++
-	h.asked[h.seq] = done
+	h.asked = append(h.asked, handedOn{h.seq, id, out, done})
 	if h.say(succession.KindBan, succession.Ban{Seq: h.seq, ID: id, Out: out}) != nil {
 		h.end(errors.New("it does not listen"))
 	}
--- a/internal/link/succession_test.go
+++ b/internal/link/succession_test.go
@@ -267,3 +267,38 @@
 		t.Errorf("the client got %q", client.got)
 	}
 }
+
+// A call that was handed on, and that the elder had not read when it handed over, is carried out by the new owner.
+func TestCallCrossesHandOver(t *testing.T) {
+	s := &steps.Steps{T: t}
+	dir := t.TempDir()
+	w, at := elderWorld(s, dir)
+	next := w.succeeds(dir, at)
+	code := 0
+	next.loop.ban("s-0", true, func(got int, _ string) { code = got })
+	if err := w.replacedBy(next); err != nil || code != 200 || len(next.loop.Ledger.Bans()) != 1 {
+		t.Errorf("%v, answered %d, bans %v", err, code, next.loop.Ledger.Bans())
+	}
+}
+
+// A process that is told to end while it stands by takes nothing along, and the next can stand by.
+func TestStandDown(t *testing.T) {
+	s := &steps.Steps{T: t}
+	dir := t.TempDir()
+	w, at := elderWorld(s, dir)
+	if w.loop.StandDown() {
+		t.Error("one that serves stands down")
+	}
+	next := w.succeeds(dir, at)
+	if !next.loop.StandDown() || next.loop.StandDown() {
+		t.Error("it does not stand down, or does twice")
+	}
+	next.turn()
+	w.turn()
+	if err := w.loop.Cede(); err != ErrNoHeir || w.loop.halved {
+		t.Errorf("handed over to nobody: %v", err)
+	}
+	if err := w.replacedBy(w.succeeds(dir, at)); err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/run/run.go
+++ b/internal/run/run.go
@@ -155,6 +155,11 @@
 		s.dump()
 	case !s.draining: // once: a second SIGTERM must not begin the drain anew
 		s.draining = true
+		if s.loop.StandDown() {
+			s.log.Info("standing down")
+			s.over = true
+			return
+		}
 		s.log.Info("draining")
 		s.drain()
 		s.handOver()
