Read the successor's word wherever it lies, so that there are never two owners

Found by TestCallCrossesHandOver under load: where a call handed on and the heir's word came in one read, the elder waited for more, and would have gone on as the owner after 0.6 s beside the heir. Ruled out: the heir (it had said its word before it acted). Change: what has come is read to its end before more is waited for; after waiting in vain the elder shuts the channel first and looks once more. The heir watches discovery itself from its start, also of many schedulers.

--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -310,6 +310,9 @@
 // but its generation is of no use there.
 func (l *Ledger) NewSource() { l.generation = 0 }
 
+// Follow has the host group followed from the list at hand on, whatever the module has asked for.
+func (l *Ledger) Follow() { l.carrier.Watch(l.generation) }
+
 // HostsLost tells that a call to discovery failed or the watch ended.
 func (l *Ledger) HostsLost() { l.events = append(l.events, logic.WorkerList{Kind: logic.ListLost}) }
 
--- a/internal/link/elder.go
+++ b/internal/link/elder.go
@@ -190,7 +190,7 @@
 	}
 	k, began := e.heir, l.clock()
 	sum, err := l.deliver(k, began+cedeWithin)
-	if err != nil {
+	if err != nil && !k.taken() {
 		k.end(err)
 		return fmt.Errorf("handing over: %w", err)
 	}
@@ -201,6 +201,28 @@
 	return nil
 }
 
+// taken tells, once it has been waited for in vain, whether the heir has said that it is the owner all the same. Nothing that it
+// says after this reaches us, and it finds that out, so that there are not two owners.
+func (k *heirLink) taken() bool {
+	_ = unix.Shutdown(k.fd, unix.SHUT_RDWR)
+	for {
+		before := len(k.in)
+		if ended, err := k.fill(); err != nil || ended || len(k.in) == before {
+			break
+		}
+	}
+	for {
+		f, _, n, err := k.next()
+		if err != nil {
+			return false
+		}
+		if f.Kind == succession.KindTaken {
+			return true
+		}
+		k.took(n)
+	}
+}
+
 // delivered is what went to an heir.
 type delivered struct {
 	clients []*clientLink
@@ -245,16 +267,16 @@
 	}
 	put(-1, succession.KindEnd, succession.End{Frames: frames})
 	for err == nil {
-		if err = k.wait(until, unix.POLLIN); err != nil {
-			break
-		}
-		ended, bad := k.fill()
-		if bad != nil || ended {
-			err = errors.Join(errors.New("the successor has gone"), bad)
-			break
-		}
+		// What has come is read to its end before more is waited for: the word may lie behind another frame.
 		f, _, n, bad := k.next()
 		if errors.Is(bad, succession.ErrShort) {
+			if err = k.wait(until, unix.POLLIN); err != nil {
+				break
+			}
+			ended, gone := k.fill()
+			if gone != nil || ended {
+				err = errors.Join(errors.New("the successor has gone"), gone)
+			}
 			continue
 		}
 		if err = bad; err == nil {
@@ -262,7 +284,7 @@
 			switch f.Kind {
 			case succession.KindTaken:
 				return sum, nil
-			case succession.KindBan: // it came while we were at it: its caller calls again
+			case succession.KindBan: // it came while we were at it: the new owner carries it out
 			default:
 				err = fmt.Errorf("%v out of turn", f.Kind)
 			}
--- a/internal/link/heir.go
+++ b/internal/link/heir.go
@@ -73,6 +73,9 @@
 		l.heir = nil
 		return false, nil
 	}
+	if l.clients.set.MustSubscribe { // at once: the module of one of many would wait a while, and what it is told binds soon
+		l.Ledger.Follow()
+	}
 	h.late = l.after(welcomeWithin, h, func() { h.end(errors.New("it does not say a word")) })
 	return true, nil
 }
@@ -338,8 +341,8 @@
 	for i, r := range c.servers {
 		l.servers.inherit(c.sockets[len(c.clients)+i], r)
 	}
-	if !l.watch.on {
-		l.Ledger.HostsLost() // the module that goes on believes that the host group is watched
+	if !l.watch.on && l.clients.set.MustSubscribe { // the module that goes on believes that the host group is watched
+		l.Ledger.Follow()
 	}
 	for _, k := range links { // what had come in before is read now
 		if !k.closed {
--- a/internal/link/succession_test.go
+++ b/internal/link/succession_test.go
@@ -302,3 +302,53 @@
 		t.Error(err)
 	}
 }
+
+// Who takes over watches the host group itself, from before it says that it is ready, and goes on to if that had just ended.
+func TestHeirWatches(t *testing.T) {
+	for _, lost := range []bool{false, true} {
+		s := &steps.Steps{T: t}
+		dir := t.TempDir()
+		w, at := elderWorld(s, dir)
+		next := newWorld(s)
+		next.replaceable()
+		next.loop.clients.set.MustSubscribe = true
+		if waits, err := next.loop.succeed(dir, at); !waits || err != nil || !next.loop.watch.on {
+			t.Fatalf("standing by without a watch: %v", err)
+		}
+		for next.loop.heir.decides.Stand() == succession.Joining {
+			w.turn()
+			next.turn()
+		}
+		if lost {
+			next.loop.watch.stop()
+		}
+		if err := w.replacedBy(next); err != nil || !next.loop.watch.on {
+			t.Errorf("lost %v: %v, watched %v", lost, err, next.loop.watch.on)
+		}
+	}
+}
+
+// The heir's word counts if it was said before the elder gave up, and can't be said after that.
+func TestTakenOrNot(t *testing.T) {
+	for _, said := range []bool{false, true} {
+		s := &steps.Steps{T: t}
+		dir := t.TempDir()
+		w, at := elderWorld(s, dir)
+		next := w.succeeds(dir, at)
+		heir := next.loop.heir
+		if said {
+			if err := heir.say(succession.KindBan, succession.Ban{Seq: 1, ID: "s-0"}); err != nil {
+				t.Fatal(err)
+			}
+			if err := heir.say(succession.KindTaken, nil); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if w.loop.elder.heir.taken() != said {
+			t.Errorf("said %v, not heard so", said)
+		}
+		if heir.say(succession.KindTaken, nil) == nil {
+			t.Error("it can be said too late")
+		}
+	}
+}
