Have a successor that was turned away take nothing, and one cut off stand by again

Found in review. A second successor, turned away, read the end of the talk as its elder's death: it listened beside it for a moment and took the place of its socket, so that the elder could not be reached again. One whose hand-over failed served beside a living elder, and would have got its call-backs. One that connected and said nothing kept all others out. A call that waits for the directory or the other process was never answered, and such calls were not bounded. Change: Turned and Again are decisions of succession.Heir; the greeting is timed; calls are told 'not done in time' after 0.6 s, and 16 wait at most. Tests for each.

--- a/internal/link/elder.go
+++ b/internal/link/elder.go
@@ -29,6 +29,7 @@
 	channel
 	home    *elder
 	greeted bool
+	late    *timer                                 // for its greeting
 	asked   map[uint64]func(code int, what string) // calls handed on to it, once it serves
 	seq     uint64
 }
@@ -57,6 +58,9 @@
 	if err != nil {
 		return
 	}
+	if k := e.heir; k != nil { // one that has just gone, perhaps to come again, is in nobody's way
+		e.loop.guard(k, func() { k.ready(unix.EPOLLIN) })
+	}
 	k := &heirLink{home: e, asked: map[uint64]func(int, string){}}
 	if k.stream, err = e.loop.stream(fd, streamEvents, k); err != nil {
 		_ = unix.Close(fd)
@@ -78,6 +82,7 @@
 		return
 	}
 	e.heir = k
+	k.late = e.loop.after(welcomeWithin, k, func() { k.end(errors.New("it does not say a word")) })
 }
 
 func (k *heirLink) broken() { k.end(errors.New("panic")) }
@@ -86,6 +91,7 @@
 	if k.closed {
 		return
 	}
+	k.loop.stop(k.late)
 	if k.home.heir == k {
 		if k.home.heir = nil; !k.home.ceded {
 			k.loop.divide(false)
@@ -108,10 +114,13 @@
 	}
 	ended, err := k.fill()
 	for err == nil && !k.closed {
-		f, _, n, bad := k.next()
+		f, fd, n, bad := k.next()
 		if errors.Is(bad, succession.ErrShort) {
 			break
 		}
+		if fd >= 0 { // an heir has none to give
+			_ = unix.Close(fd)
+		}
 		if err = bad; err == nil {
 			err = k.take(f)
 			k.took(n)
@@ -136,6 +145,7 @@
 			return fmt.Errorf("a successor of form %d, expected %d", hello.Form, succession.Form)
 		}
 		k.greeted = true
+		l.stop(k.late)
 		until := l.clock() + cedeWithin
 		err := k.press(until, l.clients.fd, succession.KindWelcome, succession.Welcome{Form: succession.Form, Out: l.Ledger.Bans()})
 		if err != nil {
--- a/internal/link/heir.go
+++ b/internal/link/heir.go
@@ -54,30 +54,45 @@
 
 // succeed tells whether there is a process to take over from; this one stands by then.
 func (l *Loop) succeed(dir string, listen netip.AddrPort) (bool, error) {
-	fd, err := reach(filepath.Join(dir, socketFile))
+	h := &heir{dir: dir, listen: listen, fd: -1, began: l.now}
+	h.loop = l
+	if err := h.join(); err != nil {
+		if errors.Is(err, errOthers) {
+			return false, err
+		}
+		return false, nil // there is none
+	}
+	l.heir = h
+	if l.clients.set.MustSubscribe { // at once: the module of one of many would wait a while, and what it is told binds soon
+		l.Ledger.Follow()
+	}
+	return true, nil
+}
+
+var errOthers = errors.New("another user's process has the place of the one to be replaced")
+
+// join opens the talk with the elder.
+func (h *heir) join() error {
+	l := h.loop
+	fd, err := reach(filepath.Join(h.dir, socketFile))
 	if err != nil {
-		return false, nil
+		return err
 	}
 	if !ours(fd) {
 		_ = unix.Close(fd)
-		return false, errors.New("another user's process has the place of the one to be replaced")
+		return errOthers
 	}
-	h := &heir{dir: dir, listen: listen, fd: -1, began: l.now}
 	if h.stream, err = l.stream(fd, streamEvents, h); err != nil {
+		h.stream = stream{loop: l, closed: true}
 		_ = unix.Close(fd)
-		return false, err
+		return err
 	}
-	l.heir = h
 	if err := h.say(succession.KindHello, succession.Hello{Form: succession.Form}); err != nil {
 		h.drop()
-		l.heir = nil
-		return false, nil
-	}
-	if l.clients.set.MustSubscribe { // at once: the module of one of many would wait a while, and what it is told binds soon
-		l.Ledger.Follow()
+		return err
 	}
 	h.late = l.after(welcomeWithin, h, func() { h.end(errors.New("it does not say a word")) })
-	return true, nil
+	return nil
 }
 
 // unready tells what an heir still waits for.
@@ -168,8 +183,14 @@
 			return err
 		}
 		h.loop.stop(h.late)
+		h.forget() // of a talk before
 		h.fd = fd
 		h.loop.Ledger.SetBans(w.Out)
+		for _, call := range h.asked {
+			if err := h.say(succession.KindBan, succession.Ban{Seq: call.seq, ID: call.id, Out: call.out}); err != nil {
+				return err
+			}
+		}
 		h.loop.log.Info("standing by", "out", strings.Join(w.Out, " "))
 	case succession.KindBans:
 		var b succession.Bans
@@ -235,6 +256,7 @@
 	if err := h.say(succession.KindTaken, nil); err != nil {
 		return err
 	}
+	h.decides.Took()
 	h.came = estate{}
 	l.takeOver(c)
 	h.settle()
@@ -251,14 +273,20 @@
 	}
 	l.stop(h.late)
 	h.drop()
-	if h.fd >= 0 {
-		_ = unix.Close(h.fd)
-	}
+	h.forget()
+	l.heir = nil
+	return true
+}
+
+// forget lets go of what an elder has sent.
+func (h *heir) forget() {
 	for _, fd := range h.came.sockets {
 		_ = unix.Close(fd)
 	}
-	l.heir = nil
-	return true
+	if h.came = (estate{}); h.fd >= 0 {
+		_ = unix.Close(h.fd)
+		h.fd = -1
+	}
 }
 
 // settle takes the elder's place: clients connect here from now on, and the next heir comes here.
@@ -298,7 +326,15 @@
 	}
 	h.came = estate{}
 	h.drop()
+	if step == succession.Again {
+		if h.join() == nil { // it lives, and has what it had: beside it we would get the call-backs that are meant for it
+			l.log.Warn("the talk with the process to be replaced has broken off, and begins anew", "cause", cause)
+			return
+		}
+		step = h.decides.Ended()
+	}
 	if l.heir = nil; step == succession.Nothing {
+		h.forget()
 		return
 	}
 	// It died, or never got so far: what outlives it is in the file.
--- a/internal/link/keeper.go
+++ b/internal/link/keeper.go
@@ -49,9 +49,15 @@
 	}()
 }
 
+// errSlow is what is said while the directory takes in nothing.
+var errSlow = errors.New("too many calls wait for the directory")
+
 // save has the bans written, and tells done once that is so.
 func (k *keeper) save(ids []string, done func(error)) {
-	k.next = ids
+	if k.next = ids; len(k.waiting) >= operatorsMost {
+		done(errSlow)
+		return
+	}
 	k.waiting = append(k.waiting, done)
 	k.start()
 }
--- a/internal/link/operators.go
+++ b/internal/link/operators.go
@@ -15,9 +15,10 @@
 )
 
 const (
-	operatorsMost  = 16              // operator links at once
-	operatorWhole  = 2 * time.Second // a caller waits 1 s; one that has not sent its call by then never will
-	operatorLonger = 3 * time.Second // and for the answer to leave
+	operatorsMost  = 16                     // operator links at once
+	operatorWhole  = 2 * time.Second        // a caller waits 1 s; one that has not sent its call by then never will
+	operatorWaits  = 600 * time.Millisecond // and is told so when what it asks for takes longer
+	operatorLonger = 3 * time.Second        // and for the answer to leave
 )
 
 // Paths of the operators' calls.
@@ -109,6 +110,8 @@
 		switch age := o.loop.now - k.since; {
 		case !k.asked && age >= operatorWhole:
 			k.answer(408, "", []byte("call not whole\n"))
+		case k.asked && !k.answered && age >= operatorWaits: // for a directory, or another process
+			k.answer(503, "", []byte("not done in time\n"))
 		case age >= operatorLonger:
 			k.end()
 		}
@@ -172,7 +175,7 @@
 
 // call does what an operator asks for.
 func (k *operatorLink) call(method, target string) {
-	k.asked, k.in = true, nil
+	k.asked, k.in, k.since = true, nil, k.loop.now
 	path, _, _ := strings.Cut(target, "?")
 	want := "GET"
 	node, what, _ := strings.Cut(strings.TrimPrefix(path, pathNodes), "/")
--- a/internal/link/succession_test.go
+++ b/internal/link/succession_test.go
@@ -7,6 +7,8 @@
 	"testing"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"valvecove/internal/ledger"
 	"valvecove/internal/steps"
 	"valvecove/internal/succession"
@@ -24,7 +26,7 @@
 func (w *world) succeeds(dir string, at netip.AddrPort) *world {
 	next := newWorld(w.Steps)
 	next.replaceable()
-	next.now = w.now
+	next.now, next.loop.clients.set = w.now, w.loop.clients.set
 	waits, err := next.loop.succeed(dir, at)
 	w.Check(waits && err == nil, "no elder: %v, %v", waits, err)
 	for next.loop.heir.decides.Stand() == succession.Joining {
@@ -39,7 +41,7 @@
 	ended, heir := make(chan struct{}), next.loop.heir
 	go func() {
 		defer close(ended)
-		for !heir.closed && heir.decides.Stand() != succession.Serving {
+		for heir.decides.Stand() == succession.Standing || heir.decides.Stand() == succession.Receiving {
 			_ = next.loop.turn(1000) // the elder does nothing else meanwhile, so this is another goroutine's
 		}
 	}()
@@ -158,7 +160,17 @@
 	})
 }
 
-// A hand-over that fails changes nothing: the elder still has all, and serves; the heir has nothing of it and serves alone.
+// asks has a client of the world, on a link of its own, bring query "q".
+func (w *world) asks(at netip.AddrPort) *peer {
+	client, fd := w.pair()
+	w.loop.clients.adopt(fd, at)
+	client.write([]byte("POST /a HTTP/1.1\r\nX-Call-Class: a\r\nX-Call-Id: q\r\nX-Caller: t\r\nContent-Length: 0\r\n\r\n"))
+	w.turn()
+	return client
+}
+
+// A hand-over that breaks off changes nothing: the elder still has all, and serves; the heir has nothing of it, and asks anew,
+// so that the next one succeeds. A second heir is turned away, and takes nobody's place by that.
 func TestHandOverFails(t *testing.T) {
 	s := &steps.Steps{T: t}
 	dir := t.TempDir()
@@ -166,17 +178,13 @@
 	if err := w.loop.Cede(); err != ErrNoHeir {
 		t.Errorf("with no heir: %v", err)
 	}
-	client, fd := w.pair()
-	w.loop.clients.adopt(fd, at)
-	client.write([]byte("POST /a HTTP/1.1\r\nX-Call-Class: a\r\nX-Call-Id: q\r\nX-Caller: t\r\nContent-Length: 0\r\n\r\n"))
-	w.turn()
+	client := w.asks(at)
 	next := w.succeeds(dir, at)
 	if both := w.loop.clients.most + next.loop.clients.most; both > 1024-2*ownDescriptors {
 		t.Errorf("two processes hold %d client links", both)
 	}
-	second := newWorld(s)
+	second, denied := newWorld(s), false
 	second.replaceable()
-	denied := false
 	second.loop.onFail = func(error) { denied = true }
 	if waits, _ := second.loop.succeed(dir, at); !waits {
 		t.Error("the second heir finds no elder")
@@ -185,27 +193,30 @@
 		w.turn()
 		second.turn()
 	}
-	// The heir breaks off in the middle, by what it can't read.
-	next.loop.heir.decides = succession.Heir{}
-	if err := w.replacedBy(next); err == nil || w.loop.ceded {
+	if second.loop.elder != nil || second.loop.clients.fd >= 0 {
+		t.Error("the second heir serves, or has the elder's place")
+	}
+	heir := next.loop.heir
+	_, stray := w.pair()
+	heir.came.sockets = []int{stray} // what has come makes no sense, but to the end
+	if err := w.replacedBy(next); err == nil || w.loop.ceded || w.loop.Ledger.Open() != 1 {
 		t.Fatalf("handed over to one that did not take it: %v", err)
 	}
-	next.turn()
-	if next.loop.heir != nil || next.loop.clients.fd < 0 || next.loop.Ledger.Open() != 0 || len(next.loop.clients.links) != 0 {
-		t.Error("the heir does not serve alone")
+	for heir.decides.Stand() == succession.Joining || w.loop.elder.heir == nil {
+		w.turn()
+		next.turn()
 	}
-	if w.loop.halved || next.loop.halved {
-		t.Error("half of the limits for ever")
+	if next.loop.Ledger.Open() != 0 || len(next.loop.clients.links) != 0 || next.loop.clients.fd >= 0 {
+		t.Error("the heir has something of a hand-over that failed")
 	}
-	if w.loop.Ledger.Open() != 1 {
-		t.Fatal("the elder has lost a query")
+	if err := w.replacedBy(next); err != nil || next.loop.halved {
+		t.Fatalf("the second time: %v", err)
 	}
-	w.module.Next = []logic.Action{logic.Refuse{Job: 1}}
-	w.loop.Ledger.Wake()
-	w.turn()
-	client.read(1 << 16)
-	if !strings.HasPrefix(string(client.got), "HTTP/1.1 503 ") {
-		t.Errorf("the elder's client got %q", client.got)
+	next.module.Next = []logic.Action{logic.Refuse{Job: 1}}
+	next.loop.Ledger.Wake()
+	next.turn()
+	if client.read(1 << 16); !strings.HasPrefix(string(client.got), "HTTP/1.1 503 ") {
+		t.Errorf("the client got %q", client.got)
 	}
 }
 
@@ -218,9 +229,10 @@
 	if err := writeBans(dir+"/"+bansFile, []string{"s-0"}); err != nil {
 		t.Fatal(err)
 	}
-	w.loop.elder.heir.drop()
 	w.loop.remove(w.loop.elder.fd)
 	w.turn()
+	w.loop.elder.heir.drop()
+	w.turn()
 	next.turn()
 	if got := next.loop.Ledger.Bans(); len(got) != 1 || got[0] != "s-0" || next.loop.clients.fd < 0 || next.loop.unready() == "" {
 		t.Errorf("after its elder's death: bans %v", got)
@@ -237,10 +249,7 @@
 	s := &steps.Steps{T: t}
 	dir := t.TempDir()
 	w, at := elderWorld(s, dir)
-	client, fd := w.pair()
-	w.loop.clients.adopt(fd, at)
-	client.write([]byte("POST /a HTTP/1.1\r\nX-Call-Class: a\r\nX-Call-Id: q\r\nX-Caller: t\r\nContent-Length: 0\r\n\r\n"))
-	w.turn()
+	client := w.asks(at)
 	w.module.Next = []logic.Action{logic.Send{Job: 1, Worker: w.worker()}}
 	w.loop.Ledger.Wake()
 	w.turn()
@@ -262,13 +271,13 @@
 	result := "made"
 	_, _ = next.loop.Ledger.Tell(ledger.Note{ID: "q", From: "s-0", State: "done", Result: &result})
 	next.turn()
-	client.read(1 << 16)
-	if !strings.HasSuffix(string(client.got), "made") {
+	if client.read(1 << 16); !strings.HasSuffix(string(client.got), "made") {
 		t.Errorf("the client got %q", client.got)
 	}
 }
 
-// A call that was handed on, and that the elder had not read when it handed over, is carried out by the new owner.
+// A call that was handed on, and that the elder had not read when it handed over, is carried out by the new owner. The heir's
+// word counts if it was said before the elder gave up, also behind such a call, and can't be said after that.
 func TestCallCrossesHandOver(t *testing.T) {
 	s := &steps.Steps{T: t}
 	dir := t.TempDir()
@@ -279,6 +288,17 @@
 	if err := w.replacedBy(next); err != nil || code != 200 || len(next.loop.Ledger.Bans()) != 1 {
 		t.Errorf("%v, answered %d, bans %v", err, code, next.loop.Ledger.Bans())
 	}
+	for _, said := range []bool{false, true} {
+		heir := next.succeeds(dir, at).loop.heir
+		_ = heir.say(succession.KindBan, succession.Ban{Seq: 1, ID: "s-0"})
+		if said {
+			_ = heir.say(succession.KindTaken, nil)
+		}
+		if next.loop.elder.heir.taken() != said || heir.say(succession.KindTaken, nil) == nil {
+			t.Errorf("said %v, not heard so, or said too late", said)
+		}
+		next.loop.elder.heir.end(nil)
+	}
 }
 
 // A process that is told to end while it stands by takes nothing along, and the next can stand by.
@@ -286,18 +306,24 @@
 	s := &steps.Steps{T: t}
 	dir := t.TempDir()
 	w, at := elderWorld(s, dir)
-	if w.loop.StandDown() {
-		t.Error("one that serves stands down")
-	}
 	next := w.succeeds(dir, at)
-	if !next.loop.StandDown() || next.loop.StandDown() {
-		t.Error("it does not stand down, or does twice")
+	if w.loop.StandDown() || !next.loop.StandDown() || next.loop.StandDown() {
+		t.Error("one that serves stands down, or one that stands by does not, or does twice")
 	}
 	next.turn()
 	w.turn()
 	if err := w.loop.Cede(); err != ErrNoHeir || w.loop.halved {
 		t.Errorf("handed over to nobody: %v", err)
 	}
+	// Nor does one that connects and never says a word keep others out.
+	mute, err := reach(dir + "/" + socketFile)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer unix.Close(mute)
+	w.turn()
+	w.now += welcomeWithin
+	w.turn()
 	if err := w.replacedBy(w.succeeds(dir, at)); err != nil {
 		t.Error(err)
 	}
@@ -309,16 +335,9 @@
 		s := &steps.Steps{T: t}
 		dir := t.TempDir()
 		w, at := elderWorld(s, dir)
-		next := newWorld(s)
-		next.replaceable()
-		next.loop.clients.set.MustSubscribe = true
-		if waits, err := next.loop.succeed(dir, at); !waits || err != nil || !next.loop.watch.on {
-			t.Fatalf("standing by without a watch: %v", err)
-		}
-		for next.loop.heir.decides.Stand() == succession.Joining {
-			w.turn()
-			next.turn()
-		}
+		w.loop.clients.set.MustSubscribe = true // an heir has its elder's settings
+		next := w.succeeds(dir, at)
+		s.Check(next.loop.watch.on, "it stands by without a watch")
 		if lost {
 			next.loop.watch.stop()
 		}
@@ -327,28 +346,3 @@
 		}
 	}
 }
-
-// The heir's word counts if it was said before the elder gave up, and can't be said after that.
-func TestTakenOrNot(t *testing.T) {
-	for _, said := range []bool{false, true} {
-		s := &steps.Steps{T: t}
-		dir := t.TempDir()
-		w, at := elderWorld(s, dir)
-		next := w.succeeds(dir, at)
-		heir := next.loop.heir
-		if said {
-			if err := heir.say(succession.KindBan, succession.Ban{Seq: 1, ID: "s-0"}); err != nil {
-				t.Fatal(err)
-			}
-			if err := heir.say(succession.KindTaken, nil); err != nil {
-				t.Fatal(err)
-			}
-		}
-		if w.loop.elder.heir.taken() != said {
-			t.Errorf("said %v, not heard so", said)
-		}
-		if heir.say(succession.KindTaken, nil) == nil {
-			t.Error("it can be said too late")
-		}
-	}
-}
--- a/internal/succession/heir.go
+++ b/internal/succession/heir.go
@@ -11,6 +11,7 @@
 	Standing               // it may take over: the elder serves
 	Receiving              // all that the elder has is coming
 	Serving                // it is the owner
+	Turned                 // the elder does not want it
 )
 
 // Step is what an heir is to do next.
@@ -19,16 +20,22 @@
 // The steps.
 const (
 	Go      Step = iota // take the frame in
-	Take                // all has come: become the owner, and say so
+	Take                // all has come: say that it is taken, and then own it
 	Alone               // the elder has gone: what came of its goods is void, serve without them
 	GiveUp              // the elder does not want an heir: end
+	Again               // the talk has broken off: what came is void, and the elder, if it can be reached, is asked anew
 	Nothing             // the talk is over, and nothing hangs on it
 )
 
+// mostTalks is how often an heir asks at most. An elder that goes on living keeps what it has, and two that serve side by
+// side would get each other's call-backs.
+const mostTalks = 3
+
 // Heir decides, by what comes on the channel, who is the owner. Until it has been given all, it owns nothing; what has come
 // in part is void if no more comes, as the elder then still has it, or has died with it.
 type Heir struct {
 	at     Stand
+	talks  int // that have broken off
 	frames int
 	module int
 }
@@ -50,6 +57,7 @@
 		h.at = Standing
 		return Go, nil
 	case h.at == Joining && f.Kind == KindDenied:
+		h.at = Turned
 		return GiveUp, nil
 	case h.at != Joining && f.Kind == KindBanned, h.at == Standing && f.Kind == KindBans, h.at == Serving && f.Kind == KindBan:
 		return Go, nil
@@ -72,16 +80,22 @@
 		if e.Frames != h.frames {
 			return Go, fmt.Errorf("%d frames have come of %d", h.frames, e.Frames)
 		}
-		h.at = Serving
 		return Take, nil
 	}
 	return Go, fmt.Errorf("%v out of turn", f.Kind)
 }
 
-// Ended takes in that the channel has ended.
+// Took makes it the owner: it has said so to the elder.
+func (h *Heir) Took() { h.at = Serving }
+
+// Ended takes in that the channel has ended, or that the elder can't be reached.
 func (h *Heir) Ended() Step {
-	if h.at == Serving {
+	switch h.talks++; {
+	case h.at == Serving || h.at == Turned:
 		return Nothing
+	case h.at != Joining && h.talks < mostTalks:
+		h.at = Joining
+		return Again
 	}
 	h.at = Serving
 	return Alone
--- a/internal/succession/succession_test.go
+++ b/internal/succession/succession_test.go
@@ -51,16 +51,21 @@
 func FuzzHeir(f *testing.F) {
 	steps.Fuzz(f, func(s *steps.Steps) {
 		var h Heir
-		welcome, begun, frames, owner := false, false, 0, false
+		welcome, begun, frames, owner, ended := false, false, 0, false, 0
 		for s.More() {
 			kind := Kind(1 + s.Pick(int(kinds)-1))
 			if s.Pick(3) > 0 { // mostly what comes next in a hand-over
 				kind = [...]Kind{KindWelcome, KindBegin, KindModule, KindQuery, KindEnd}[s.Pick(5)]
 			}
-			if s.Pick(40) == 0 {
+			if s.Pick(20) == 0 {
 				step := h.Ended()
 				s.Check((step == Nothing) == owner, "ended as the owner %v: step %d", owner, step)
-				return
+				if ended++; step != Again {
+					s.Check(owner || !welcome || ended == mostTalks, "the elder is not asked anew")
+					return
+				}
+				s.Check(welcome && ended < mostTalks, "asked anew for ever")
+				welcome, begun, frames = false, false, 0 // what has come in part is void
 			}
 			told := frames
 			if s.Pick(4) == 0 {
@@ -80,11 +85,12 @@
 			}
 			switch {
 			case step == GiveUp:
-				s.Check(!welcome && kind == KindDenied, "gives up at %v", kind)
+				s.Check(!welcome && kind == KindDenied && h.Ended() == Nothing, "gives up at %v", kind)
 				return
 			case step == Take:
 				s.Check(begun && kind == KindEnd && told == frames, "owner after %d of %d frames", frames, told)
 				owner = true
+				h.Took()
 			case kind == KindWelcome:
 				s.Check(!welcome, "welcome twice")
 				welcome = true
