--- /dev/null
+++ b/internal/standin/plant/plant.go
@@ -0,0 +1,188 @@
+// Package plant is a small platform of stand-ins on 127.0.0.1, for tests with real processes of the scheduler: discovery,
+// worker nodes that tell of their jobs, and clients that keep their connections. It is simpler than the lab's world and
+// judges nothing: it counts, and whoever uses it says what is right.
+package plant
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Plant is the platform that schedulers run on.
+type Plant struct {
+	Listen    string  // where clients and worker nodes find the scheduler
+	Discovery string  // where discovery answers
+	Nodes     []*Node // with ids s-0, s-1, ...
+	servers   []*httptest.Server
+	ended     chan struct{}
+}
+
+// Node is a worker node. It accepts every job, and tells that it has started; that it is done it tells once it is let.
+type Node struct {
+	ID   string
+	mu   sync.Mutex
+	runs map[string]int // by X-Call-Id
+	free chan struct{}
+}
+
+// New starts a platform with so many worker nodes, whose jobs last until their node is freed.
+func New(nodes int) (*Plant, error) {
+	p := &Plant{ended: make(chan struct{})}
+	var err error
+	if p.Listen, err = FreeAddress(); err != nil {
+		return nil, err
+	}
+	var hosts []string
+	for i := range nodes {
+		n := &Node{ID: "s-" + strconv.Itoa(i), runs: map[string]int{}, free: make(chan struct{})}
+		s := p.serve(func(w http.ResponseWriter, r *http.Request) { p.accept(n, w, r) })
+		p.Nodes = append(p.Nodes, n)
+		hosts = append(hosts, fmt.Sprintf(`{"instanceId":"%s","hostPort":"%s","lifecycle":"up"}`, n.ID, s.Listener.Addr()))
+	}
+	list := fmt.Sprintf(`{"generation":1,"reset":true,"instances":[%s]}`+"\n", strings.Join(hosts, ","))
+	p.Discovery = p.serve(func(w http.ResponseWriter, r *http.Request) { p.watch(list, w, r) }).Listener.Addr().String()
+	return p, nil
+}
+
+func (p *Plant) serve(act http.HandlerFunc) *httptest.Server {
+	s := httptest.NewServer(act)
+	p.servers = append(p.servers, s)
+	return s
+}
+
+// FreeAddress is an address at which nobody listens.
+func FreeAddress() (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	defer l.Close()
+	return l.Addr().String(), nil
+}
+
+// Close ends the platform.
+func (p *Plant) Close() {
+	close(p.ended)
+	for _, s := range p.servers {
+		s.CloseClientConnections()
+		s.Close()
+	}
+}
+
+// watch answers a watch on the host group: the list, and then a sign of life each second.
+func (p *Plant) watch(list string, w http.ResponseWriter, r *http.Request) {
+	for line := list; ; line = "\n" {
+		if _, err := io.WriteString(w, line); err != nil {
+			return
+		}
+		w.(http.Flusher).Flush()
+		select {
+		case <-p.ended:
+			return
+		case <-r.Context().Done():
+			return
+		case <-time.After(time.Second):
+		}
+	}
+}
+
+// accept takes a job, or the word that one is given up, which means nothing here: what runs goes on.
+func (p *Plant) accept(n *Node, w http.ResponseWriter, r *http.Request) {
+	_, _ = io.Copy(io.Discard, r.Body)
+	if r.Method != "POST" {
+		return
+	}
+	id := r.Header.Get("X-Call-Id")
+	n.mu.Lock()
+	n.runs[id]++
+	n.mu.Unlock()
+	w.WriteHeader(202)
+	go func() {
+		p.tell(n, id, "started")
+		select {
+		case <-n.free:
+			p.tell(n, id, "done")
+		case <-p.ended:
+		}
+	}()
+}
+
+// tell tells of a job as worker nodes do: each call is tried until it is answered, ten times at most.
+func (p *Plant) tell(n *Node, id, state string) {
+	note, _ := json.Marshal(map[string]string{"id": id, "from": n.ID, "state": state, "result": Result(id, n.ID)})
+	for range 10 {
+		res, err := http.Post("http://"+p.Listen+"/v1/job-events", "application/json", bytes.NewReader(note))
+		if err != nil {
+			continue
+		}
+		res.Body.Close()
+		if res.StatusCode < 300 {
+			return
+		}
+	}
+}
+
+// Result is what a node makes of a job.
+func Result(id, node string) string { return id + " by " + node }
+
+// Free lets the jobs of a node end, those that are there and all that come.
+func (n *Node) Free() { close(n.free) }
+
+// Runs is how often each job has been run there, by X-Call-Id, and how many runs that are.
+func (n *Node) Runs() (by map[string]int, all int) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	by = map[string]int{}
+	for id, times := range n.runs {
+		by[id] = times
+		all += times
+	}
+	return by, all
+}
+
+// Client submits one job after another on one connection, which it never closes by itself.
+type Client struct {
+	conn net.Conn
+	in   *bufio.Reader
+}
+
+// Dial connects a client.
+func (p *Plant) Dial() (*Client, error) {
+	conn, err := net.Dial("tcp", p.Listen)
+	if err != nil {
+		return nil, err
+	}
+	return &Client{conn, bufio.NewReader(conn)}, nil
+}
+
+// Close ends its connection.
+func (c *Client) Close() { c.conn.Close() }
+
+// Ask submits a job, its request in two pieces that are cut at a byte, and waits for the answer, for a minute at most.
+func (c *Client) Ask(class, id, body string, cut int) (status int, result string, err error) {
+	text := fmt.Sprintf("POST /%s/1 HTTP/1.1\r\nHost: h\r\nX-Call-Class: %s\r\nX-Call-Id: %s\r\nX-Budget-Ms: 60000\r\n"+
+		"Content-Length: %d\r\n\r\n%s", class, class, id, len(body), body)
+	cut = min(cut, len(text))
+	for _, piece := range []string{text[:cut], text[cut:]} {
+		if _, err := io.WriteString(c.conn, piece); err != nil {
+			return 0, "", err
+		}
+	}
+	res, err := http.ReadResponse(c.in, nil)
+	if err != nil {
+		return 0, "", err
+	}
+	defer res.Body.Close()
+	got, err := io.ReadAll(res.Body)
+	return res.StatusCode, string(got), err
+}
