Have the lab replace schedulers' processes in service, under its judge

Change: fault sched_replace, live: a second process with a management address and a directory shared with the first, SIGTERM once it is ready. The calm live play of the tests replaces both processes.

--- a/internal/lab/edge/edge.go
+++ b/internal/lab/edge/edge.go
@@ -39,6 +39,7 @@
 	Freeze                  // SIGSTOP: its sockets stay, nothing is read
 	Resume                  // SIGCONT
 	Reload                  // SIGHUP, after its configuration named the discovery at index Disco
+	Replace                 // a second process starts, and the first gets SIGTERM once that is ready; live only
 	Slow                    // of a planner: it takes in and does everything Late late from now on
 	Break                   // of a planner: its connections to forwarders and other planners break
 )
--- a/internal/lab/judge/story.go
+++ b/internal/lab/judge/story.go
@@ -297,7 +297,8 @@
 		return fmt.Sprintf("scheduler %d is told of the start of %s (process %d)", e.sched, node, e.span)
 	case seen.SchedExit:
 		return fmt.Sprintf("scheduler %d ends by itself with %d", e.sched, e.status)
-	case seen.SchedUp, seen.SchedReady, seen.SchedTerm, seen.SchedKill, seen.SchedFroze, seen.SchedWoke, seen.SchedHup:
+	case seen.SchedUp, seen.SchedReady, seen.SchedTerm, seen.SchedKill, seen.SchedFroze, seen.SchedWoke, seen.SchedHup,
+		seen.SchedReplace:
 		return fmt.Sprintf("scheduler %d %s", e.sched, [...]string{"starts", "is ready", "gets SIGTERM", "gets SIGKILL",
 			"is frozen", "goes on", "gets SIGHUP"}[e.what-seen.SchedUp])
 	case seen.FaultOn:
--- a/internal/lab/live/driver.go
+++ b/internal/lab/live/driver.go
@@ -350,6 +350,8 @@
 		d.scheds[in.Sched].start(in.Boot)
 	case edge.Terminate, edge.Kill, edge.Freeze, edge.Resume:
 		d.scheds[in.Sched].signal(in.Kind)
+	case edge.Replace:
+		d.scheds[in.Sched].replace()
 	case edge.Reload:
 		d.own(d.openDisco(in.Disco))
 		d.scheds[in.Sched].reload(in.Disco)
--- a/internal/lab/live/places.go
+++ b/internal/lab/live/places.go
@@ -56,6 +56,11 @@
 
 func (p places) sched(i int) netip.AddrPort { return p.at(0, 1+i) }
 
+// manage is where the n-th process of a scheduler answers operators: neighbours in time have ports of their own.
+func (p places) manage(sched, n int) netip.AddrPort {
+	return netip.AddrPortFrom(p.sched(sched).Addr(), p.port+1+uint16(n%2))
+}
+
 func (p places) disco(index, sched int) netip.AddrPort {
 	n := index*p.scheds + sched
 	return p.at(2+n/250, 1+n%250)
--- a/internal/lab/live/play_test.go
+++ b/internal/lab/live/play_test.go
@@ -35,8 +35,8 @@
 window = "5s"
 `
 
-// A calm play of the real program: every job is settled once, each answer is to a query that was asked, and all that
-// the play started has ended with it.
+// A play of the real program in which each process is replaced by another: every job is settled once, each answer is to a
+// query that was asked, none is lost, and all that the play started has ended with it.
 func TestPlay(t *testing.T) {
 	binary := filepath.Join(t.TempDir(), "valvecove")
 	if out, err := exec.Command("go", "build", "-o", binary, "valvecove/cmd/valvecove").CombinedOutput(); err != nil {
@@ -45,7 +45,7 @@
 	settled, open := map[uint64]int{}, map[string]bool{}
 	last, due := time.Duration(0), 0
 	var progress atomic.Int32
-	o, err := Play(t.Context(), testSpec(t, calm), 3, Options{Binary: binary,
+	o, err := Play(t.Context(), testSpec(t, calm+"[[fault]]\nwhat = \"sched_replace\"\nat = \"500ms\"\n"), 3, Options{Binary: binary,
 		Progress: func(Progress) { progress.Add(1) },
 		Watch: func(s *seen.Sight) {
 			if s.At < last {
@@ -77,7 +77,7 @@
 		t.Errorf("%d due, %d settled, %+v", due, len(settled), o)
 	}
 	for _, p := range o.Schedulers {
-		if p.Starts != 1 || len(p.Exits) > 0 {
+		if p.Starts != 2 || len(p.Exits) > 0 {
 			t.Errorf("%+v", p)
 		}
 	}
--- a/internal/lab/live/processes.go
+++ b/internal/lab/live/processes.go
@@ -4,11 +4,13 @@
 	"errors"
 	"fmt"
 	"io"
+	"net/http"
 	"net/netip"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"runtime"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -19,6 +21,7 @@
 
 	"valvecove/internal/lab/edge"
 	"valvecove/internal/lab/platform"
+	"valvecove/internal/lab/scenario"
 	"valvecove/internal/ledger"
 )
 
@@ -101,7 +104,8 @@
 	closed  bool
 	process *exec.Cmd // for orders only
 	reaped  chan struct{}
-	pid     atomic.Int32 // of the process that there is; 0: none
+	manage  netip.AddrPort // of the newest process, if it has one
+	pid     atomic.Int32   // of the process that there is; 0: none
 }
 
 func newScheduler(d *driver, n int) *scheduler {
@@ -162,33 +166,114 @@
 	s.life++
 	s.started++
 	s.alive, s.ready = true, false
-	life, text, args := s.life, s.text(boot.Disco), s.args()
-	env := []string{"PATH=" + os.Getenv("PATH"), "TMPDIR=" + s.d.opt.Dir, "PROXY_NAME=" + s.name,
-		"PROXY_LISTEN=" + s.listen.String(), "PROXY_DISCOVERY=" + s.d.places.disco(boot.Disco, s.n).String(),
-		"PROXY_CONFIG=" + s.conf}
-	core := -1
-	if len(s.d.opt.Cores) > 0 {
-		core = s.d.opt.Cores[s.n%len(s.d.opt.Cores)]
-	}
+	life, text, c := s.life, s.text(boot.Disco), s.command()
 	s.order(func() {
 		s.kill() // only one may have the address
 		err := s.configure(text)
 		if err == nil {
-			c := exec.Command(args[0], args[1:]...)
-			c.Env, c.Stdout, c.Stderr, c.Dir = append(env, s.d.opt.Env...), s.log, s.log, s.d.opt.Dir
-			c.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL, Setpgid: true}
-			c.WaitDelay = time.Second
-			if err = s.d.processes.start(c, core); err == nil {
-				s.process, s.reaped = c, make(chan struct{})
-				s.pid.Store(int32(c.Process.Pid))
-				reaped := s.reaped
-				s.idle.Go(func() { s.await(c, reaped, life) })
-			}
+			err = s.run(c, life)
 		}
 		s.d.send(func() { s.startedAs(life, err) })
 	})
 }
 
+// command is that of another process.
+func (s *scheduler) command() *exec.Cmd {
+	args := s.args()
+	c := exec.Command(args[0], args[1:]...)
+	c.Env = append([]string{"PATH=" + os.Getenv("PATH"), "TMPDIR=" + s.d.opt.Dir, "PROXY_NAME=" + s.name,
+		"PROXY_LISTEN=" + s.listen.String(), "PROXY_DISCOVERY=" + s.d.places.disco(s.boot.Disco, s.n).String(),
+		"PROXY_CONFIG=" + s.conf}, s.d.opt.Env...)
+	if s.replaced() {
+		s.manage = s.d.places.manage(s.n, s.started)
+		c.Env = append(c.Env, "TMPDIR="+s.temp(), "PROXY_MANAGEMENT="+s.manage.String())
+	}
+	c.Stdout, c.Stderr, c.Dir = s.log, s.log, s.d.opt.Dir
+	c.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL, Setpgid: true}
+	c.WaitDelay = time.Second
+	return c
+}
+
+// run starts a process. It is an order.
+func (s *scheduler) run(c *exec.Cmd, life int) error {
+	core := -1
+	if len(s.d.opt.Cores) > 0 {
+		core = s.d.opt.Cores[s.n%len(s.d.opt.Cores)]
+	}
+	if s.replaced() {
+		if err := os.MkdirAll(s.temp(), 0o700); err != nil {
+			return err
+		}
+	}
+	if err := s.d.processes.start(c, core); err != nil {
+		return err
+	}
+	reaped := make(chan struct{})
+	s.process, s.reaped = c, reaped
+	s.pid.Store(int32(c.Process.Pid))
+	s.idle.Go(func() { s.await(c, reaped, life) })
+	return nil
+}
+
+// replaced tells whether the play replaces processes: only then have they a management address, and a directory that
+// they share with those before and after them.
+func (s *scheduler) replaced() bool {
+	return slices.ContainsFunc(s.d.spec.Faults, func(f scenario.Fault) bool { return f.What == "sched_replace" })
+}
+
+func (s *scheduler) temp() string { return filepath.Join(s.d.opt.Dir, s.name+".tmp") }
+
+// Of a replacement: the new process has so long to say that it is ready, and the old one so long after SIGTERM.
+const (
+	readyWithin   = 6 * time.Second
+	replaceWithin = 3*time.Second + 700*time.Millisecond
+)
+
+// replace starts a second process beside the one that there is, and ends that once the second is ready. What becomes of the
+// first is nothing that the world is told.
+func (s *scheduler) replace() {
+	if !s.alive {
+		return
+	}
+	s.life++
+	s.started++
+	life, c := s.life, s.command()
+	ready := "http://" + s.manage.String() + "/v1/readyz"
+	s.order(func() {
+		old, reaped := s.process, s.reaped
+		if old == nil {
+			return
+		}
+		if err := s.run(c, life); err != nil {
+			s.d.send(func() { s.d.fail(fmt.Errorf("scheduler %s: %w", s.name, err)) })
+			return
+		}
+		s.askReady(ready)
+		_ = old.Process.Signal(syscall.SIGTERM)
+		select {
+		case <-reaped:
+		case <-time.After(replaceWithin):
+			_ = old.Process.Kill()
+			<-reaped
+		}
+	})
+}
+
+// askReady waits until a process says that it is ready, or has had its time.
+func (s *scheduler) askReady(url string) {
+	client := http.Client{Timeout: time.Second}
+	defer client.CloseIdleConnections()
+	for began := time.Now(); time.Since(began) < readyWithin; time.Sleep(5 * time.Millisecond) {
+		res, err := client.Get(url)
+		if err != nil {
+			continue
+		}
+		if res.Body.Close(); res.StatusCode == http.StatusOK {
+			return
+		}
+	}
+}
+
 // args are the command. The shell sets the limit on descriptors before the program is there, and is replaced by it.
 func (s *scheduler) args() []string {
 	args := []string{"/bin/sh", "-c", `ulimit -n "$0" && exec "$@"`, strconv.Itoa(s.d.spec.Schedulers.Sockets)}
--- a/internal/lab/scenario/check.go
+++ b/internal/lab/scenario/check.go
@@ -56,7 +56,7 @@
 	"disco_moves": {}, "burst": {hasFor: true, size: 3, low: 0.001, high: 1000},
 	"storm":      {hasFor: true, size: 3, low: 1, high: 1000},
 	"sched_kill": {hasFor: true}, "sched_term": {hasFor: true},
-	"sched_freeze": {hasFor: true, needsFor: true}, "sched_reload": {},
+	"sched_freeze": {hasFor: true, needsFor: true}, "sched_reload": {}, "sched_replace": {},
 	"planner_kill": {hasFor: true}, "planner_term": {hasFor: true}, "planner_start": {}, "planner_drop": {},
 	"planner_freeze": {hasFor: true, needsFor: true},
 	"planner_slow":   {hasFor: true, size: 80, low: 0.001, high: 60_000},
--- a/internal/lab/scenario/doc.go
+++ b/internal/lab/scenario/doc.go
@@ -72,6 +72,7 @@
 //	sched_freeze     SIGSTOP, and SIGCONT after For, which is a must
 //	sched_reload     its configuration names the address at which discovery is now, and SIGHUP. No For. One that is
 //	                 not ready, or is in its first second, gets it as soon as it is neither
+//	sched_replace    a second process starts beside it, and SIGTERM follows once that says that it is ready. No For
 //
 // Planners (On: planners, share), of plays that have any; schedulers are forwarders then.
 //
--- a/internal/lab/scenario/scenario.go
+++ b/internal/lab/scenario/scenario.go
@@ -218,6 +218,7 @@
 	"burst": "clients", "storm": "clients",
 	// Schedulers.
 	"sched_kill": "sched", "sched_term": "sched", "sched_freeze": "sched", "sched_reload": "sched",
+	"sched_replace": "sched",
 	// Planners, and the network among them and schedulers.
 	"planner_kill": "planner", "planner_term": "planner", "planner_freeze": "planner", "planner_start": "planner",
 	"planner_slow": "planner", "planner_drop": "planner", "planner_cut": "planners", "planner_cut_one_way": "planners",
--- a/internal/lab/score/score.go
+++ b/internal/lab/score/score.go
@@ -316,7 +316,7 @@
 		s.oddBegan(x)
 	case seen.OddEnded:
 		s.oddEnded(x)
-	case seen.SchedUp, seen.SchedReady, seen.SchedTerm, seen.SchedKill, seen.SchedFroze, seen.SchedWoke, seen.SchedHup,
+	case seen.SchedUp, seen.SchedReady, seen.SchedTerm, seen.SchedKill, seen.SchedFroze, seen.SchedWoke, seen.SchedHup, seen.SchedReplace,
 		seen.SchedExit, seen.Usage:
 		s.processed(x)
 	}
--- a/internal/lab/seen/seen.go
+++ b/internal/lab/seen/seen.go
@@ -47,25 +47,26 @@
 
 // Of the fleet, discovery and processes.
 const (
-	NodeUp     What = iota + 64 // Node, Boot started; Slots that it has, Text its kind
-	NodeDown                    // its process ended
-	NodeDrain                   // it began to drain
-	NodeHang                    // it hangs from now on
-	NodeWell                    // a hang, pause or slowness of it ended
-	Drained                     // Sched was told that Node drains or is gone
-	Started                     // Sched was told of Node's last start (Boot)
-	SchedUp                     // Sched's process started
-	SchedReady                  // Sched answered /up with 200
-	SchedTerm                   // SIGTERM
-	SchedKill                   // SIGKILL
-	SchedFroze                  // SIGSTOP
-	SchedWoke                   // SIGCONT
-	SchedHup                    // SIGHUP
-	SchedExit                   // it ended by itself, with Status
-	FaultOn                     // a fault of the timeline begins: Text
-	FaultOff                    // it ends
-	Usage                       // figures of a process: Sched (-1: the lab), Memory (bytes), Files (descriptors), CPU (so far)
-	Late                        // the lab itself was late by Span
+	NodeUp       What = iota + 64 // Node, Boot started; Slots that it has, Text its kind
+	NodeDown                      // its process ended
+	NodeDrain                     // it began to drain
+	NodeHang                      // it hangs from now on
+	NodeWell                      // a hang, pause or slowness of it ended
+	Drained                       // Sched was told that Node drains or is gone
+	Started                       // Sched was told of Node's last start (Boot)
+	SchedUp                       // Sched's process started
+	SchedReady                    // Sched answered /up with 200
+	SchedTerm                     // SIGTERM
+	SchedKill                     // SIGKILL
+	SchedFroze                    // SIGSTOP
+	SchedWoke                     // SIGCONT
+	SchedHup                      // SIGHUP
+	SchedReplace                  // a second process is to take its place
+	SchedExit                     // it ended by itself, with Status
+	FaultOn                       // a fault of the timeline begins: Text
+	FaultOff                      // it ends
+	Usage                         // figures of a process: Sched (-1: the lab), Memory (bytes), Files (descriptors), CPU (so far)
+	Late                          // the lab itself was late by Span
 )
 
 // Sight is one thing seen. Fields that a What does not name are zero; Class, Tenant, Sched and Node count from 0.
--- a/internal/lab/virtual/unseen.go
+++ b/internal/lab/virtual/unseen.go
@@ -41,6 +41,7 @@
 var unseenFaults = map[string]string{
 	"reset_at": "a query that is reset before its last byte counts as wholly written by the scheduler, as small ones" +
 		" do for a kernel.",
-	"slow_read":    "queries arrive late as a whole; a write that takes its time is not seen.",
-	"sched_reload": "of the configuration file read anew, only the address of discovery counts.",
+	"slow_read":     "queries arrive late as a whole; a write that takes its time is not seen.",
+	"sched_replace": "a process that replaces another takes over at once, and loses nothing.",
+	"sched_reload":  "of the configuration file read anew, only the address of discovery counts.",
 }
--- a/internal/lab/world/faults.go
+++ b/internal/lab/world/faults.go
@@ -303,6 +303,9 @@
 	case "sched_reload":
 		s.reload()
 		x.over()
+	case "sched_replace":
+		s.replace()
+		x.over()
 	case "planner_start":
 		s.start()
 		x.over()
--- a/internal/lab/world/faults_test.go
+++ b/internal/lab/world/faults_test.go
@@ -40,7 +40,7 @@
 		switch x.What {
 		case "drain", "gone", "early_202_crash", "sched_term", "planner_term":
 			continue // they change the fleet for good, or end when something else happens
-		case "handback", "sched_reload", "disco_moves", "planner_start", "planner_drop":
+		case "handback", "sched_reload", "sched_replace", "disco_moves", "planner_start", "planner_drop":
 			x.For = 0
 		case "planner_slow", "slow", "disco_slow", "burst", "storm", "half_open", "disco_late", "delay", "drop_idle":
 			x.Size = float64(2 + s.Pick(4))
--- a/internal/lab/world/scheds.go
+++ b/internal/lab/world/scheds.go
@@ -217,3 +217,11 @@
 	s.w.in(edge.In{Kind: edge.Reload, Sched: s.n, Disco: s.disco})
 	s.w.disco.views[s.n].hup()
 }
+
+// replace: a second process starts beside it and takes over. To the world it is the same scheduler all the time.
+func (s *sched) replace() {
+	if s.alive && !s.termed && s.ready {
+		s.tell(seen.SchedReplace, 0)
+		s.w.in(edge.In{Kind: edge.Replace, Sched: s.n})
+	}
+}
