Have status and operator links share what side links have in common

Found in review and by duplicates: accepting, reading, shutting and ending were written twice; elder.ceded repeated loop.ceded; three ways to listen; an operator link hoarded what came behind a call that waits, and sent 100 for each piece.

--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -208,7 +208,7 @@
 		l.tell(News{What: NewsEnded, Query: q, Attempt: a, Fault: fault})
 	}
 	if fault == nil && !q.closed {
-		l.conclude(q, Answered200)
+		l.conclude(q, AnsweredServed)
 		q.asker.Serve(got)
 	}
 	// What one worker node can't use none can: sent on, it would cost each of them, and each would look as if it
--- a/internal/ledger/observer.go
+++ b/internal/ledger/observer.go
@@ -63,7 +63,7 @@
 // The answers. A query that its client has left stays unanswered.
 const (
 	Unanswered Answer = iota
-	Answered200
+	AnsweredServed
 	AnsweredBusy
 	AnsweredFailed
 )
--- a/internal/link/clients.go
+++ b/internal/link/clients.go
@@ -77,15 +77,9 @@
 // mostQueries leaves links for what ends queries.
 func mostQueries(links int) int { return links - max(8, links/10) }
 
-// listen opens a socket whose connections owner accepts.
-func (l *Loop) listen(at netip.AddrPort, owner handler) (int, error) { return l.listenWith(at, owner) }
-
-// listenShared lets another process listen at the same address.
-func (l *Loop) listenShared(at netip.AddrPort, owner handler) (int, error) {
-	return l.listenWith(at, owner, unix.SO_REUSEPORT)
-}
-
-func (l *Loop) listenWith(at netip.AddrPort, owner handler, options ...int) (int, error) {
+// listen opens a socket whose connections owner accepts. Options are of the socket, as SO_REUSEPORT, which lets another
+// process listen there too.
+func (l *Loop) listen(at netip.AddrPort, owner handler, options ...int) (int, error) {
 	fd, sa, err := socket(at)
 	if err != nil {
 		return -1, err
--- a/internal/link/elder.go
+++ b/internal/link/elder.go
@@ -18,10 +18,8 @@
 type elder struct {
 	loop  *Loop
 	fd    int
-	path  string
 	heir  *heirLink // nil: none stands by
-	ceded bool
-	onArr func() // told once an heir stands by
+	onArr func()    // told once an heir stands by
 }
 
 // heirLink is the channel to an heir.
@@ -36,9 +34,9 @@
 
 // awaitHeir has the process wait for the one that will replace it.
 func (l *Loop) awaitHeir(dir string) {
-	e := &elder{loop: l, path: filepath.Join(dir, socketFile)}
+	e := &elder{loop: l}
 	var err error
-	if e.fd, err = await(e.path); err == nil {
+	if e.fd, err = await(filepath.Join(dir, socketFile)); err == nil {
 		if err = l.add(e.fd, unix.EPOLLIN, e); err != nil {
 			_ = unix.Close(e.fd)
 		}
@@ -72,7 +70,7 @@
 		why = "another user's process"
 	case e.heir != nil:
 		why = "another process is to be the successor"
-	case e.ceded:
+	case e.loop.ceded:
 		why = "this process has a successor"
 	}
 	if why != "" {
@@ -93,7 +91,7 @@
 	}
 	k.loop.stop(k.late)
 	if k.home.heir == k {
-		if k.home.heir = nil; !k.home.ceded {
+		if k.home.heir = nil; !k.loop.ceded {
 			k.loop.divide(false)
 		}
 	}
@@ -157,7 +155,7 @@
 			e.onArr()
 		}
 		return nil
-	case f.Kind == succession.KindBan && k.greeted && !e.ceded:
+	case f.Kind == succession.KindBan && k.greeted && !l.ceded:
 		var b succession.Ban
 		if err := f.Decode(&b); err != nil {
 			return err
@@ -168,7 +166,7 @@
 			}
 		})
 		return nil
-	case f.Kind == succession.KindBanned && e.ceded:
+	case f.Kind == succession.KindBanned && l.ceded:
 		var b succession.Banned
 		if err := f.Decode(&b); err != nil {
 			return err
@@ -204,7 +202,6 @@
 		k.end(err)
 		return fmt.Errorf("handing over: %w", err)
 	}
-	e.ceded = true
 	l.release(sum)
 	l.log.Info("handed over", "queries", sum.queries, "client_links", len(sum.clients), "server_links", len(sum.servers),
 		"module_bytes", sum.module, "took", (l.clock() - began).Round(10*time.Microsecond).String())
--- a/internal/link/heir.go
+++ b/internal/link/heir.go
@@ -293,7 +293,7 @@
 func (h *heir) settle() {
 	l := h.loop
 	if h.fd < 0 {
-		fd, err := l.listenShared(h.listen, l.clients)
+		fd, err := l.listen(h.listen, l.clients, unix.SO_REUSEPORT)
 		if err != nil {
 			l.onFail(err)
 			return
@@ -476,7 +476,7 @@
 func (s *serverLinks) inherit(fd int, r succession.ServerLink) {
 	worker, known := s.loop.Ledger.Number(r.Host)
 	a := s.loop.Ledger.Attempt(r.Query, r.Attempt)
-	if !known || r.State == int(asking) && a == nil || r.State == int(connecting) && a == nil {
+	if !known || linkState(r.State) != idle && a == nil {
 		_ = unix.Close(fd)
 		return
 	}
--- a/internal/link/operators.go
+++ b/internal/link/operators.go
@@ -1,7 +1,6 @@
 package link
 
 import (
-	"container/list"
 	"errors"
 	"net/netip"
 	"net/url"
@@ -28,24 +27,20 @@
 	pathNodes   = "/v1/worker-nodes/"
 )
 
-// operatorLinks accept connections at the management address. There are few, each is timed, and in each turn of the
-// loop they come first: an operator is answered however busy the scheduler is.
+// operatorLinks answer operators at the management address. In each turn of the loop they come first: an operator is
+// answered however busy the scheduler is.
 type operatorLinks struct {
-	loop  *Loop
-	fd    int
-	count *tally.Tally
-	links list.List // of *operatorLink, the oldest first
-	text  []byte
+	sideLinks // the oldest first
+	count     *tally.Tally
+	text      []byte
 }
 
 // operatorLink is one of them. It carries one call.
 type operatorLink struct {
-	stream
-	home     *operatorLinks
-	place    *list.Element
-	since    time.Duration
-	asked    bool // its call is whole; nothing more is read
-	answered bool
+	sideLink
+	home      *operatorLinks
+	asked     bool // its call is whole
+	continued bool // it was told to send on
 }
 
 // urgent marks what comes first in a turn.
@@ -56,7 +51,7 @@
 
 // serveOperators answers the operators' calls at their own address.
 func (l *Loop) serveOperators(at netip.AddrPort, count *tally.Tally) (err error) {
-	o := &operatorLinks{loop: l, count: count}
+	o := &operatorLinks{sideLinks: sideLinks{loop: l}, count: count}
 	if o.fd, err = l.listen(at, o); err == nil {
 		l.operators = o
 		o.sweep()
@@ -64,17 +59,9 @@
 	return err
 }
 
-func (o *operatorLinks) broken() {}
-
-// ready accepts what waits.
+// ready accepts whoever connects: the address is the operators' alone.
 func (o *operatorLinks) ready(uint32) {
-	for range operatorsMost {
-		fd, _, err := unix.Accept4(o.fd, unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
-		if err != nil { // none waits, or no descriptor is left: it is told again
-			return
-		}
-		o.adopt(fd)
-	}
+	o.accept(operatorsMost, func(int, netip.AddrPort) bool { return true }, o.adopt)
 }
 
 // adopt makes a link of a connection. Where there are too many, the oldest goes that does not wait for its answer: one
@@ -83,22 +70,18 @@
 	if o.links.Len() >= operatorsMost {
 		oldest := o.links.Front().Value.(*operatorLink)
 		for e := o.links.Front(); e != nil; e = e.Next() {
-			if k := e.Value.(*operatorLink); !k.asked || k.answered {
+			if k := e.Value.(*operatorLink); !k.asked || k.last {
 				oldest = k
 				break
 			}
 		}
 		oldest.end()
 	}
-	k := &operatorLink{home: o, since: o.loop.now}
-	var err error
-	if k.stream, err = o.loop.stream(fd, streamEvents, k); err != nil {
-		_ = unix.Close(fd)
-		return
+	k := &operatorLink{home: o}
+	if o.enter(fd, &k.sideLink, k) {
+		// What it calls for has most likely come with it, and another turn may be long.
+		o.loop.guard(k, func() { k.ready(unix.EPOLLIN) })
 	}
-	k.place = o.links.PushBack(k)
-	// What it calls for has most likely come with it, and another turn may be long.
-	o.loop.guard(k, func() { k.ready(unix.EPOLLIN) })
 }
 
 // sweep ends links whose call does not come, or whose answer is not taken.
@@ -110,7 +93,7 @@
 		switch age := o.loop.now - k.since; {
 		case !k.asked && age >= operatorWhole:
 			k.answer(408, "", []byte("call not whole\n"))
-		case k.asked && !k.answered && age >= operatorWaits: // for a directory, or another process
+		case k.asked && !k.last && age >= operatorWaits: // for a directory, or another process
 			k.answer(503, "", []byte("not done in time\n"))
 		case age >= operatorLonger:
 			k.end()
@@ -118,37 +101,10 @@
 	}
 }
 
-func (k *operatorLink) broken() { k.end() }
-
-func (k *operatorLink) end() {
-	if !k.closed {
-		k.home.links.Remove(k.place)
-		k.close()
-	}
-}
-
 func (k *operatorLink) ready(events uint32) {
-	if events&unix.EPOLLOUT != 0 {
-		if k.flush() != nil {
-			k.end()
-			return
-		}
-		if k.answered && len(k.out) == 0 {
-			_ = unix.Shutdown(k.fd, unix.SHUT_WR)
-		}
-	}
-	ended := false
-	if events&^unix.EPOLLOUT != 0 {
-		var err error
-		if k.asked {
-			_, ended, err = k.discard() // closed over unread bytes, a link is reset and may take the answer along
-		} else {
-			ended, err = k.fill()
-		}
-		if err != nil {
-			k.end()
-			return
-		}
+	ended, ok := k.exchange(events)
+	if !ok {
+		return
 	}
 	if !k.asked && len(k.in) > 0 {
 		m := &k.loop.message
@@ -159,14 +115,16 @@
 			k.answer(bad.Status, "", []byte(bad.What+"\n"))
 		case err == nil:
 			k.call(string(m.Method), string(m.Target))
-		case m.Expect && !ended:
-			m.Expect = false
+		case m.Expect && !ended && !k.continued:
+			k.continued = true
 			_ = k.send([]byte(interim))
 		}
+	} else if k.asked {
+		k.in = nil // what comes behind a call is nothing to us
 	}
 	switch {
 	case k.closed || !ended:
-	case len(k.out) == 0 && (k.answered || !k.asked):
+	case len(k.out) == 0 && (k.last || !k.asked):
 		k.end()
 	default: // its end is told for as long as it is asked for
 		k.listen(k.events &^ streamEvents)
@@ -266,16 +224,9 @@
 
 // answer ends the call.
 func (k *operatorLink) answer(code int, fields string, body []byte) {
-	if k.closed || k.answered {
-		return
-	}
-	k.asked, k.answered, k.in = true, true, nil
-	if k.send(appendAnswer(nil, code, fields, body, false)) != nil {
-		k.end()
-		return
-	}
-	if len(k.out) == 0 {
-		_ = unix.Shutdown(k.fd, unix.SHUT_WR)
+	if !k.closed && !k.last {
+		k.asked = true
+		k.reply(code, fields, body, false)
 	}
 }
 
--- a/internal/link/operators_test.go
+++ b/internal/link/operators_test.go
@@ -209,7 +209,7 @@
 			}
 			w.turn()
 			ended := 0
-			for _, a := range []ledger.Answer{ledger.Answered200, ledger.AnsweredBusy, ledger.AnsweredFailed} {
+			for _, a := range []ledger.Answer{ledger.AnsweredServed, ledger.AnsweredBusy, ledger.AnsweredFailed} {
 				ended += int(count.Ended(a, 0))
 			}
 			s.Check(ended == answered, "%d counted, %d answered", ended, answered)
--- a/internal/link/start.go
+++ b/internal/link/start.go
@@ -122,7 +122,7 @@
 			return err
 		}
 	}
-	if l.clients.fd, err = l.listenShared(c.Listen, l.clients); err == nil && c.Dir != "" {
+	if l.clients.fd, err = l.listen(c.Listen, l.clients, unix.SO_REUSEPORT); err == nil && c.Dir != "" {
 		l.awaitHeir(c.Dir)
 	}
 	return err
--- a/internal/link/status.go
+++ b/internal/link/status.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"container/list"
 	"errors"
 	"net/netip"
 	"time"
@@ -17,26 +16,21 @@
 	statusQuiet = 10 * time.Second
 )
 
-// statusLinks accept connections at the side port and answer the status call. There are few, and each is timed.
+// statusLinks answer the status call at the side port.
 type statusLinks struct {
-	loop  *Loop
-	fd    int
-	table *status.Table
-	links list.List // of *statusLink, the longest quiet first
+	sideLinks // the longest quiet first
+	table     *status.Table
 }
 
 // statusLink is one of them. Each request is answered as it is read.
 type statusLink struct {
-	stream
-	home  *statusLinks
-	place *list.Element
-	since time.Duration // when it was accepted, last answered, or last began a request
-	last  bool          // nothing more is read
+	sideLink
+	home *statusLinks
 }
 
 // serveStatus answers the status call at a side port.
 func (l *Loop) serveStatus(at netip.AddrPort, table *status.Table) (err error) {
-	s := &statusLinks{loop: l, table: table}
+	s := &statusLinks{sideLinks: sideLinks{loop: l}, table: table}
 	if s.fd, err = l.listen(at, s); err == nil {
 		l.status = s
 		s.sweep()
@@ -44,33 +38,15 @@
 	return err
 }
 
-func (s *statusLinks) broken() {}
+func (s *statusLinks) ready(uint32) { s.accept(statusMost, s.loop.admits, s.adopt) }
 
-// ready accepts what waits. Where there are too many links, the one that has been quiet longest makes room.
-func (s *statusLinks) ready(uint32) {
-	for range statusMost {
-		fd, sa, err := unix.Accept4(s.fd, unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
-		if err != nil { // none waits, or no descriptor is left: it is told again
-			return
-		}
-		if s.loop.admits(fd, addrPort(sa)) {
-			s.adopt(fd)
-		}
-	}
-}
-
-// adopt makes a link of a connection.
+// adopt makes a link of a connection. Where there are too many, the one that has been quiet longest makes room.
 func (s *statusLinks) adopt(fd int) {
 	if s.links.Len() >= statusMost {
 		s.links.Front().Value.(*statusLink).end()
 	}
-	k := &statusLink{home: s, since: s.loop.now}
-	var err error
-	if k.stream, err = s.loop.stream(fd, streamEvents, k); err != nil {
-		_ = unix.Close(fd)
-		return
-	}
-	k.place = s.links.PushBack(k)
+	k := &statusLink{home: s}
+	s.enter(fd, &k.sideLink, k)
 }
 
 // sweep ends links on which a request is not whole in time, an answer is not read, or nothing comes.
@@ -86,35 +62,13 @@
 	}
 }
 
-func (k *statusLink) broken() { k.end() }
-
-func (k *statusLink) end() {
-	if !k.closed {
-		k.home.links.Remove(k.place)
-		k.close()
-	}
-}
-
 func (k *statusLink) ready(events uint32) {
-	if events&unix.EPOLLOUT != 0 && k.flush() != nil {
-		k.end()
-		return
+	if events&^unix.EPOLLOUT != 0 && len(k.in) == 0 {
+		k.touch()
 	}
-	ended := false
-	if events&^unix.EPOLLOUT != 0 {
-		if len(k.in) == 0 {
-			k.touch()
-		}
-		var err error
-		if k.last {
-			_, ended, err = k.discard() // closed over unread bytes, a link is reset and may take the answer along
-		} else {
-			ended, err = k.fill()
-		}
-		if err != nil {
-			k.end()
-			return
-		}
+	ended, ok := k.exchange(events)
+	if !ok {
+		return
 	}
 	for !k.last && len(k.in) > 0 && len(k.out) == 0 {
 		m := &k.loop.message
@@ -162,15 +116,5 @@
 
 func (k *statusLink) answer(code int, fields string, body []byte, keep bool) {
 	k.touch()
-	k.last = !keep
-	if k.send(appendAnswer(nil, code, fields, body, keep)) != nil {
-		k.end()
-		return
-	}
-	if k.last {
-		k.in = nil
-		if len(k.out) == 0 {
-			_ = unix.Shutdown(k.fd, unix.SHUT_WR)
-		}
-	}
+	k.reply(code, fields, body, keep)
 }
--- a/internal/link/succession_test.go
+++ b/internal/link/succession_test.go
@@ -59,7 +59,7 @@
 	w := newWorld(s)
 	w.replaceable()
 	var err error
-	if w.loop.clients.fd, err = w.loop.listenShared(netip.MustParseAddrPort("127.0.0.1:0"), w.loop.clients); err != nil {
+	if w.loop.clients.fd, err = w.loop.listen(netip.MustParseAddrPort("127.0.0.1:0"), w.loop.clients); err != nil {
 		s.T.Fatal(err)
 	}
 	w.loop.awaitHeir(dir)
--- a/internal/tally/tally.go
+++ b/internal/tally/tally.go
@@ -17,7 +17,7 @@
 }
 
 // words are the names of the figures by answer.
-var words = [...]string{ledger.Answered200: "success", ledger.AnsweredBusy: "busy", ledger.AnsweredFailed: "failure"}
+var words = [...]string{ledger.AnsweredServed: "success", ledger.AnsweredBusy: "busy", ledger.AnsweredFailed: "failure"}
 
 // New returns a tally of the classes, each at nothing.
 func New(classes []string) *Tally {
