Let processes meet by a name where there is no directory to meet in

Need: without a writable $TMPDIR a process was replaced by a drain beside its successor, whose call-backs went astray. Found in review: one that had itself taken over was not told of a successor that comes while it drains. Change: an abstract Unix socket named after the clients' address is the second meeting point; another user's is left alone.

--- a/cmd/valvecove/replace_test.go
+++ b/cmd/valvecove/replace_test.go
@@ -121,6 +121,11 @@
 // the process which sent them and whose nodes tell the next; a worker node taken out by a call to the process that stands
 // by is sent nothing more, whoever serves, until one call back.
 func TestReplacedUnderLoad(t *testing.T) {
+	t.Run("by a directory", func(t *testing.T) { replacedUnderLoad(t, t.TempDir()) })
+	t.Run("by a name", func(t *testing.T) { replacedUnderLoad(t, "") })
+}
+
+func replacedUnderLoad(t *testing.T, dir string) {
 	p, err := plant.New(3)
 	if err != nil {
 		t.Fatal(err)
@@ -131,7 +136,7 @@
 	}
 	var sent, answered atomic.Int64
 	var all sync.WaitGroup
-	stop, dir := make(chan struct{}), t.TempDir()
+	stop := make(chan struct{})
 	now := launch(t, p, dir)
 	for c := range 12 {
 		client, err := p.Dial()
--- a/internal/link/channel.go
+++ b/internal/link/channel.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"net/netip"
 	"os"
 	"path/filepath"
 	"time"
@@ -15,6 +16,16 @@
 // socketFile is where an elder can be reached by its heir, in the directory of what outlives a process.
 const socketFile = "successor.sock"
 
+// meetingPoints are where an elder can be reached, the better first: in the directory, and by a name that needs none, which
+// lives as long as its socket and is seen by all processes of the machine; whose they are is asked in either case.
+func meetingPoints(dir string, listen netip.AddrPort) []string {
+	name := "@valvecove/" + listen.String()
+	if dir == "" {
+		return []string{name}
+	}
+	return []string{filepath.Join(dir, socketFile), name}
+}
+
 // channel is one end of the Unix socket between an elder and its heir: a stream whose frames may carry descriptors.
 type channel struct {
 	stream
@@ -53,21 +64,32 @@
 }
 
 // reach connects to an elder; an error means that there is none.
-func reach(path string) (int, error) {
-	return unixSocket(path, unix.Connect)
+func reach(points []string) (fd int, err error) {
+	for _, at := range points {
+		if fd, err = unixSocket(at, unix.Connect); err == nil {
+			return fd, nil
+		}
+	}
+	return -1, err
 }
 
-// await listens for an heir. What an earlier process has left at the path makes room.
-func await(path string) (int, error) {
-	if err := os.Remove(path); err != nil && !errors.Is(err, os.ErrNotExist) {
-		return -1, err
-	}
-	return unixSocket(path, func(fd int, sa unix.Sockaddr) error {
-		if err := unix.Bind(fd, sa); err != nil {
-			return err
+// await listens for an heir at the first point that serves. What an earlier process has left at a path makes room.
+func await(points []string) (fd int, err error) {
+	for _, at := range points {
+		if at[0] != '@' {
+			_ = os.Remove(at) // if it can't be, that shows below
+		}
+		fd, err = unixSocket(at, func(fd int, sa unix.Sockaddr) error {
+			if err := unix.Bind(fd, sa); err != nil {
+				return err
+			}
+			return unix.Listen(fd, 4)
+		})
+		if err == nil {
+			return fd, nil
 		}
-		return unix.Listen(fd, 4)
-	})
+	}
+	return -1, err
 }
 
 // ours tells whether the peer is a process of our own user.
--- a/internal/link/elder.go
+++ b/internal/link/elder.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"fmt"
-	"path/filepath"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -16,10 +15,9 @@
 
 // elder is the side of a process that serves: it waits for an heir.
 type elder struct {
-	loop  *Loop
-	fd    int
-	heir  *heirLink // nil: none stands by
-	onArr func()    // told once an heir stands by
+	loop *Loop
+	fd   int
+	heir *heirLink // nil: none stands by
 }
 
 // heirLink is the channel to an heir.
@@ -32,20 +30,31 @@
 	seq     uint64
 }
 
+// A name without a path is free only once the process that had it has let it go, which may take a moment.
+const (
+	awaitAgain = 20 * time.Millisecond
+	awaitTimes = 100
+)
+
 // awaitHeir has the process wait for the one that will replace it.
-func (l *Loop) awaitHeir(dir string) {
+func (l *Loop) awaitHeir(points []string) { l.awaitFor(points, awaitTimes) }
+
+func (l *Loop) awaitFor(points []string, times int) {
 	e := &elder{loop: l}
 	var err error
-	if e.fd, err = await(filepath.Join(dir, socketFile)); err == nil {
+	if e.fd, err = await(points); err == nil {
 		if err = l.add(e.fd, unix.EPOLLIN, e); err != nil {
 			_ = unix.Close(e.fd)
 		}
 	}
-	if err != nil { // it can be replaced all the same, with a drain
+	switch {
+	case err == nil:
+		l.elder = e
+	case errors.Is(err, unix.EADDRINUSE) && times > 0:
+		l.after(awaitAgain, (*waker)(l), func() { l.awaitFor(points, times-1) })
+	default: // it can be replaced all the same, with a drain
 		l.log.Warn("no successor can reach this process", "error", err)
-		return
 	}
-	l.elder = e
 }
 
 func (e *elder) broken() {}
@@ -131,7 +140,7 @@
 
 // take takes in what the heir says.
 func (k *heirLink) take(f succession.Frame) error {
-	e, l := k.home, k.loop
+	l := k.loop
 	switch {
 	case f.Kind == succession.KindHello && !k.greeted:
 		var hello succession.Hello
@@ -151,8 +160,8 @@
 		}
 		l.log.Info("successor stands by")
 		l.divide(true)
-		if e.onArr != nil {
-			e.onArr()
+		if l.onHeir != nil {
+			l.onHeir()
 		}
 		return nil
 	case f.Kind == succession.KindBan && k.greeted && !l.ceded:
@@ -323,11 +332,7 @@
 }
 
 // OnHeir has act called whenever an heir stands by.
-func (l *Loop) OnHeir(act func()) {
-	if l.elder != nil {
-		l.elder.onArr = act
-	}
-}
+func (l *Loop) OnHeir(act func()) { l.onHeir = act }
 
 // handOn has the process that serves set or end a ban.
 func (k *heirLink) handOn(id string, out bool, done func(code int, what string)) {
--- a/internal/link/heir.go
+++ b/internal/link/heir.go
@@ -4,7 +4,6 @@
 	"errors"
 	"fmt"
 	"net/netip"
-	"path/filepath"
 	"strings"
 	"time"
 
@@ -53,34 +52,31 @@
 }
 
 // succeed tells whether there is a process to take over from; this one stands by then.
-func (l *Loop) succeed(dir string, listen netip.AddrPort) (bool, error) {
+func (l *Loop) succeed(dir string, listen netip.AddrPort) bool {
 	h := &heir{dir: dir, listen: listen, fd: -1, began: l.now}
 	h.loop = l
-	if err := h.join(); err != nil {
-		if errors.Is(err, errOthers) {
-			return false, err
-		}
-		return false, nil // there is none
+	if h.join() != nil {
+		return false
 	}
 	l.heir = h
+	l.divide(true)
 	if l.clients.set.MustSubscribe { // at once: the module of one of many would wait a while, and what it is told binds soon
 		l.Ledger.Follow()
 	}
-	return true, nil
+	return true
 }
 
-var errOthers = errors.New("another user's process has the place of the one to be replaced")
-
 // join opens the talk with the elder.
 func (h *heir) join() error {
 	l := h.loop
-	fd, err := reach(filepath.Join(h.dir, socketFile))
+	fd, err := reach(meetingPoints(h.dir, h.listen))
 	if err != nil {
 		return err
 	}
 	if !ours(fd) {
 		_ = unix.Close(fd)
-		return errOthers
+		l.log.Warn("another user's process has the place of the one to be replaced, and is left alone")
+		return unix.EPERM
 	}
 	if h.stream, err = l.stream(fd, streamEvents, h); err != nil {
 		h.stream = stream{loop: l, closed: true}
@@ -304,7 +300,7 @@
 		return
 	}
 	h.fd = -1
-	l.awaitHeir(h.dir)
+	l.awaitHeir(meetingPoints(h.dir, h.listen))
 	l.divide(false)
 	asked := h.asked // the elder may have carried them out, or not: both ways they hold from here on
 	h.asked = nil
--- a/internal/link/loop.go
+++ b/internal/link/loop.go
@@ -65,6 +65,7 @@
 	limits    config.Limits
 	halved    bool            // another process runs beside this one, and has half of them
 	onDivide  func(half bool) // does the same for memory
+	onHeir    func()          // told whenever one stands by to replace this process
 	ceded     bool            // a successor owns all that was here
 	onFail    func(error)     // ends the process
 	keeper    *keeper         // nil: nothing outlives this process
--- a/internal/link/start.go
+++ b/internal/link/start.go
@@ -116,14 +116,12 @@
 	if l.Ledger.SetBans(out); len(out) > 0 {
 		l.log.Info("worker nodes out by hand", "hosts", strings.Join(out, " "))
 	}
-	if l.keep(c.Dir); c.Dir != "" {
-		if waits, err := l.succeed(c.Dir, c.Listen); waits || err != nil {
-			l.divide(true)
-			return err
-		}
+	l.keep(c.Dir)
+	if l.succeed(c.Dir, c.Listen) {
+		return nil
 	}
-	if l.clients.fd, err = l.listen(c.Listen, l.clients, unix.SO_REUSEPORT); err == nil && c.Dir != "" {
-		l.awaitHeir(c.Dir)
+	if l.clients.fd, err = l.listen(c.Listen, l.clients, unix.SO_REUSEPORT); err == nil {
+		l.awaitHeir(meetingPoints(c.Dir, c.Listen))
 	}
 	return err
 }
--- a/internal/link/succession_test.go
+++ b/internal/link/succession_test.go
@@ -9,6 +9,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"valvecove/internal/config"
 	"valvecove/internal/ledger"
 	"valvecove/internal/steps"
 	"valvecove/internal/succession"
@@ -27,8 +28,7 @@
 	next := newWorld(w.Steps)
 	next.replaceable()
 	next.now, next.loop.clients.set = w.now, w.loop.clients.set
-	waits, err := next.loop.succeed(dir, at)
-	w.Check(waits && err == nil, "no elder: %v, %v", waits, err)
+	w.Check(next.loop.succeed(dir, at), "no elder")
 	for next.loop.heir.decides.Stand() == succession.Joining {
 		w.turn()
 		next.turn()
@@ -62,7 +62,7 @@
 	if w.loop.clients.fd, err = w.loop.listen(netip.MustParseAddrPort("127.0.0.1:0"), w.loop.clients); err != nil {
 		s.T.Fatal(err)
 	}
-	w.loop.awaitHeir(dir)
+	w.loop.awaitHeir(meetingPoints(dir, w.loop.Addr()))
 	return w, w.loop.Addr()
 }
 
@@ -186,7 +186,7 @@
 	second, denied := newWorld(s), false
 	second.replaceable()
 	second.loop.onFail = func(error) { denied = true }
-	if waits, _ := second.loop.succeed(dir, at); !waits {
+	if !second.loop.succeed(dir, at) {
 		t.Error("the second heir finds no elder")
 	}
 	for !denied {
@@ -254,7 +254,9 @@
 	w.loop.Ledger.Wake()
 	w.turn()
 	next := w.succeeds(dir, at)
-	next.loop.wrap = nil
+	set := *w.loop.clients.set
+	set.Classes = append(set.Classes, set.Classes[0]) // a snapshot for other classes is none for these
+	next.loop.clients.set = &set
 	if err := w.replacedBy(next); err != nil {
 		t.Fatal(err)
 	}
@@ -316,7 +318,7 @@
 		t.Errorf("handed over to nobody: %v", err)
 	}
 	// Nor does one that connects and never says a word keep others out.
-	mute, err := reach(dir + "/" + socketFile)
+	mute, err := reach(meetingPoints(dir, at))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -341,8 +343,15 @@
 		if lost {
 			next.loop.watch.stop()
 		}
-		if err := w.replacedBy(next); err != nil || !next.loop.watch.on {
-			t.Errorf("lost %v: %v, watched %v", lost, err, next.loop.watch.on)
+		// Both are told to read their configuration, which names another discovery and other limits.
+		conf := config.Config{Discovery: netip.MustParseAddrPort("127.0.0.1:8"), Limits: config.Limits{Sockets: 512, MemoryMB: 64}}
+		w.loop.Reload(conf)
+		next.loop.Reload(conf)
+		half := next.loop.clients.most
+		if err := w.replacedBy(next); err != nil || !next.loop.watch.on || next.loop.watch.to != conf.Discovery ||
+			next.loop.clients.most < 2*half {
+			t.Errorf("lost %v: %v, watched %v at %v, %d client links, %d before", lost, err, next.loop.watch.on, next.loop.watch.to,
+				next.loop.clients.most, half)
 		}
 	}
 }
