--- a/logic/logic.go
+++ b/logic/logic.go
@@ -43,7 +43,8 @@
 	coldMargin  = 0.4                    // part of the cold budget used: sizes have heavy tails
 	overTries   = 2                      // late starts on a worker that runs as many as any ever did
 	copyShare   = 0.05                   // copies per first send, so that they feed no overload
-	copyBurst   = 10.0                   // and as many saved up
+	copyBurst   = 10.0                   // and as many saved up, by each of a few dispatchers
+	few         = 3                      // so many
 	probeLoss   = 0.006                  // part of the result that probes may cost
 	probeWidth  = 3                      // workers asked for a job where nothing known is fresh
 	sampled     = 8                      // workers drawn to find one to ask
@@ -59,7 +60,7 @@
 	looked      = 256                    // and of all rows
 	trialShare  = 0.2                    // jobs that go though thought late, for each turned away
 	trialBurst  = 4.0                    // and at once
-	manyAsk     = 8                      // of more dispatchers not all ask for the list at their start
+	many        = 8                      // more dispatchers than these are many: most have little work each
 	freedSlot   = 0.5                    // one brought back by hand comes before others alike
 	freedWait   = 2 * time.Second        // and takes a job that would be late, after this
 	lateSelf    = 20 * time.Millisecond  // so late for its own timer a process says nothing of workers
@@ -731,7 +732,7 @@
 	if d.coldShare(w) < 1 {
 		w.ledger = append(w.ledger, spend{d.now, d.coldCost(j)})
 	}
-	if d.copies = min(d.copies+copyShare, copyBurst); a.number > 0 {
+	if d.copies = min(d.copies+copyShare, d.copiesSaved()); a.number > 0 {
 		d.copies--
 	}
 	if d.suspect(w) {
@@ -809,6 +810,9 @@
 	return d.now-a.told >= d.set.Progress*3/2
 }
 
+// copiesSaved is how many copies may be saved up: those of all dispatchers together feed an overload too.
+func (d *Dispatcher) copiesSaved() float64 { return max(1, min(copyBurst, few*copyBurst*d.part())) }
+
 // rescue puts a job that is stuck on one worker back among the held, to be started elsewhere.
 func (d *Dispatcher) rescue(j *job) {
 	if j.closed || j.out > 1 || d.copies < 1 || j.class.Effect == Unsafe ||
@@ -983,7 +987,7 @@
 		d.askAt = d.now + d.askWait/2 + time.Duration(d.rng.Int64N(int64(d.askWait)+1))
 		return
 	}
-	if e.Kind == ListCached && d.askAt == 0 && len(e.Workers) > 0 && d.set.Replicas > manyAsk {
+	if e.Kind == ListCached && d.askAt == 0 && len(e.Workers) > 0 && d.set.Replicas > many {
 		d.askAt = d.now + time.Duration(d.rng.Int64N(int64(d.askLeast())+1))
 	}
 	if e.Kind != ListCached && d.asked {
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -1206,3 +1206,14 @@
 		}
 	}
 }
+
+// The copies saved up by many dispatchers together are no more than those of a few: each would else feed an overload.
+func TestCopiesSavedByMany(t *testing.T) {
+	for of, want := range map[int]float64{1: 10, 3: 10, 6: 5, 36: 1} {
+		set := testSettings()
+		set.Replicas = of
+		if d := New(set, 1); d.copies != want || d.copiesSaved() != want {
+			t.Errorf("of %d: %v copies at first, %v saved up, expected %v", of, d.copies, d.copiesSaved(), want)
+		}
+	}
+}
--- a/logic/members.go
+++ b/logic/members.go
@@ -15,8 +15,9 @@
 	src := rand.NewPCG(seed, 0)
 	d := &Dispatcher{set: set, rng: rand.New(src), src: src, jobs: map[uint64]*job{},
 		workers: map[uint64]*worker{}, kinds: map[int]*kind{}, banned: map[uint64]time.Duration{},
-		busy: map[int]float64{}, keyWork: map[uint64]float64{}, spread: firstSpread, copies: copyBurst}
+		busy: map[int]float64{}, keyWork: map[uint64]float64{}, spread: firstSpread}
 	d.furnish()
+	d.copies = d.copiesSaved()
 	aims := 0.0
 	for _, c := range set.Classes {
 		aims += c.Aim.Seconds() / float64(len(set.Classes))
