--- a/cmd/valvecove/replace_test.go
+++ b/cmd/valvecove/replace_test.go
@@ -1,18 +1,11 @@
 package main
 
 import (
-	"bytes"
 	"fmt"
-	"io"
-	"net/http"
 	"os"
-	"os/exec"
-	"path/filepath"
-	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"testing"
 	"time"
 
@@ -27,46 +20,21 @@
 	os.Exit(m.Run())
 }
 
-// instance is a scheduler's process.
-type instance struct {
-	*testing.T
-	*exec.Cmd
-	manage string
-	log    bytes.Buffer
-	done   chan struct{}
-}
+const settings = `{"classes":[{"name":"pay","promise":30000000,"give_up":60000000,"idempotency":"side_effect"}],
+"discovery":"subscribe","domain":{"tells_start":true,"class_stretch":[2]},"bounds":{"try_limit":3,"connect_timeout":250000}}`
 
-func launch(t *testing.T, p *plant.Plant, dir string) *instance {
-	i := &instance{T: t, Cmd: exec.Command(os.Args[0]), done: make(chan struct{})}
-	conf := filepath.Join(t.TempDir(), "config.json")
-	var err error
-	if i.manage, err = plant.FreeAddress(); err == nil {
-		err = os.WriteFile(conf, fmt.Appendf(nil, `{"name":"n0","listen":"%s","discovery":"%s","management":"%s",
-"limits":{"sockets":256},"settings":{"classes":[{"name":"pay","promise":30000000,"give_up":60000000,"idempotency":"side_effect"}],
-"discovery":"subscribe","domain":{"tells_start":true,"class_stretch":[2]},"bounds":{"try_limit":3,"connect_timeout":250000}}}`,
-			p.Listen, p.Discovery, i.manage), 0o600)
-	}
-	i.Env = append(os.Environ(), "VALVECOVE_SERVES=1", "PROXY_CONFIG="+conf, "TMPDIR="+dir, "PROXY_MANAGEMENT=")
-	i.Stderr = &i.log
-	if err == nil {
-		err = i.Cmd.Start()
-	}
+func launch(t *testing.T, p *plant.Plant, dir string) *plant.Process {
+	s, err := p.Start(os.Args[:1], []string{"VALVECOVE_SERVES=1"}, t.TempDir(), dir, settings)
 	if err != nil {
 		t.Fatal(err)
 	}
-	go func() {
-		_ = i.Wait()
-		close(i.done)
-	}()
 	t.Cleanup(func() {
-		_ = i.Process.Kill()
-		<-i.done
-		if t.Failed() {
-			t.Logf("%s:\n%s", i.manage, i.log.String())
+		if s.Kill(); t.Failed() {
+			t.Logf("%s:\n%s", s.Manage, s.Log.String())
 		}
 	})
-	until(t, "ready", func() bool { return i.call("GET", "/v1/readyz") == 200 })
-	return i
+	until(t, "ready", s.Ready)
+	return s
 }
 
 // until asks again and again for what comes by itself; that it never does is for a limit far off to find.
@@ -79,43 +47,6 @@
 	}
 }
 
-// call makes one call at the management address; 0: there was no answer.
-func (i *instance) call(method, path string) int {
-	status, _ := i.ask(method, path)
-	return status
-}
-
-func (i *instance) ask(method, path string) (int, string) {
-	r, _ := http.NewRequest(method, "http://"+i.manage+path, nil)
-	res, err := http.DefaultClient.Do(r)
-	if err != nil {
-		return 0, ""
-	}
-	defer res.Body.Close()
-	text, _ := io.ReadAll(res.Body)
-	return res.StatusCode, string(text)
-}
-
-// figure reads one of the figures.
-func (i *instance) figure(name string) int {
-	_, text := i.ask("GET", "/v1/metrics")
-	_, after, _ := strings.Cut(text, "edge_proxy."+name+"=")
-	value, _, _ := strings.Cut(after, "\n")
-	n, err := strconv.Atoi(value)
-	if err != nil {
-		i.Fatalf("no figure %s in %q", name, text)
-	}
-	return n
-}
-
-// leave asks the process to end, and waits until it has.
-func (i *instance) leave() {
-	_ = i.Process.Signal(syscall.SIGTERM)
-	if <-i.done; i.ProcessState.ExitCode() != 0 {
-		i.Errorf("ended with %d", i.ProcessState.ExitCode())
-	}
-}
-
 // Payouts are under way all the time while a process is replaced three times over. Each client, on a connection of its own
 // that is never closed, gets one answer, made by the node that ran the job; each payout runs once, also those that outlive
 // the process which sent them and whose nodes tell the next; a worker node taken out by a call to the process that stands
@@ -175,12 +106,13 @@
 	for k := range 3 {
 		next := launch(t, p, dir)
 		if k == 1 { // by a call to the process that does not serve
-			if next.call("PUT", "/v1/worker-nodes/s-2/suspend") != 200 || next.call("PUT", "/v1/worker-nodes/s-2/suspend") != 200 ||
-				next.call("PUT", "/v1/worker-nodes/s-9/suspend") != 404 || now.figure("hosts_down") != 1 {
+			if next.Suspend("s-2") != 200 || next.Suspend("s-2") != 200 || next.Suspend("s-9") != 404 || now.Figure("hosts_down") != 1 {
 				t.Error("calls at a process that stands by")
 			}
 		}
-		now.leave()
+		if code := now.Leave(); code != 0 {
+			t.Errorf("ended with %d", code)
+		}
 		now = next
 		more(50)
 		if k == 1 {
@@ -190,7 +122,7 @@
 			}
 		}
 	}
-	if now.figure("hosts_down") != 1 || now.call("PUT", "/v1/worker-nodes/s-2/resume") != 200 || now.figure("hosts_down") != 0 {
+	if now.Figure("hosts_down") != 1 || now.Resume("s-2") != 200 || now.Figure("hosts_down") != 0 {
 		t.Error("the ban is not kept, or does not end")
 	}
 	before := runs(2)
@@ -198,8 +130,8 @@
 	close(stop)
 	p.Nodes[0].Free() // these were sent by a process that is long gone
 	all.Wait()
-	if sent.Load() != answered.Load() || now.figure("inflight") != 0 {
-		t.Errorf("%d sent, %d answered, %d left", sent.Load(), answered.Load(), now.figure("inflight"))
+	if sent.Load() != answered.Load() || now.Figure("inflight") != 0 {
+		t.Errorf("%d sent, %d answered, %d left", sent.Load(), answered.Load(), now.Figure("inflight"))
 	}
 	for _, n := range p.Nodes {
 		by, _ := n.Runs()
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -299,9 +299,9 @@
 func FuzzBans(f *testing.F) {
 	steps.Fuzz(f, func(s *steps.Steps) {
 		module := &steps.Script{}
-		carrier := &sentTo{}
+		carried := &carrier{given: map[*Attempt]bool{}}
 		l := New(6, Names{Classes: []string{"a"}}, func() Module { return module }, HostGroup{Hosts: []Host{{ID: "s-0", State: "up"},
-			{ID: "s-1", State: "up"}, {ID: "s-2", State: "up"}}}, carrier, slog.New(slog.DiscardHandler))
+			{ID: "s-1", State: "up"}, {ID: "s-2", State: "up"}}}, carried, slog.New(slog.DiscardHandler))
 		out, n := map[string]bool{}, 0
 		for s.More() {
 			id := "s-" + strconv.Itoa(s.Pick(4))
@@ -332,14 +332,14 @@
 				s.Check(told == len(out), "a module that starts anew hears of %d bans of %d", told, len(out))
 			case 5:
 				n++
-				q, err := l.Take(time.Second, Arrival{Call: strconv.Itoa(n), Job: logic.Job{Left: time.Hour}, Asker: nobody{}})
+				q, err := l.Take(time.Second, Arrival{Call: strconv.Itoa(n), Job: logic.Job{Left: time.Hour}, Asker: &ends{}})
 				if err != nil || l.table.numbers[id] == 0 {
 					continue
 				}
 				module.Next = []logic.Action{logic.Send{Job: q.ID, Worker: l.table.numbers[id]}}
-				carrier.to = ""
+				carried.out = nil
 				l.Step(time.Second)
-				s.Check((carrier.to == id) == !out[id], "sent to %q, wanted %s, out %v", carrier.to, id, out)
+				s.Check((len(carried.out) == 1) == !out[id], "%d sent to %s, out %v", len(carried.out), id, out)
 			}
 			s.Did(id)
 			var want []string
@@ -352,25 +352,9 @@
 	})
 }
 
-// sentTo is a carrier that notes where the last attempt went.
-type sentTo struct{ to string }
-
-func (c *sentTo) Carry(a *Attempt) { c.to = a.From }
-func (c *sentTo) GiveUp(*Attempt)  {}
-func (c *sentTo) Probe(uint64)     {}
-func (c *sentTo) FreeLinks(uint64) {}
-func (c *sentTo) Watch(int64)      {}
-
-// nobody is an asker that does not listen.
-type nobody struct{}
-
-func (nobody) Serve([]byte)           {}
-func (nobody) Throttle(time.Duration) {}
-func (nobody) Fail()                  {}
-
 // Hosts that have left are not remembered for ever, but for those that are out by hand.
 func TestHostsForgotten(t *testing.T) {
-	l := New(6, Names{Classes: []string{"a"}}, func() Module { return &steps.Script{} }, HostGroup{}, &sentTo{}, slog.New(slog.DiscardHandler))
+	l := New(6, Names{Classes: []string{"a"}}, func() Module { return &steps.Script{} }, HostGroup{}, &carrier{}, slog.New(slog.DiscardHandler))
 	l.Hosts(HostGroup{Reset: true, Hosts: []Host{{ID: "out", State: "up"}}})
 	l.Suspend("out")
 	for n := range 3 * mostGone {
--- a/internal/link/operators_test.go
+++ b/internal/link/operators_test.go
@@ -5,15 +5,12 @@
 	"net/netip"
 	"os"
 	"path/filepath"
-	"strconv"
 	"strings"
 	"testing"
 	"time"
 
-	"valvecove/internal/ledger"
 	"valvecove/internal/steps"
 	"valvecove/internal/tally"
-	"valvecove/logic"
 )
 
 // withOperators is a world with a management address.
@@ -165,67 +162,6 @@
 
 func (urgentHandler) urgent() {}
 
-// Each job that is over is counted once, by what its client was told; those that left are counted nowhere.
-func FuzzTally(f *testing.F) {
-	steps.Fuzz(f, func(s *steps.Steps) {
-		w := withOperators(s)
-		count, worker := w.loop.operators.count, w.worker()
-		taken, left, n := 0, 0, 0
-		var open []*ledger.Query
-		answered := 0
-		for s.More() {
-			switch s.Pick(5) {
-			case 0:
-				n++
-				q, err := w.loop.Ledger.Take(w.now, ledger.Arrival{Call: strconv.Itoa(n), Job: logic.Job{Left: time.Second},
-					Asker: counted{&answered}})
-				if err != nil {
-					s.T.Fatal(err)
-				}
-				open = append(open, q)
-				taken++
-			case 1, 2:
-				if len(open) > 0 {
-					q := open[s.Pick(len(open))]
-					w.module.Next = append(w.module.Next, []logic.Action{logic.Send{Job: q.ID, Worker: worker},
-						logic.Refuse{Job: q.ID}, logic.Fail{Job: q.ID}}[s.Pick(3)])
-					w.loop.Ledger.Wake()
-				}
-			case 3:
-				if len(open) > 0 {
-					q := open[s.Pick(len(open))]
-					result := "x"
-					_, _ = w.loop.Ledger.Tell(ledger.Note{ID: q.Call, From: "s-0", State: "done", Result: &result})
-				}
-			case 4:
-				if len(open) > 0 {
-					i := s.Pick(len(open))
-					if open[i].Answer() == ledger.Unanswered {
-						left++
-					}
-					w.loop.Ledger.Gone(open[i])
-					open = append(open[:i], open[i+1:]...)
-				}
-			}
-			w.turn()
-			ended := 0
-			for _, a := range []ledger.Answer{ledger.AnsweredServed, ledger.AnsweredBusy, ledger.AnsweredFailed} {
-				ended += int(count.Ended(a, 0))
-			}
-			s.Check(ended == answered, "%d counted, %d answered", ended, answered)
-			s.Check(taken == ended+left+w.loop.Ledger.Open(), "%d taken, %d ended, %d left, %d open", taken, ended, left,
-				w.loop.Ledger.Open())
-		}
-	})
-}
-
-// counted counts final answers.
-type counted struct{ n *int }
-
-func (c counted) Serve([]byte)           { *c.n++ }
-func (c counted) Throttle(time.Duration) { *c.n++ }
-func (c counted) Fail()                  { *c.n++ }
-
 // A worker node that was listed is taken out and brought back, whatever the number of calls; an id that never was gets a no.
 // The yes comes once the ban is kept, and a process that starts later reads it.
 func TestWorkerNodeByHand(t *testing.T) {
