Recall attempts not wholly written when their query ends

Cause: ledger.close left the attempts of a query that was over as they were, and serverLink.needless looked only at whether the attempt had ended. A copy whose connection was still coming up, or had taken but a part, was written once it could be, up to connect_timeout after the answer or after the client had gone.

Ruled out: half-closed clients (the interim response resets a closed one within a round trip), and sends decided after the close (Ledger.send refuses those).

Change: a query that ends recalls what is not wholly written: the link is closed, and the module hears NotSent, which says nothing of the worker node.

TestQueryThatIsOverIsNotSentOn and the ledger's model fail without the change.

--- a/internal/follow/play_test.go
+++ b/internal/follow/play_test.go
@@ -202,6 +202,7 @@
 		if s.worker(a.Worker) == s.spoilt {
 			r.l.End(a, nil, &ledger.Fault{Reason: ledger.Unusable})
 		}
+		a.Stage = ledger.AllWritten // plays have no links: what is sent is there at once
 	}
 	r.giveUp = func(a *ledger.Attempt) { s.note("given up %s", name(a)) }
 	r.probe = func(w uint64) { s.note("probe %s", s.worker(w)) }
--- a/internal/ledger/fault.go
+++ b/internal/ledger/fault.go
@@ -32,7 +32,7 @@
 	Errored                 // the worker node answered with an error
 	Expired                 // nothing came while the scheduler was willing to wait
 	Withdrawn               // given up by the module
-	Unsent                  // not even tried
+	Unsent                  // not even tried, or recalled before its last byte was written
 )
 
 // Fault ends an attempt without a result. It carries how far the attempt had come, from which 'has it run?'
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -91,6 +91,9 @@
 // at another host by now.
 func (a *Attempt) Ended() bool { return a.ended }
 
+// Over tells whether a query has its answer, or has lost its client.
+func (q *Query) Over() bool { return q.closed }
+
 type attemptKey struct{ call, from string }
 
 // Ledger is one scheduler's memory. It is used by one goroutine.
@@ -175,12 +178,23 @@
 	if q.closed = true; l.calls[q.Call] == q {
 		delete(l.calls, q.Call)
 	}
+	l.recall(q)
 	if !q.left {
 		l.tellOver(q)
 	}
 	l.drop(q)
 }
 
+// recall ends the attempts of a closed query that are not wholly written: nothing is sent on for which nobody waits, and
+// what is on its way would be, once a connection that comes up late is there or takes in more.
+func (l *Ledger) recall(q *Query) {
+	for _, a := range q.attempts {
+		if !a.ended && a.Stage < AllWritten {
+			l.giveUp(a, Unsent)
+		}
+	}
+}
+
 func (l *Ledger) drop(q *Query) {
 	if q.closed && q.out == 0 && l.queries[q.ID] == q {
 		delete(l.queries, q.ID)
--- a/internal/ledger/observer.go
+++ b/internal/ledger/observer.go
@@ -33,7 +33,7 @@
 		return CouldNotReach
 	}
 	return [...]Outcome{Cut: ConnectionLost, Rejected: TurnedAway, Unusable: TurnedAway, Errored: Error,
-		Expired: TimedOut, Withdrawn: TimedOut}[f.Reason]
+		Expired: TimedOut, Withdrawn: TimedOut, Unsent: CouldNotReach}[f.Reason]
 }
 
 // came takes in how an attempt ended. What may have run counts for more than a later attempt that never did.
--- a/internal/link/servers_test.go
+++ b/internal/link/servers_test.go
@@ -290,6 +290,61 @@
 	}
 }
 
+// A query that is over is not sent on: what the link has not written by then is not written, whether the connection is
+// not up yet or has taken a part, and whoever ended the query.
+func TestQueryThatIsOverIsNotSentOn(t *testing.T) {
+	result := "r"
+	ends := map[string]func(w *world, q *ledger.Query){
+		"client left": func(w *world, q *ledger.Query) { w.loop.Ledger.Gone(q) },
+		"served by another copy": func(w *world, _ *ledger.Query) {
+			if known, err := w.loop.Ledger.Tell(ledger.Note{ID: "q", From: "s-1", State: "done", Result: &result}); !known || err != nil {
+				t.Errorf("the note is known %v, %v", known, err)
+			}
+		},
+		"refused": func(w *world, q *ledger.Query) {
+			w.module.Next = append(w.module.Next, logic.Refuse{Job: q.ID})
+			w.loop.Ledger.Wake()
+			w.loop.Ledger.Step(w.now)
+		},
+		"finished": func(w *world, _ *ledger.Query) { w.loop.Ledger.Finish(0) },
+	}
+	for name, end := range ends {
+		for stage, size := range map[string]int{"connecting": 0, "partly written": maxBody} {
+			t.Run(name+", "+stage, func(t *testing.T) {
+				w := newWorld(&steps.Steps{T: t})
+				w.loop.Ledger.Hosts(ledger.HostGroup{Reset: true, Hosts: []ledger.Host{{ID: "s-0", Addr: "127.0.0.1:1", State: "up"},
+					{ID: "s-1", Addr: "127.0.0.1:2", State: "up"}}})
+				w.turn()
+				q, err := w.loop.Ledger.Take(w.now, ledger.Arrival{Call: "q", Job: logic.Job{Left: 5 * time.Second},
+					Parcel: ledger.Parcel{Verb: "POST", Path: "/a", Body: make([]byte, size)}, Asker: nobody{}})
+				if err != nil {
+					t.Fatal(err)
+				}
+				for _, worker := range w.module.Heard[len(w.module.Heard)-1].(logic.WorkerList).Workers {
+					w.module.Next = append(w.module.Next, logic.Send{Job: q.ID, Worker: worker.ID})
+				}
+				if w.loop.Ledger.Step(w.now); size > 0 {
+					w.turn()
+				}
+				end(w, q)
+				for i, p := range w.dialed {
+					m := Message{}
+					for range 64 {
+						w.turn()
+						p.read(1 << 20)
+					}
+					if _, err := m.ParseRequest(p.got); err == nil || !p.ended {
+						t.Errorf("link %d: %d bytes came, whole %v, and it is closed %v", i, len(p.got), err == nil, p.ended)
+					}
+				}
+				if len(w.loop.servers.carried) != 0 || w.loop.servers.open != 0 {
+					t.Error("a link is still kept")
+				}
+			})
+		}
+	}
+}
+
 // A watch takes lines in any pieces and tells each group once, in order; one that ends, breaks off or falls
 // silent is told as lost.
 func FuzzWatch(f *testing.F) {
--- a/internal/steps/sides/sides.go
+++ b/internal/steps/sides/sides.go
@@ -42,8 +42,11 @@
 // Fail does nothing.
 func (w *World) Fail() {}
 
-// Carry remembers an attempt.
-func (w *World) Carry(a *ledger.Attempt) { w.Out = append(w.Out, a) }
+// Carry remembers an attempt; its worker node has it whole at once.
+func (w *World) Carry(a *ledger.Attempt) {
+	a.Stage = ledger.AllWritten
+	w.Out = append(w.Out, a)
+}
 
 // GiveUp does nothing.
 func (w *World) GiveUp(*ledger.Attempt) {}
