Close ended descriptors before the turn's sends, and gather all that is ready

A turn gathered 256 events at most, so of a burst of clients that left some were heard of only after the turn's step: their queries were sent on. And descriptors given up in a turn were closed at its very end, so that what the step opened came on top of them, over the limit on descriptors.

The loop now asks for as many events as there may be descriptors, and closes what was given up once the events are handed out, before timers and the step; what ends later than that is closed at once, as no event can meet it any more.

--- a/internal/link/loop.go
+++ b/internal/link/loop.go
@@ -38,9 +38,10 @@
 	now       time.Duration // of the present turn
 	clock     func() time.Duration
 	dial      func(to netip.AddrPort) (fd int, err error)
-	handlers  []handler // by descriptor
-	events    [256]unix.EpollEvent
-	dying     []int // closed at the end of the turn, so that no event of this turn meets a reused descriptor
+	handlers  []handler         // by descriptor
+	events    []unix.EpollEvent // as many as there may be descriptors: a turn gathers all that is ready
+	gathering bool              // the turn's events are being handed out
+	dying     []int             // closed once they are, so that no event of this turn meets a reused descriptor
 	timers    due.Queue[*timer]
 	scratch   []byte
 	writing   []byte
@@ -77,7 +78,7 @@
 // positive; from here on it follows the monotonic clock.
 func newLoop(log, linkLog *slog.Logger) (*Loop, error) {
 	origin := time.Now()
-	l := &Loop{scratch: make([]byte, 64<<10), log: log, linkLog: linkLog, dial: connect,
+	l := &Loop{scratch: make([]byte, 64<<10), events: make([]unix.EpollEvent, 1024), log: log, linkLog: linkLog, dial: connect,
 		clock: func() time.Duration { return time.Duration(origin.UnixNano()) + time.Since(origin) }}
 	l.now = l.clock()
 	var err error
@@ -134,6 +135,7 @@
 		return fmt.Errorf("epoll wait: %w", err)
 	}
 	l.now = l.clock()
+	l.gathering = true
 	for _, first := range [...]bool{true, false} {
 		for i := range max(n, 0) {
 			h := l.handlers[l.events[i].Fd]
@@ -142,6 +144,8 @@
 			}
 		}
 	}
+	l.gathering = false
+	l.bury()
 	for l.timers.Len() > 0 && l.timers.First().At <= l.now {
 		t := l.timers.First()
 		l.timers.Remove(t)
@@ -150,6 +154,12 @@
 	if at, ok := l.Ledger.Next(); ok && at <= l.now && !l.ceded {
 		l.Ledger.Step(l.now)
 	}
+	return nil
+}
+
+// bury closes the descriptors that were given up while events were handed out: what is opened from here on, for the
+// module's sends above all, finds them free.
+func (l *Loop) bury() {
 	for _, fd := range l.dying {
 		_ = unix.Close(fd)
 	}
@@ -157,7 +167,6 @@
 		l.dying = l.dying[:0]
 		l.clients.resume()
 	}
-	return nil
 }
 
 // patience is how long the loop may sleep, in milliseconds. It rounds up: what is due is not due earlier.
@@ -208,7 +217,14 @@
 	}
 	l.handlers[fd] = nil
 	_ = unix.EpollCtl(l.epoll, unix.EPOLL_CTL_DEL, fd, nil)
-	l.dying = append(l.dying, fd)
+	if l.gathering {
+		l.dying = append(l.dying, fd)
+		return
+	}
+	_ = unix.Close(fd)
+	if l.clients != nil {
+		l.clients.resume()
+	}
 }
 
 // ---- Timers ----
--- a/internal/link/start.go
+++ b/internal/link/start.go
@@ -34,6 +34,7 @@
 		l.lists = address.New(*ops.Addresses)
 	}
 	l.side, l.limits = forFeatures(c, ops), c.Limits
+	l.events = make([]unix.EpollEvent, max(c.Limits.Sockets, len(l.events)))
 	servers, clients := share(c.Limits.Sockets, l.side)
 	l.serve(servers, c.Settings.ConnectTimeout, c.Settings.ConnIdle)
 	l.watch = &watch{stream: stream{loop: l}, to: c.Discovery}
--- /dev/null
+++ b/internal/link/tcp_test.go
@@ -0,0 +1,113 @@
+package link
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"net/netip"
+	"strings"
+	"testing"
+
+	"golang.org/x/sys/unix"
+)
+
+// listens has the world's loop accept TCP connections: only there does an end come as a reset.
+func (w *world) listens() {
+	fd, err := w.loop.listen(netip.MustParseAddrPort("127.0.0.1:0"), w.loop.clients)
+	if err != nil {
+		w.T.Fatal(err)
+	}
+	w.loop.clients.fd = fd
+}
+
+// connects gives the client's end of a TCP connection, which the loop has yet to accept.
+func (w *world) connects() *peer {
+	_, sa := sockaddr(w.loop.Addr())
+	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
+	if err == nil {
+		err = unix.Connect(fd, sa)
+	}
+	if err == nil {
+		err = unix.SetNonblock(fd, true)
+	}
+	if err != nil {
+		w.T.Fatal(err)
+	}
+	_ = unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_NODELAY, 1)
+	p := &peer{fd: fd}
+	w.T.Cleanup(p.close)
+	return p
+}
+
+// resets closes the peer's end so that it tells a reset and no end.
+func (p *peer) resets() {
+	_ = unix.SetsockoptLinger(p.fd, unix.SOL_SOCKET, unix.SO_LINGER, &unix.Linger{Onoff: 1})
+	p.close()
+}
+
+// halfCloses ends what the peer writes; it still reads.
+func (p *peer) halfCloses() { _ = unix.Shutdown(p.fd, unix.SHUT_WR) }
+
+// writesAll writes all of b, with a turn whenever the loop's side has to read first.
+func (w *world) writesAll(p *peer, b []byte) {
+	for idle := 0; len(b) > 0 && idle < 100; {
+		n, err := unix.Write(p.fd, b)
+		if err != nil && !errors.Is(err, unix.EAGAIN) {
+			w.T.Fatalf("%d bytes are not taken: %v", len(b), err)
+		}
+		if n <= 0 {
+			w.oneTurn()
+			idle++
+			continue
+		}
+		b, idle = b[n:], 0
+	}
+	if len(b) > 0 {
+		w.T.Fatalf("the loop reads no more: %d bytes are left", len(b))
+	}
+}
+
+// settles turns the loop until nothing is ready any more.
+func (w *world) settles() {
+	events := make([]unix.EpollEvent, 1)
+	for range 10_000 {
+		w.oneTurn()
+		if n, _ := unix.EpollWait(w.loop.epoll, events, 0); n == 0 {
+			w.turn()
+			return
+		}
+	}
+	w.T.Fatal("the loop finds no rest")
+}
+
+// oneTurn is a single turn of the loop, with a single step at most.
+func (w *world) oneTurn() {
+	if err := w.loop.turn(0); err != nil {
+		w.T.Fatal(err)
+	}
+}
+
+// answers gives the status of each answer that has come, without interim ones.
+func (p *peer) answers(t *testing.T) (statuses []int) {
+	p.read(1 << 20)
+	b := p.got
+	for len(b) > 0 {
+		if rest, interim := bytes.CutPrefix(b, []byte(interim)); interim {
+			b = rest
+			continue
+		}
+		var m Message
+		n, err := m.ParseResponse(b, p.ended)
+		if err != nil {
+			t.Fatalf("%q: %v", b, err)
+		}
+		statuses, b = append(statuses, m.Status), b[n:]
+	}
+	return statuses
+}
+
+// sized is query n with a body of so many bytes.
+func sized(n, size int) string {
+	return fmt.Sprintf("POST /a HTTP/1.1\r\nX-Call-Class: a\r\nX-Call-Id: %d\r\nX-Caller: t\r\nContent-Length: %d\r\n\r\n%s",
+		n, size, strings.Repeat("x", size))
+}
