Hear that a client has left before the turn's sends, however much it has sent

Seen by real connections that are held at known points: a client's end behind bytes, or behind an interim answer, was heard of a turn after its request, with that turn's sends in between; with 16 requests in hand and more sent than is read ahead, it was not heard of until an answer was written; a request read with a reset behind it was taken. A client that had only ended its side lost what was read and not yet looked at (halfClosed set last, and proceed drops the buffer then), and the link was then closed over unread bytes. An ended link with answers to take woke the loop without an end. Requests beyond the sixteenth were looked at only once all sixteen were answered.

Now the end is told by EPOLLRDHUP, wherever the bytes before it are; the interim answer is written in that turn, and the reset that it brings is looked for there and then. A connection that is gone both ways gives up its news (notes), never a query. A client is read from to its end, always: up to eight messages' worth ahead of its answers is kept where there is memory; what is beyond that is taken in unread, one refusal ends the link. What is kept of a half-closed client is answered in turn. A turn that is free is used at once.

Reading taken of a half-close: a client that closes has gone, one that only ended its side is owed its answers; an interim 100 tells them apart.

--- a/internal/link/clients.go
+++ b/internal/link/clients.go
@@ -253,9 +253,11 @@
 	stream
 	home      *clientLinks
 	turns     []*turn // taken in and not answered yet, in order
-	last      bool    // nothing more is read: the link ends with its last turn
-	ended     bool    // nothing more will come in
-	half      bool    // the client has ended its side while queries are served
+	last      bool    // no further request is taken: the link ends with its last turn
+	half      bool    // the client has ended its side
+	ended     bool    // and all that it has sent is read
+	overrun   bool    // it has sent too much ahead of its answers: what still comes is not kept
+	sounded   bool    // it has been asked whether it still listens, see sound
 	lingering bool    // all is answered, and the peer may still send
 	continued bool
 	spoke     bool           // a whole request has come
@@ -343,6 +345,10 @@
 func (k *clientLink) broken() { k.end() }
 
 func (k *clientLink) ready(events uint32) {
+	if events&(unix.EPOLLHUP|unix.EPOLLERR) != 0 && !k.lingering {
+		k.cut()
+		return
+	}
 	if events&unix.EPOLLOUT != 0 {
 		before := len(k.out)
 		if k.flush() != nil {
@@ -353,17 +359,11 @@
 			k.since = k.loop.now
 		}
 	}
-	if events&^unix.EPOLLOUT != 0 {
-		if events&(unix.EPOLLHUP|unix.EPOLLERR) != 0 && len(k.turns) > 0 {
-			k.end()
-			return
-		}
-		if len(k.turns) > 0 && len(k.in) > mostAhead && events&unix.EPOLLRDHUP != 0 {
-			k.halfClosed() // with more than is read at a time
-			return
-		}
+	// Its end is told however much it has sent before that.
+	k.half = k.half || events&unix.EPOLLRDHUP != 0
+	if events&^unix.EPOLLOUT != 0 && !k.ended {
 		take := k.fill
-		if k.last {
+		if k.last || k.overrun {
 			take = k.discard
 		} else if k.spoke && len(k.in) == 0 { // another request begins, however long the link was idle
 			k.since = k.loop.now
@@ -378,6 +378,29 @@
 	k.proceed()
 }
 
+// cut ends a link whose connection is gone both ways. Nobody waits for an answer, so no query is taken from what came
+// before that; news is news all the same.
+func (k *clientLink) cut() {
+	for !k.last && len(k.turns) == 0 && len(k.in) <= mostAhead {
+		before := len(k.in)
+		if _, err := k.fill(); err != nil || len(k.in) == before {
+			break
+		}
+	}
+	for !k.last && len(k.turns) == 0 && len(k.in) > 0 && k.introduce() {
+		m := &k.loop.message
+		n, err := m.ParseRequest(k.in)
+		if err != nil {
+			break
+		}
+		if path, _, _ := bytes.Cut(m.Target, []byte("?")); string(path) == pathNotes && string(m.Method) == "POST" {
+			_ = k.tellNote(m.Body)
+		}
+		k.took(n)
+	}
+	k.end()
+}
+
 // discard takes in what nobody will read, so that closing the link does not reset it and take the answer along.
 func (k *clientLink) discard() (ended bool, err error) {
 	n, ended, err := k.stream.discard()
@@ -387,16 +410,16 @@
 	return ended, err
 }
 
-// halfClosed asks a client that has ended its side whether it still listens. One that has closed its
-// connection has gone away, one that has only finished writing still waits, and both look alike until something
-// is written: a closed connection answers an interim response with a reset, and any client must skip one.
-func (k *clientLink) halfClosed() {
-	if k.half {
+// sound asks a client that has ended its side whether it still listens. One that has closed its connection has gone
+// away, one that has only finished writing still waits, and both look alike until something is written: a closed
+// connection answers an interim response with a reset, and any client must skip one. Where the reset is there at once,
+// the link ends at once, before anything is sent on.
+func (k *clientLink) sound() {
+	if k.sounded {
 		return
 	}
-	k.half, k.last = true, true
-	k.listen(k.events &^ streamEvents) // else the ended side would wake the loop for ever; a reset still does
-	if k.send([]byte(interim)) != nil {
+	k.sounded = true
+	if k.send([]byte(interim)) != nil || k.connected() != nil {
 		k.end()
 	}
 }
@@ -407,8 +430,13 @@
 // not wait for its answers is served in turn, and its time counts from when each request came.
 const mostTurns = 16
 
-// mostAhead is how much is read while answers are due: a whole message and the start of another.
-const mostAhead = maxHead + maxBody
+// mostAhead is how much is read and kept while answers are due: a whole message and the start of another. Where there
+// is memory it may be mostHoarded. What comes beyond that is taken in unread, so that the client's end is noticed all the
+// same: the requests that are kept are answered, one more is refused, and the link ends.
+const (
+	mostAhead   = maxHead + maxBody
+	mostHoarded = 8 * mostAhead
+)
 
 // proceed takes in what can be taken.
 func (k *clientLink) proceed() {
@@ -424,7 +452,9 @@
 			if k.useful {
 				k.busy()
 			}
-			if k.home.held > k.home.budget && len(k.in) > kept {
+			if k.overrun {
+				k.tooMuch()
+			} else if k.home.held > k.home.budget && len(k.in) > kept {
 				k.refuse(503, "no memory for a large request now\n")
 			} else if m.Expect && !k.continued && len(k.turns) == 0 {
 				k.continued = true
@@ -442,17 +472,23 @@
 			k.took(n)
 		}
 	}
+	if k.overrun && !k.last && len(k.in) == 0 && len(k.turns) < mostTurns {
+		k.tooMuch()
+	}
 	if k.closed {
 		return
 	}
 	if k.last {
 		k.in = nil
 	}
-	// What a client sends beyond its turns, or without reading its answers, is not hoarded.
-	k.read(len(k.in) <= mostAhead)
+	k.overrun = k.overrun || k.hoards()
+	if k.half && len(k.turns) > 0 {
+		if k.sound(); k.closed {
+			return
+		}
+	}
+	k.attend()
 	switch {
-	case len(k.turns) > 0 && k.ended:
-		k.halfClosed()
 	case len(k.turns) > 0 || len(k.out) > 0:
 	case k.ended:
 		k.end()
@@ -484,18 +520,27 @@
 	k.add(false).reply(status, what)
 }
 
+func (k *clientLink) tooMuch() { k.refuse(503, "too much sent ahead of answers\n") }
+
 // maxUnread is how much of a link's answers may wait to be read before no more is taken in.
 const maxUnread = maxBody
 
-// read turns reading on or off.
-func (k *clientLink) read(on bool) {
-	switch {
-	case k.half:
-	case on:
-		k.listen(k.events | unix.EPOLLIN)
-	default:
-		k.listen(k.events &^ unix.EPOLLIN)
+// attend asks epoll for what matters now. A client is always read from, as its end lies behind all that it has sent; that
+// end is told for as long as it is asked for, and a reset always.
+func (k *clientLink) attend() {
+	events := k.events &^ streamEvents
+	if !k.half {
+		events |= unix.EPOLLRDHUP
 	}
+	if !k.ended {
+		events |= unix.EPOLLIN
+	}
+	k.listen(events)
+}
+
+// hoards tells whether more has been read ahead of answers than is kept.
+func (k *clientLink) hoards() bool {
+	return len(k.in) > mostAhead && (len(k.in) > mostHoarded || k.home.held > k.home.budget/2)
 }
 
 // add gives a request its turn; one that does not let the link live on is the last.
@@ -541,7 +586,7 @@
 			return
 		}
 	}
-	if k.count(); !k.closed && len(k.turns) == 0 {
+	if k.count(); !k.closed && (len(k.turns) == 0 || len(k.in) > 0) {
 		k.loop.after(0, k, k.proceed) // what came in meanwhile has its turn, though not in the midst of a step
 	}
 }
@@ -573,19 +618,24 @@
 }
 
 func (k *clientLink) note(body []byte, t *turn) {
-	var n ledger.Note
-	known, err := false, jsoniter.ConfigDefault.Unmarshal(body, &n)
-	if err == nil {
-		known, err = k.loop.Ledger.Tell(n)
-	}
-	if err != nil {
+	if err := k.tellNote(body); err != nil {
 		t.reply(400, "bad note\n")
 		return
 	}
-	k.useful = k.useful || known
 	t.reply(204, "")
 }
 
+// tellNote hands a note on.
+func (k *clientLink) tellNote(body []byte) error {
+	var n ledger.Note
+	if err := jsoniter.ConfigDefault.Unmarshal(body, &n); err != nil {
+		return err
+	}
+	known, err := k.loop.Ledger.Tell(n)
+	k.useful = k.useful || known
+	return err
+}
+
 // ask takes in a query.
 func (k *clientLink) ask(m *Message, path []byte, t *turn) {
 	first, rest, _ := bytes.Cut(bytes.TrimPrefix(path, []byte("/")), []byte("/"))
--- a/internal/link/heir.go
+++ b/internal/link/heir.go
@@ -398,7 +398,7 @@
 }
 
 func (k *clientLink) record() succession.ClientLink {
-	r := succession.ClientLink{In: k.in, Out: k.out, Last: k.last, Ended: k.ended, Half: k.half, Continued: k.continued,
+	r := succession.ClientLink{In: k.in, Out: k.out, Last: k.last, Ended: k.ended, Half: k.sounded, Continued: k.continued,
 		Spoke: k.spoke, Useful: k.useful, Introduced: k.introduced, Since: k.since, Client: k.client.String()}
 	if k.via.IsValid() {
 		r.Via = k.via.String()
@@ -415,13 +415,13 @@
 
 // inherit makes a link of a connection that another process had.
 func (c *clientLinks) inherit(fd int, r succession.ClientLink, askers map[uint64]ledger.Asker) *clientLink {
-	k := &clientLink{home: c, last: r.Last, ended: r.Ended, half: r.Half, continued: r.Continued, spoke: r.Spoke, useful: r.Useful,
+	k := &clientLink{home: c, last: r.Last, ended: r.Ended, half: r.Half, sounded: r.Half, continued: r.Continued, spoke: r.Spoke, useful: r.Useful,
 		introduced: r.Introduced, since: r.Since}
 	k.client, _ = netip.ParseAddrPort(r.Client)
 	k.via, _ = netip.ParseAddrPort(r.Via)
 	events := uint32(streamEvents)
-	if k.half {
-		events = 0
+	if k.half { // else it is told anew
+		events = 0 // what is left to read, if anything is, is asked for with the first look at it
 	}
 	var err error
 	if k.stream, err = c.loop.stream(fd, events, k); err != nil {
--- /dev/null
+++ b/internal/link/leaving_test.go
@@ -0,0 +1,184 @@
+package link
+
+import (
+	"fmt"
+	"net/netip"
+	"strings"
+	"testing"
+
+	"golang.org/x/sys/unix"
+
+	"valvecove/internal/steps"
+	"valvecove/logic"
+)
+
+// A client that leaves is gone for the module before that turn's sends, wherever its requests are by then: nothing of
+// them is sent on, and its link is closed. What it leaves by is all the same, an end or a reset.
+func TestClientGoneBeforeTheSends(t *testing.T) {
+	many := func(n, size int) (text string) {
+		for i := range n {
+			text += sized(i, size)
+		}
+		return text
+	}
+	cases := map[string]struct {
+		before string // read, and taken if whole, before the client leaves
+		last   string // written in the moment in which it leaves
+		taken  int    // of before
+	}{
+		"with its request, unread":           {"", sized(0, 0), 0},
+		"in its request":                     {sized(0, 50)[:100], "", 0},
+		"in its request, unread":             {"", sized(0, 50)[:100], 0},
+		"held":                               {sized(0, 0), "", 1},
+		"held, with another begun":           {sized(0, 0), sized(1, 50)[:100], 1},
+		"held, with another unread":          {sized(0, 0), sized(1, 0), 1},
+		"all turns in use":                   {many(mostTurns, 0), "", mostTurns},
+		"all turns in use, and more unread":  {many(mostTurns, 0), many(2*mostTurns, 0)[len(many(mostTurns, 0)):], mostTurns},
+		"all turns in use, and much more":    {many(mostTurns+12, 8<<10), "", mostTurns},
+		"all turns in use, and far too much": {many(mostTurns+12, 60<<10), "", mostTurns},
+		"behind Connection: close":           {strings.Replace(sized(0, 0), "\r\n", "\r\nConnection: close\r\n", 1), sized(1, 0), 1},
+	}
+	for name, c := range cases {
+		for how, leave := range map[string]func(*peer){"end": (*peer).close, "reset": (*peer).resets} {
+			t.Run(name+", "+how, func(t *testing.T) {
+				w := newWorld(&steps.Steps{T: t})
+				w.listens()
+				p := w.connects()
+				w.turn()
+				w.writesAll(p, []byte(c.before))
+				w.settles()
+				if open := w.loop.Ledger.Open(); open != c.taken {
+					t.Fatalf("%d queries taken, expected %d", open, c.taken)
+				}
+				p.write([]byte(c.last))
+				leave(p)
+				for id := range uint64(c.taken + 2*mostTurns) {
+					w.module.Next = append(w.module.Next, logic.Send{Job: id + 1, Worker: w.worker()})
+				}
+				w.loop.Ledger.Wake()
+				if w.oneTurn(); len(w.dialed) != 0 || w.loop.Ledger.Open() != 0 {
+					t.Errorf("%d attempts begun, %d queries open", len(w.dialed), w.loop.Ledger.Open())
+				}
+				jobs, gone := 0, 0
+				for _, e := range w.module.Heard {
+					switch e.(type) {
+					case logic.Job:
+						jobs++
+					case logic.ClientGone:
+						gone++
+					}
+				}
+				if w.turn(); jobs != gone || len(w.loop.clients.links) != 0 || w.loop.clients.held != 0 {
+					t.Errorf("%d queries, %d told as gone, %d links left with %d bytes", jobs, gone, len(w.loop.clients.links),
+						w.loop.clients.held)
+				}
+			})
+		}
+	}
+}
+
+// A worker node's word that came before its connection broke is heard; a query that did is not taken.
+func TestNewsBeforeAReset(t *testing.T) {
+	w := newWorld(&steps.Steps{T: t})
+	w.listens()
+	client, worker := w.connects(), w.connects()
+	client.write([]byte(sized(7, 0)))
+	w.turn()
+	w.module.Next = append(w.module.Next, logic.Send{Job: 1, Worker: w.worker()})
+	w.loop.Ledger.Wake()
+	w.turn()
+	note := `{"id":"7","from":"s-0","state":"done","result":"r"}`
+	worker.write(fmt.Appendf(nil, "POST /v1/job-events HTTP/1.1\r\nContent-Length: %d\r\n\r\n%s%s", len(note), note, sized(8, 0)))
+	worker.resets()
+	w.turn()
+	if got := client.answers(t); len(got) != 1 || got[0] != 200 || w.loop.Ledger.Open() != 0 {
+		t.Errorf("answered %v, %d queries open", got, w.loop.Ledger.Open())
+	}
+}
+
+// A client that has only finished writing gets the answer to each request that it wrote, in turn and with their bytes
+// unharmed, also to those that were not looked at yet, or not even read, when it did; and then the end.
+func TestHalfClosedClientsAreAnswered(t *testing.T) {
+	for _, size := range []int{0, 2 << 10, 8 << 10} {
+		t.Run(fmt.Sprint(size), func(t *testing.T) {
+			const requests = 3 * mostTurns
+			w := newWorld(&steps.Steps{T: t})
+			w.listens()
+			p := w.connects()
+			w.turn()
+			for n := range requests {
+				w.writesAll(p, []byte(sized(n, size)))
+			}
+			p.halfCloses()
+			w.settles()
+			for n := 0; n < requests; n++ { // the last first, as far as they are in
+				if open := w.loop.Ledger.Open(); open != min(mostTurns, requests-n) {
+					t.Fatalf("%d queries open after %d answers", open, n)
+				}
+				w.module.Next = append(w.module.Next, logic.Refuse{Job: uint64(n + 1)})
+				w.loop.Ledger.Wake()
+				w.settles()
+			}
+			got := p.answers(t)
+			for _, status := range got {
+				if status != 503 {
+					t.Errorf("answered %v", got)
+				}
+			}
+			if p.read(1); len(got) != requests || !p.ended || len(w.loop.clients.links) != 0 {
+				t.Errorf("%d answers to %d requests, link closed %v", len(got), requests, p.ended)
+			}
+		})
+	}
+}
+
+// A client that sends more ahead of its answers than is kept is read from all the same: what is kept whole is answered,
+// one more is refused, and the link ends. Buffers stay bounded.
+func TestTooMuchAheadIsRefused(t *testing.T) {
+	w := newWorld(&steps.Steps{T: t})
+	w.listens()
+	p := w.connects()
+	w.turn()
+	const size = 60 << 10
+	for n := range 3 * mostTurns {
+		w.writesAll(p, []byte(sized(n, size)))
+		if w.settles(); w.loop.clients.held > 2*mostHoarded {
+			held := w.loop.clients.held
+			t.Fatalf("%d bytes held", held)
+		}
+	}
+	answered := 0
+	for ; w.loop.Ledger.Open() > 0; answered++ {
+		w.module.Next = append(w.module.Next, logic.Fail{Job: uint64(answered + 1)})
+		w.loop.Ledger.Wake()
+		w.settles()
+	}
+	got := p.answers(t)
+	if answered <= mostTurns || len(got) != answered+1 || got[answered] != 503 || got[answered-1] != 500 {
+		t.Errorf("%d queries answered, the client has %v", answered, got)
+	}
+	if p.read(1); !p.ended {
+		t.Error("the link goes on")
+	}
+}
+
+// What has ended and still has answers to take leaves the loop in peace: it is not told of the end over and over.
+func TestEndIsToldOnce(t *testing.T) {
+	w := newWorld(&steps.Steps{T: t})
+	p, fd := w.pair()
+	w.loop.clients.adopt(fd, netip.AddrPort{})
+	for range 40 {
+		p.write([]byte(strings.Repeat(numbered(asks[7].text, 1), 100)))
+		w.turn()
+	}
+	p.halfCloses()
+	w.turn()
+	k := w.loop.handlers[fd].(*clientLink)
+	if len(k.out) == 0 {
+		t.Fatal("nothing waits to be read")
+	}
+	n, err := unix.EpollWait(w.loop.epoll, w.loop.events, 0)
+	if n != 0 || err != nil {
+		t.Errorf("%d descriptors are told as ready (%v), with nothing to be done", n, err)
+	}
+}
