Shut client links for writing and read them to their end before they are closed

evict and close ended links by close(2): a request that crossed it reset the connection, and what the client had not had yet of its last answer went along (seen with a client that reads slowly: 2,048 of 61,000 bytes). The time-out of a silent link did not even look for a request that had just come. Told to close, a scheduler dropped what it had read of pipelined requests behind the sixteenth. And with the table full, each link accepted in a turn held a descriptor beside that of the link that had made room: up to 128 over the limit.

Every close of a client link now goes by shut: no more writing, what still comes is taken in unread up to the client's end, for 1 s after the last of it or for 5 s. What had come before is read first and answered. Links that make room are shut and counted apart, a thirty-second of the client links; beyond that the first are closed, and no more are accepted in a turn than fit. Connection: close goes with the last answer to what is read.

--- a/internal/link/clients.go
+++ b/internal/link/clients.go
@@ -42,14 +42,16 @@
 type clientLinks struct {
 	loop    *Loop
 	fd      int
-	most    int // links held at once
+	most    int // links held at once, but for those in parting
 	queries int // and queries, which is fewer: what ends them, worker nodes' notes, needs links too
 	links   map[*clientLink]struct{}
 	// Links without a request in hand, longest first, in the order in which they make room: those that have only
 	// had errors for an answer, those that have had their last, those that have not asked yet, and the useful ones.
 	useless, leaving, mute, idle list.List
-	held                         int // bytes in the links' buffers
-	budget                       int // and how many there may be; as much again may wait in queries
+	parting                      list.List // those that have made room, while they are shut but not closed yet
+	partings                     int       // and how many there may be, besides most
+	held                         int       // bytes in the links' buffers
+	budget                       int       // and how many there may be; as much again may wait in queries
 	paused                       bool
 	again                        *timer
 	draining                     bool
@@ -67,13 +69,19 @@
 }
 
 // limit sets how many links are held, and how many bytes. Where there are more links, idle ones make room.
-func (c *clientLinks) limit(most, budget int) {
-	c.most, c.queries, c.budget = most, mostQueries(most), budget
-	for len(c.links) > c.most && c.evict() {
+func (c *clientLinks) limit(links, budget int) {
+	c.partings = links / 32 // out of those that queries leave
+	c.most = links - c.partings
+	c.queries, c.budget = mostQueries(links), budget
+	for c.inUse() > c.most && c.evict() {
 	}
+	c.part()
 	c.resume()
 }
 
+// inUse counts the links but for those that have made room.
+func (c *clientLinks) inUse() int { return len(c.links) - c.parting.Len() }
+
 // mostQueries leaves links for what ends queries.
 func mostQueries(links int) int { return links - max(8, links/10) }
 
@@ -114,10 +122,13 @@
 // none is idle, new connections wait in the backlog: turned away there, their queries would be lost.
 func (c *clientLinks) ready(uint32) {
 	for range acceptAtOnce {
-		if len(c.links) >= c.most && !c.evict() {
+		if c.inUse() >= c.most && !c.evict() {
 			c.pause()
 			return
 		}
+		if len(c.links)+len(c.loop.dying) >= c.most+c.partings {
+			return // told again, once descriptors given up in this turn are closed
+		}
 		fd, sa, err := unix.Accept4(c.fd, unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
 		switch {
 		case errors.Is(err, unix.EINTR) || errors.Is(err, unix.ECONNABORTED):
@@ -165,22 +176,21 @@
 				k.end()
 			}
 		case len(k.turns) > 0 || k.useful && len(k.in) == 0 || age < wholeWithin:
-		case !k.introduced: // what it has sent may be the start of a PROXY header, so nothing is written
-			k.end()
-		case len(k.in) > 0 && !k.last:
+		case len(k.in) > 0 && k.introduced && !k.last:
 			k.refuse(408, "request not whole\n")
-		case !k.spoke || k.last: // has connected and says nothing
-			k.end()
+		case !k.introduced && len(k.in) > 0: // it may be the start of a PROXY header, so nothing is written
+			k.shut(&c.leaving)
+		case !k.spoke: // has connected and says nothing
+			k.dismiss(&c.leaving)
 		}
 	}
 }
 
 func (c *clientLinks) broken() {}
 
-// evict closes the link that is missed least, and tells whether there was one. What had just come in on it is
-// taken first: closed over unread bytes, a link is reset and its client has to ask again. A link that has just
-// connected, or just had its last answer, is not closed: it may be a usual client's or a worker node's, whose
-// request is on its way.
+// evict has the link that is missed least make room, and tells whether there was one. What had just come in on it is
+// taken first; what comes from then on its client asks again elsewhere. A link that has just connected, or just had its
+// last answer, is let be: it may be a usual client's or a worker node's, whose request is on its way.
 func (c *clientLinks) evict() bool {
 	for _, from := range []*list.List{&c.useless, &c.leaving, &c.mute, &c.idle} {
 		for e := from.Front(); e != nil; e = from.Front() {
@@ -188,10 +198,8 @@
 			if from != &c.idle && from != &c.useless && c.loop.now-k.since < graceAtFirst {
 				break
 			}
-			if c.loop.guard(k, func() { k.ready(unix.EPOLLIN) }); k.place == e {
-				k.end()
-			}
-			if k.closed {
+			if k.dismiss(&c.parting) {
+				c.part()
 				return true
 			}
 		}
@@ -199,6 +207,13 @@
 	return false
 }
 
+// part closes links that have made room where there are too many of those, the first ones first.
+func (c *clientLinks) part() {
+	for c.parting.Len() > c.partings {
+		c.parting.Front().Value.(*clientLink).end()
+	}
+}
+
 func (c *clientLinks) pause() {
 	if !c.paused {
 		c.paused = true
@@ -216,7 +231,7 @@
 }
 
 func (c *clientLinks) resume() {
-	if len(c.links) < c.most {
+	if c.inUse() < c.most {
 		c.reopen()
 	}
 }
@@ -230,10 +245,7 @@
 	c.closing = true
 	for _, from := range []*list.List{&c.useless, &c.mute, &c.idle} {
 		for e := from.Front(); e != nil; e = from.Front() {
-			k := e.Value.(*clientLink)
-			if c.loop.guard(k, func() { k.ready(unix.EPOLLIN) }); k.place == e {
-				k.end()
-			}
+			e.Value.(*clientLink).dismiss(&c.leaving)
 		}
 	}
 }
@@ -264,6 +276,7 @@
 	useful    bool           // and one that was of use: a query, or news of one; anybody can ask whether we are up
 	since     time.Duration  // when something last began or went on, see sweep
 	lingers   time.Duration  // when it began to
+	taking    int            // bytes at the start of in that are the request which is being taken
 	counted   int            // bytes that home.held has for it
 	client    netip.AddrPort // whom it speaks for
 	via       netip.AddrPort // and by which front; not valid: by none
@@ -314,6 +327,28 @@
 	}
 }
 
+// dismiss shuts a link without a request in hand, unless one has just come in. It tells whether the link makes room.
+func (k *clientLink) dismiss(among *list.List) bool {
+	place := k.place
+	if k.loop.guard(k, func() { k.ready(unix.EPOLLIN) }); !k.closed && place != nil && k.place == place {
+		k.shut(among)
+	}
+	return k.closed || k.among == among
+}
+
+// shut ends what we write. What the peer still sends is taken in unread up to its own end, for a while: closed over
+// unread bytes, a link is reset, and that takes along what the peer has not had of the answers before.
+func (k *clientLink) shut(among *list.List) {
+	if !k.lingering {
+		k.last, k.in = true, nil
+		k.lingering, k.lingers, k.since = true, k.loop.now, k.loop.now
+		_ = unix.Shutdown(k.fd, unix.SHUT_WR)
+	}
+	k.wait(among)
+	k.attend()
+	k.count()
+}
+
 // count keeps home.held right.
 func (k *clientLink) count() {
 	now := cap(k.in) + cap(k.out)
@@ -467,8 +502,9 @@
 			k.tell(slog.LevelInfo, "client link open")
 		}
 		k.continued, k.spoke, k.since = false, true, k.loop.now
+		k.taking = n
 		k.request(m, k.add(m.KeepAlive))
-		if !k.closed {
+		if k.taking = 0; !k.closed {
 			k.took(n)
 		}
 	}
@@ -494,14 +530,10 @@
 		k.end()
 		return
 	case k.last && !k.lingering:
-		// Cut at once, a link with bytes unread would be reset, and the peer might lose the answer.
-		k.lingering, k.lingers, k.since = true, k.loop.now, k.loop.now
-		_ = unix.Shutdown(k.fd, unix.SHUT_WR)
-		k.wait(&k.home.leaving)
+		k.shut(&k.home.leaving)
 	case len(k.in) == 0 && !k.last:
-		if k.rest(); k.home.closing {
-			k.end()
-			return
+		if k.rest(); k.home.closing && k.spoke {
+			k.shut(&k.home.leaving)
 		}
 	}
 	k.count()
@@ -572,7 +604,7 @@
 		}
 		k.since = k.loop.now
 		// A link that ends says so with its last answer.
-		k.last = k.last || k.home.closing && len(k.turns) == 0
+		k.last = k.last || k.home.closing && len(k.turns) == 0 && len(k.in) == k.taking
 		fields := ""
 		if t.retry > 0 {
 			fields = "Retry-After: " + strconv.FormatFloat(t.retry.Seconds(), 'f', 3, 64) + "\r\n"
