Answer all that is taken before SIGKILL is due, and take notes while closing

While a scheduler drains, queries that came before 0.7 s after SIGTERM and have more time than is left were never answered: held ones, and those out at worker nodes that hang, were cut by SIGKILL (with a deadline of 60 s and a worker node that hangs the process did not end by itself within 20 s). And 0.9 s before SIGKILL the links of worker nodes were closed with those of clients: a note that crossed that was lost for the moment, and with it an answer.

Now what was never sent is refused 0.3 s before SIGKILL, whatever is open then is answered 0.15 s before it, and links on which worker nodes have told news stay open to the end. The lab's model of a process does the same.

--- a/internal/lab/virtual/process.go
+++ b/internal/lab/virtual/process.go
@@ -17,6 +17,7 @@
 	killSpare = 700 * time.Millisecond
 	lastTaken = 900 * time.Millisecond
 	lastWords = 300 * time.Millisecond
+	lastOfAll = 150 * time.Millisecond
 
 	ownDescriptors = 24
 	fullFor        = time.Second // when to come back to a scheduler that holds all the queries it can
@@ -249,7 +250,11 @@
 		killed = max(killed, killSpare+min(c.GiveUp, killAfter))
 	}
 	p.after(max(killed-lastTaken, killed/2), p.close)
-	p.after(killed-lastWords, func() { p.ledger.Finish(p.now - (killed - lastWords - killSpare)) })
+	p.after(killed-lastWords, func() {
+		p.ledger.Finish(p.now - (killed - lastWords - killSpare))
+		p.ledger.RefuseHeld()
+	})
+	p.after(killed-lastOfAll, func() { p.ledger.Finish(0) })
 	p.after(killed, func() { p.over = true })
 }
 
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -420,8 +420,17 @@
 
 // Finish gives each query that came since then and is still open its final answer now: time is up for this process.
 func (l *Ledger) Finish(since time.Duration) {
+	l.finish(func(q *Query) bool { return q.Came >= since })
+}
+
+// RefuseHeld refuses each open query of which nothing was ever sent: it would not run in the time that this process has.
+func (l *Ledger) RefuseHeld() {
+	l.finish(func(q *Query) bool { return len(q.attempts) == 0 })
+}
+
+func (l *Ledger) finish(is func(*Query) bool) {
 	for _, q := range l.inOrder() {
-		if !q.closed && q.Came >= since {
+		if !q.closed && is(q) {
 			l.events = append(l.events, logic.ClientGone{Job: q.ID}) // as far as the module is concerned
 			l.dismiss(q)
 		}
--- a/internal/link/clients.go
+++ b/internal/link/clients.go
@@ -240,16 +240,26 @@
 	_ = unix.EpollCtl(c.loop.epoll, unix.EPOLL_CTL_MOD, c.fd, &unix.EpollEvent{Events: events, Fd: int32(c.fd)})
 }
 
-// close closes links between queries from now on; queries that come all the same are refused.
+// close closes links between queries from now on; queries that come all the same are refused. Links that worker nodes have
+// stay open, as do those that they open: each note is an answer that some client waits for.
 func (c *clientLinks) close() {
 	c.closing = true
-	for _, from := range []*list.List{&c.useless, &c.mute, &c.idle} {
-		for e := from.Front(); e != nil; e = from.Front() {
-			e.Value.(*clientLink).dismiss(&c.leaving)
+	var resting []*clientLink // one that is shut may bring about that others move
+	for _, among := range []*list.List{&c.useless, &c.mute, &c.idle} {
+		for e := among.Front(); e != nil; e = e.Next() {
+			resting = append(resting, e.Value.(*clientLink))
+		}
+	}
+	for _, k := range resting {
+		if k.place != nil && !k.tellsNotes {
+			k.dismiss(&c.leaving)
 		}
 	}
 }
 
+// closes tells whether the link ends with what is answered on it now.
+func (k *clientLink) closes() bool { return k.home.closing && !k.tellsNotes }
+
 // quiet tells whether all that was answered has left.
 func (c *clientLinks) quiet() bool {
 	for k := range c.links {
@@ -272,14 +282,16 @@
 	sounded   bool    // it has been asked whether it still listens, see sound
 	lingering bool    // all is answered, and the peer may still send
 	continued bool
-	spoke     bool           // a whole request has come
-	useful    bool           // and one that was of use: a query, or news of one; anybody can ask whether we are up
-	since     time.Duration  // when something last began or went on, see sweep
-	lingers   time.Duration  // when it began to
-	taking    int            // bytes at the start of in that are the request which is being taken
-	counted   int            // bytes that home.held has for it
-	client    netip.AddrPort // whom it speaks for
-	via       netip.AddrPort // and by which front; not valid: by none
+	spoke     bool // a whole request has come
+	useful    bool // and one that was of use: a query, or news of one; anybody can ask whether we are up
+	// tellsNotes is set on a worker node's link: what it brought last was news of a query.
+	tellsNotes bool
+	since      time.Duration  // when something last began or went on, see sweep
+	lingers    time.Duration  // when it began to
+	taking     int            // bytes at the start of in that are the request which is being taken
+	counted    int            // bytes that home.held has for it
+	client     netip.AddrPort // whom it speaks for
+	via        netip.AddrPort // and by which front; not valid: by none
 	// introduced is set once it is known whether a PROXY header comes first.
 	introduced bool
 	among      *list.List    // the links without a request in hand, if it is one of those
@@ -532,7 +544,7 @@
 	case k.last && !k.lingering:
 		k.shut(&k.home.leaving)
 	case len(k.in) == 0 && !k.last:
-		if k.rest(); k.home.closing && k.spoke {
+		if k.rest(); k.closes() && k.spoke {
 			k.shut(&k.home.leaving)
 		}
 	}
@@ -604,7 +616,7 @@
 		}
 		k.since = k.loop.now
 		// A link that ends says so with its last answer.
-		k.last = k.last || k.home.closing && len(k.turns) == 0 && len(k.in) == k.taking
+		k.last = k.last || k.closes() && len(k.turns) == 0 && len(k.in) == k.taking
 		fields := ""
 		if t.retry > 0 {
 			fields = "Retry-After: " + strconv.FormatFloat(t.retry.Seconds(), 'f', 3, 64) + "\r\n"
@@ -664,7 +676,7 @@
 		return err
 	}
 	known, err := k.loop.Ledger.Tell(n)
-	k.useful = k.useful || known
+	k.useful, k.tellsNotes = k.useful || known, k.tellsNotes || known
 	return err
 }
 
@@ -706,7 +718,7 @@
 			k.turnAway(t, &in, 409, "X-Call-Id: "+err.Error())
 			return
 		}
-		t.query, k.useful = q, true
+		t.query, k.useful, k.tellsNotes = q, true, false
 	}
 }
 
--- a/internal/link/start.go
+++ b/internal/link/start.go
@@ -235,6 +235,16 @@
 // Close takes no query any more. Links between queries are closed, the others with their answers.
 func (l *Loop) Close() { l.clients.close() }
 
+// RefuseHeld refuses the queries of which nothing was sent yet.
+func (l *Loop) RefuseHeld() {
+	if !l.ceded {
+		l.Ledger.RefuseHeld()
+	}
+}
+
+// FinishAll gives final answers to all queries that are still open.
+func (l *Loop) FinishAll() { l.Finish(l.now) }
+
 // Finish gives final answers to the queries that came within the last span and are still open.
 func (l *Loop) Finish(span time.Duration) {
 	if !l.ceded {
--- a/internal/run/run.go
+++ b/internal/run/run.go
@@ -30,7 +30,8 @@
 	killAfter = 3 * time.Second
 	killSpare = 700 * time.Millisecond
 	lastTaken = 900 * time.Millisecond // before SIGKILL: a query that comes later would hardly be served in time
-	lastWords = 300 * time.Millisecond // before SIGKILL: whatever is still open is answered
+	lastWords = 300 * time.Millisecond // before SIGKILL: whatever came late, or was never sent, is answered
+	lastOfAll = 150 * time.Millisecond // before SIGKILL: whatever is still open is answered
 	lastCalls = 500 * time.Millisecond // after a hand-over: for operators whose calls are under way
 	lastFlush = 200 * time.Millisecond // at the end: for a log or a disk that takes in what waits
 
@@ -184,7 +185,11 @@
 	killed := KilledAfter(s.conf.Settings)
 	s.loop.Drain()
 	s.loop.After(max(killed-lastTaken, killed/2), s.loop.Close)
-	s.loop.After(killed-lastWords, func() { s.loop.Finish(killed - lastWords - killSpare) })
+	s.loop.After(killed-lastWords, func() {
+		s.loop.Finish(killed - lastWords - killSpare)
+		s.loop.RefuseHeld()
+	})
+	s.loop.After(killed-lastOfAll, s.loop.FinishAll)
 	// Until then it stays even with nothing in hand. One that has ended looks like one that has died: the front takes
 	// seconds to notice, and clients go on to try it. One that is there answers 503.
 	s.loop.After(killed, func() { s.over = true })
--- a/internal/run/run_test.go
+++ b/internal/run/run_test.go
@@ -176,6 +176,40 @@
 	}
 }
 
+// Told to stop before any list of worker nodes has come, it refuses what it holds and ends without a fault.
+func TestTermBeforeTheFirstList(t *testing.T) {
+	from, to := strings.Index(conf, `"known"`), strings.Index(conf, `"settings"`)
+	s := start(t, conf[:from]+conf[to:])
+	if line, _ := s.talk("GET /up HTTP/1.1\r\n\r\n").ReadString('\n'); line != givenUp {
+		t.Errorf("/up: %q", line)
+	}
+	answer := s.talk(strings.Replace(query, "\r\n\r\n", "\r\nX-Budget-Ms: 60000\r\n\r\n", 1))
+	s.signal(syscall.SIGTERM)
+	if line, _ := answer.ReadString('\n'); line != givenUp {
+		t.Errorf("the query in hand: %q", line)
+	}
+	if err := <-s.end; err != nil {
+		t.Error(err)
+	}
+}
+
+// A worker node that hangs while the scheduler is told to stop costs nobody the answer: a query that is out there, with
+// more time than is left until SIGKILL, gets its final one, and the process ends by itself.
+func TestWorkerNodeHangsAtTerm(t *testing.T) {
+	worker := listen(t)
+	s := start(t, strings.NewReplacer(`"hostPort":"127.0.0.1:1"`, `"hostPort":"`+worker.Addr().String()+`"`, "80000", "50000000",
+		"500000", "60000000").Replace(conf))
+	answer := s.talk(query)
+	s.hears(worker, "POST /a")
+	s.signal(syscall.SIGTERM)
+	if line, _ := answer.ReadString('\n'); line != "HTTP/1.1 500 Internal Server Error\r\n" {
+		t.Errorf("the query that is out: %q", line)
+	}
+	if err := <-s.end; err != nil {
+		t.Error(err)
+	}
+}
+
 // up waits until the scheduler accepts connections.
 func (s *started) up() {
 	for {
