Hear clients before worker nodes in each turn

A turn now hands out its events in order: operators, clients' links, then the rest. A note and the end of the link that carried its attempt, in one turn, are heard in that order too.

--- a/internal/link/leaving_test.go
+++ b/internal/link/leaving_test.go
@@ -8,6 +8,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"valvecove/internal/ledger"
 	"valvecove/internal/steps"
 	"valvecove/logic"
 )
@@ -182,3 +183,50 @@
 		t.Errorf("%d descriptors are told as ready (%v), with nothing to be done", n, err)
 	}
 }
+
+// A client that leaves while its query is on the way to a worker node stops what is not wholly written, also if the
+// connection there comes up in the same turn. What was accepted runs on, and no copy of it is sent.
+func TestClientGoneOnTheWay(t *testing.T) {
+	for stage, size := range map[string]int{"connecting": 0, "partly written": maxBody, "accepted": 0} {
+		for how, leave := range map[string]func(*peer){"end": (*peer).close, "reset": (*peer).resets} {
+			t.Run(stage+", "+how, func(t *testing.T) {
+				w := newWorld(&steps.Steps{T: t})
+				w.listens()
+				w.loop.Ledger.Hosts(ledger.HostGroup{Reset: true, Hosts: []ledger.Host{{ID: "s-0", Addr: "127.0.0.1:1", State: "up"},
+					{ID: "s-1", Addr: "127.0.0.1:2", State: "up"}}})
+				p := w.connects()
+				w.turn()
+				w.writesAll(p, []byte(sized(1, size)))
+				w.settles()
+				workers := w.module.Heard[1].(logic.WorkerList).Workers
+				w.module.Next = append(w.module.Next, logic.Send{Job: 1, Worker: workers[0].ID})
+				w.loop.Ledger.Wake()
+				w.oneTurn()
+				if len(w.dialed) != 1 {
+					t.Fatal("not sent")
+				}
+				far := w.dialed[0]
+				if stage != "connecting" {
+					w.settles()
+				}
+				if far.read(1 << 10); stage == "accepted" {
+					far.write([]byte(answers[0].text))
+					w.turn()
+				}
+				leave(p)
+				w.module.Next = append(w.module.Next, logic.Send{Job: 1, Worker: workers[1].ID})
+				w.loop.Ledger.Wake()
+				w.settles()
+				far.read(1 << 20)
+				var m Message
+				_, err := m.ParseRequest(far.got)
+				if whole := err == nil; whole != (stage == "accepted") || len(w.dialed) != 1 || stage == "connecting" && len(far.got) > 0 {
+					t.Errorf("%d bytes came, whole %v, and %d links were opened", len(far.got), whole, len(w.dialed))
+				}
+				if far.ended == (stage == "accepted") {
+					t.Errorf("its link has ended %v", far.ended)
+				}
+			})
+		}
+	}
+}
--- a/internal/link/loop.go
+++ b/internal/link/loop.go
@@ -136,10 +136,9 @@
 	}
 	l.now = l.clock()
 	l.gathering = true
-	for _, first := range [...]bool{true, false} {
+	for now := range orders {
 		for i := range max(n, 0) {
-			h := l.handlers[l.events[i].Fd]
-			if _, is := h.(urgent); h != nil && is == first {
+			if h := l.handlers[l.events[i].Fd]; h != nil && orderOf(h) == now {
 				l.guard(h, func() { h.ready(l.events[i].Events) })
 			}
 		}
@@ -157,6 +156,21 @@
 	return nil
 }
 
+const orders = 3
+
+// orderOf says when in a turn a handler has its events: operators' links first, and clients' links before those to worker
+// nodes. A client that has left is known before a connection that has just come up is written to, and what a worker node
+// has told of an attempt before the end of the link that carried it.
+func orderOf(h handler) int {
+	switch h.(type) {
+	case urgent:
+		return 0
+	case *clientLink:
+		return 1
+	}
+	return 2
+}
+
 // bury closes the descriptors that were given up while events were handed out: what is opened from here on, for the
 // module's sends above all, finds them free.
 func (l *Loop) bury() {
