Ask for a side link's end once, and test descriptors and SIGTERM at the start

A side link (status, operators) whose peer had ended it while its answers were not read woke the loop without an end, up to its time-out. Its end is now asked for once, and told to the link for as long as it lives, so that it ends with its last answer.

TestSideLinksEndOnce fails without it. Two paths that were right get tests with real processes: TestIdleClientsTakeNobodysPlace (300 idle connections on 64 descriptors, discovery down: ready, the next discovery watched, a query sent and its note heard; hangs with eviction taken out) and TestTermBeforeTheFirstList (hangs with the module's refusal and the refusal of held queries both taken out, passes with either).

--- a/internal/link/closing_test.go
+++ b/internal/link/closing_test.go
@@ -266,3 +266,30 @@
 		t.Errorf("note: answered %v", got)
 	}
 }
+
+// A side link that its peer has ended, and that still has an answer to take, leaves the loop in peace, and ends with that
+// answer.
+func TestSideLinksEndOnce(t *testing.T) {
+	w := withStatus(&steps.Steps{T: t})
+	p := w.knock()
+	for range 40 {
+		p.write([]byte(strings.Repeat("GET /status/a HTTP/1.1\r\n\r\n", 20)))
+		w.turn()
+	}
+	k := w.loop.status.links.Front().Value.(*statusLink)
+	if p.halfCloses(); len(k.out) == 0 {
+		t.Fatal("nothing waits to be read")
+	}
+	for range 100 { // up to where nobody reads on
+		w.turn()
+	}
+	if n, err := unix.EpollWait(w.loop.epoll, make([]unix.EpollEvent, 8), 0); n != 0 || err != nil {
+		t.Errorf("%d descriptors are told as ready (%v), with nothing to be done", n, err)
+	}
+	if err := w.readsToTheEnd(p); err != nil || w.loop.status.links.Len() != 0 {
+		t.Errorf("read to the end: %v, %d links left", err, w.loop.status.links.Len())
+	}
+	if n := bytes.Count(p.got, []byte("HTTP/1.1 200 ")); n != 800 {
+		t.Errorf("%d answers to 800 requests", n)
+	}
+}
--- a/internal/link/side.go
+++ b/internal/link/side.go
@@ -22,6 +22,7 @@
 	place *list.Element
 	since time.Duration // when something last began on it
 	last  bool          // nothing more is read: it ends with what is being written
+	ended bool          // the peer sends no more
 }
 
 func (s *sideLinks) broken() {}
@@ -60,7 +61,8 @@
 	}
 }
 
-// exchange writes what waits and reads what has come. ended tells that the peer sends no more; not ok: the link has ended.
+// exchange writes what waits and reads what has come. ended tells that the peer sends no more, and goes on telling so,
+// while epoll is not asked for it again; not ok: the link has ended.
 func (k *sideLink) exchange(events uint32) (ended, ok bool) {
 	var err error
 	if events&unix.EPOLLOUT != 0 {
@@ -77,7 +79,10 @@
 	if err != nil {
 		k.end()
 	}
-	return ended, err == nil
+	if k.ended = k.ended || ended; k.ended {
+		k.listen(k.events &^ streamEvents)
+	}
+	return k.ended, err == nil
 }
 
 // reply answers a request; keep lets the link live on.
--- a/internal/run/run_test.go
+++ b/internal/run/run_test.go
@@ -179,11 +179,11 @@
 // Told to stop before any list of worker nodes has come, it refuses what it holds and ends without a fault.
 func TestTermBeforeTheFirstList(t *testing.T) {
 	from, to := strings.Index(conf, `"known"`), strings.Index(conf, `"settings"`)
-	s := start(t, conf[:from]+conf[to:])
+	s := start(t, strings.NewReplacer("80000", "50000000", "500000", "60000000").Replace(conf[:from]+conf[to:]))
 	if line, _ := s.talk("GET /up HTTP/1.1\r\n\r\n").ReadString('\n'); line != givenUp {
 		t.Errorf("/up: %q", line)
 	}
-	answer := s.talk(strings.Replace(query, "\r\n\r\n", "\r\nX-Budget-Ms: 60000\r\n\r\n", 1))
+	answer := s.talk(query)
 	s.signal(syscall.SIGTERM)
 	if line, _ := answer.ReadString('\n'); line != givenUp {
 		t.Errorf("the query in hand: %q", line)
@@ -210,6 +210,40 @@
 	}
 }
 
+// Idle clients, however many, take nobody's place: with all descriptors for clients in use and discovery down, the scheduler
+// is ready, watches the next discovery, reaches worker nodes, and hears their notes.
+func TestIdleClientsTakeNobodysPlace(t *testing.T) {
+	worker, discovery := listen(t), listen(t)
+	text := strings.NewReplacer(`"hostPort":"127.0.0.1:1"`, `"hostPort":"`+worker.Addr().String()+`"`, "80000", "50000000",
+		"500000", "60000000").Replace(conf)
+	s := start(t, text)
+	for n := range 150 { // of 64 descriptors
+		if c := s.dial(); n%3 == 0 {
+			io.WriteString(c, "GET /up HTTP/1.1\r\n\r\n")
+		}
+	}
+	if line, _ := s.talk("GET /up HTTP/1.1\r\n\r\n").ReadString('\n'); line != "HTTP/1.1 200 OK\r\n" {
+		t.Errorf("/up: %q", line)
+	}
+	s.configure(strings.Replace(text, `"discovery":"127.0.0.1:1"`, `"discovery":"`+discovery.Addr().String()+`"`, 1))
+	s.signal(syscall.SIGHUP)
+	s.hears(discovery, "GET /discovery/hosts?stream=1&index=0")
+	answer := s.talk(query)
+	s.hears(worker, "POST /a")
+	for range 150 {
+		s.dial()
+	}
+	const note = `{"id":"1","from":"s-1","state":"done","result":"r"}`
+	s.talk("POST /v1/job-events HTTP/1.1\r\nContent-Length: " + strconv.Itoa(len(note)) + "\r\n\r\n" + note)
+	if line, _ := answer.ReadString('\n'); line != "HTTP/1.1 200 OK\r\n" {
+		t.Errorf("the query: %q", line)
+	}
+	s.signal(syscall.SIGTERM)
+	if err := <-s.end; err != nil {
+		t.Error(err)
+	}
+}
+
 // up waits until the scheduler accepts connections.
 func (s *started) up() {
 	for {
