Count the time of pipelined requests from when they came

A request that waited for its turn on its link, behind 16 others, was given its full time from when it was looked at, though its client counts from when it sent it: the module and the worker node were told of time that the client no longer had, and its answer could come long after it.

What waits on a link is now stamped with when it came, to 0.1 s, and the time of a request runs from its last byte. Where client links' buffers are over their budget, a link with requests in hand keeps 4 KiB ahead of its answers and not eighty.

--- a/internal/link/clients.go
+++ b/internal/link/clients.go
@@ -289,6 +289,8 @@
 	since      time.Duration  // when something last began or went on, see sweep
 	lingers    time.Duration  // when it began to
 	taking     int            // bytes at the start of in that are the request which is being taken
+	waiting    []arrival      // of what is in
+	came       time.Duration  // when the request that is being taken did
 	counted    int            // bytes that home.held has for it
 	client     netip.AddrPort // whom it speaks for
 	via        netip.AddrPort // and by which front; not valid: by none
@@ -514,7 +516,7 @@
 			k.tell(slog.LevelInfo, "client link open")
 		}
 		k.continued, k.spoke, k.since = false, true, k.loop.now
-		k.taking = n
+		k.taking, k.came = n, k.arrived(n)
 		k.request(m, k.add(m.KeepAlive))
 		if k.taking = 0; !k.closed {
 			k.took(n)
@@ -527,8 +529,9 @@
 		return
 	}
 	if k.last {
-		k.in = nil
+		k.in, k.waiting = nil, nil
 	}
+	k.stamp()
 	k.overrun = k.overrun || k.hoards()
 	if k.half && len(k.turns) > 0 {
 		if k.sound(); k.closed {
@@ -564,6 +567,51 @@
 	k.add(false).reply(status, what)
 }
 
+// arrival is when some bytes came that wait to be looked at.
+type arrival struct {
+	bytes int
+	at    time.Duration
+}
+
+const arrivalsApart = 100 * time.Millisecond // a client may send a byte at a time
+
+// stamp remembers when what waits came; what came shortly after other bytes counts as come with them.
+func (k *clientLink) stamp() {
+	fresh := len(k.in)
+	for _, a := range k.waiting {
+		fresh -= a.bytes
+	}
+	if last := len(k.waiting) - 1; fresh > 0 && last >= 0 && k.loop.now-k.waiting[last].at < arrivalsApart {
+		k.waiting[last].bytes += fresh
+	} else if fresh > 0 {
+		k.waiting = append(k.waiting, arrival{fresh, k.loop.now})
+	}
+}
+
+// arrived tells when the last of the first n bytes that wait came.
+func (k *clientLink) arrived(n int) time.Duration {
+	for _, a := range k.waiting {
+		if n -= a.bytes; n <= 0 {
+			return a.at
+		}
+	}
+	return k.loop.now
+}
+
+// took drops the first n bytes of what has come in.
+func (k *clientLink) took(n int) {
+	k.stream.took(n)
+	for len(k.waiting) > 0 && k.waiting[0].bytes <= n {
+		n -= k.waiting[0].bytes
+		k.waiting = k.waiting[1:]
+	}
+	if len(k.waiting) == 0 {
+		k.waiting = nil
+	} else {
+		k.waiting[0].bytes -= n
+	}
+}
+
 func (k *clientLink) tooMuch() { k.refuse(503, "too much sent ahead of answers\n") }
 
 // maxUnread is how much of a link's answers may wait to be read before no more is taken in.
@@ -584,7 +632,8 @@
 
 // hoards tells whether more has been read ahead of answers than is kept.
 func (k *clientLink) hoards() bool {
-	return len(k.in) > mostAhead && (len(k.in) > mostHoarded || k.home.held > k.home.budget/2)
+	n, held := len(k.in), k.home.held
+	return n > mostHoarded || n > mostAhead && held > k.home.budget/2 || n > kept && held > k.home.budget && len(k.turns) > 0
 }
 
 // add gives a request its turn; one that does not let the link live on is the last.
@@ -712,6 +761,9 @@
 			t.Throttle(min(fullFor, c.set.MaxRetryAfter))
 			return
 		}
+		if waited := k.loop.now - k.came; waited > 0 { // its client counts from when it sent it
+			in.Job.Left = max(in.Job.Left-waited, time.Millisecond)
+		}
 		in.Asker = t
 		q, err := k.loop.Ledger.Take(k.loop.now, in)
 		if err != nil {
--- a/internal/link/leaving_test.go
+++ b/internal/link/leaving_test.go
@@ -5,6 +5,7 @@
 	"net/netip"
 	"strings"
 	"testing"
+	"time"
 
 	"golang.org/x/sys/unix"
 
@@ -230,3 +231,40 @@
 		}
 	}
 }
+
+// The time of a request counts from when its last byte came, also if it had to wait for its turn on its link.
+func TestTimeCountsFromArrival(t *testing.T) {
+	w := newWorld(&steps.Steps{T: t})
+	w.listens()
+	p := w.connects()
+	w.turn()
+	for n := range mostTurns + 2 {
+		p.write([]byte(sized(n, 0)))
+	}
+	late := sized(99, 0)
+	p.write([]byte(late[:40]))
+	w.settles()
+	w.now += time.Second
+	p.write([]byte(late[40:]))
+	w.settles()
+	w.now += time.Second
+	p.write([]byte(sized(100, 0)))
+	for n := range 4 {
+		w.module.Next = append(w.module.Next, logic.Fail{Job: uint64(n + 1)})
+	}
+	w.loop.Ledger.Wake()
+	w.settles()
+	const all = 5 * time.Second // of the class
+	left := map[uint64]time.Duration{}
+	for _, e := range w.module.Heard {
+		if j, ok := e.(logic.Job); ok {
+			left[j.ID] = j.Left
+		}
+	}
+	for id, want := range map[uint64]time.Duration{1: all, 16: all, 17: all - 2*time.Second, 18: all - 2*time.Second,
+		19: all - time.Second, 20: all} {
+		if left[id] != want {
+			t.Errorf("query %d has %v left, expected %v", id, left[id], want)
+		}
+	}
+}
