Test that unread answers end a link, and slowly read ones do not

A path that was right and had no test. It hangs with the time-out taken out, and fails with what counts as progress taken out. go test -count=1 ./internal/link is green.

--- a/internal/link/closing_test.go
+++ b/internal/link/closing_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"net/netip"
 	"strings"
 	"testing"
 
@@ -293,3 +294,34 @@
 		t.Errorf("%d answers to 800 requests", n)
 	}
 }
+
+// An answer of which a client takes nothing for a while ends its link; one that it takes slowly does not.
+func TestAnswersThatNobodyReadsEndTheLink(t *testing.T) {
+	w := newWorld(&steps.Steps{T: t})
+	var peers []*peer
+	for range 2 {
+		p, fd := w.pair()
+		w.loop.clients.adopt(fd, netip.AddrPort{})
+		for range 8 {
+			p.write([]byte(strings.Repeat(numbered(asks[7].text, 1), 100)))
+			w.turn()
+		}
+		if k := w.loop.handlers[fd].(*clientLink); len(k.out) == 0 || len(k.in) > 0 {
+			t.Fatalf("%d bytes wait to be read, %d to be looked at", len(k.out), len(k.in))
+		}
+		peers = append(peers, p)
+	}
+	slow, deaf := peers[0], peers[1]
+	for w.loop.clients.held > 0 && len(w.loop.clients.links) == 2 {
+		w.now += readWithin / 2
+		slow.read(6 << 10)
+		w.turn()
+	}
+	for range 4 {
+		slow.read(1 << 20)
+		w.turn()
+	}
+	if deaf.read(1 << 20); !deaf.ended || slow.ended || len(w.loop.clients.links) != 1 {
+		t.Errorf("ended: the deaf one %v, the slow one %v", deaf.ended, slow.ended)
+	}
+}
