Draw lots for cold worker nodes among many schedulers, and refuse nothing that is out

Cause: (1) coldAllows let one or two owners of 300 send to a cold worker node, each with a few jobs a second, so that it was left unused until it was warm; (2) late refused jobs whose attempt waited at a worker node: that runs all the same, and the client comes again at another scheduler with no time left.

Change: besides owners, a job that could go elsewhere goes to the cold worker node whose lot it has drawn: its share of a ready one's even part of all jobs. Nobody tells anybody, and the sum is right. Of more than eight schedulers none refuses what is out; it ends by its answer or its deadline. coldShare, learnSpeed and look moved to members.go as they are.

TestColdWorkersAreDrawnByLot fails without the lots: cold ones got 0 to 11 jobs, others 184.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -315,6 +315,7 @@
 		}
 	}
 	best, sum, known, looks := math.Inf(1), 0.0, true, 0
+	var lucky *worker // cold, and drawn by the job
 	roomless = true
 	for looks < looked {
 		row, base := d.shelf.cheapest()
@@ -351,7 +352,13 @@
 			}
 			roomless = false
 			if !j.spare && !d.proves(j, w) && d.now+d.expectedRun(j, w) > j.aim || !d.maySend(j, w) ||
-				!d.healthyFor(j, w) || !d.coldAllows(j, w) {
+				!d.healthyFor(j, w) {
+				continue
+			}
+			if !d.coldAllows(j, w) {
+				if d.wins(j, w) {
+					lucky = w
+				}
 				continue
 			}
 			if cost < best {
@@ -362,6 +369,9 @@
 			}
 		}
 	}
+	if pick != nil && lucky != nil {
+		return lucky, false // only what would go elsewhere now: so it gets its part of what others are given
+	}
 	if pick != nil && d.now < j.askUntil && (reports && !known || !reports && pick.unheard()) {
 		return nil, false // asked workers have not answered yet
 	}
@@ -560,15 +570,6 @@
 	d.touch(w)
 }
 
-func (d *Dispatcher) learnSpeed(w *worker, got float64) {
-	k := d.kind(w.Kind)
-	k.seen++
-	k.speed += max(sizeRate, 1/(k.seen+2)) * clip(got-k.speed, 1)
-	w.seen++
-	w.speed += max(speedRate, 1/(w.seen+2)) * clip(got-w.speed, featureClip/2)
-	w.pace, w.learned = math.Exp(w.speed), d.now
-}
-
 // overdue looks at an attempt that has not started, or not ended, when it should have.
 func (d *Dispatcher) overdue(a *attempt) {
 	j, w := a.job, a.worker
@@ -602,18 +603,8 @@
 
 // ---- Cold budget: rule 4 ----
 
-// coldShare is the least part of its capacity that a worker has, by when it started.
-func (d *Dispatcher) coldShare(w *worker) float64 {
-	boot := max(w.BootAt, w.back)
-	if boot <= 0 || d.set.Cold <= 0 || d.now-boot >= d.set.Cold {
-		return 1
-	}
-	age := max(0, (d.now - boot).Seconds())
-	return max(0.01, d.set.ColdFrom+(1-d.set.ColdFrom)*age/d.set.Cold.Seconds())
-}
-
 // coldAllows keeps what we sent to a cold worker, refused work too, under our equal part of what would push
-// it over. Its full capacity is guessed from the slots that its kind has been seen to have free or in use.
+// it over.
 func (d *Dispatcher) coldAllows(j *job, w *worker) bool {
 	share := d.coldShare(w)
 	if share >= 1 {
@@ -626,15 +617,39 @@
 	for _, s := range w.ledger {
 		sum += s.work
 	}
-	k := d.kind(w.Kind)
-	capacity := max(1, k.slots) * math.Exp(k.speed) * share
-	budget := coldMargin * d.set.Overload * capacity * span.Seconds()
-	// Equal parts for many dispatchers would hold no job: by its id all agree on a few owners of each.
+	budget := d.coldBudget(w)
 	rank, all := d.rank(w)
+	// Equal parts for many dispatchers would hold no job: by its id all agree on a few owners of each.
 	owners := max(1, min(all, int(budget/(ownerJobs*d.meanCost+1e-9))))
 	return (rank < owners || w.freed > 0) && d.now-d.born > span && sum <= budget/float64(owners)
 }
 
+// dealLots gives each cold worker that needs it a part of the numbers from 0 to 1 that jobs draw: its share of a ready
+// worker's even part of all jobs, or less where the budget allows less. Only jobs that could go elsewhere are drawn for
+// it, so the sum over dispatchers that tell each other nothing follows what the others of its fleet are given.
+func (d *Dispatcher) dealLots() {
+	from, ready := 0.0, d.ready()
+	for _, w := range d.order {
+		w.lot, w.lots = from, 0
+		if share := d.coldShare(w); w.Ready && share < 1 && w.Of == 0 && d.set.Replicas > 1 {
+			w.lots = min(1, coldMargin*d.set.Overload) * share / float64(ready)
+		}
+		from += w.lots
+	}
+}
+
+// wins tells whether a job has drawn a cold worker. One heavier than most has to come closer, as the mean of work counts;
+// one that would use up what the guess at its capacity allows it never goes.
+func (d *Dispatcher) wins(j *job, w *worker) bool {
+	if w.lots == 0 || j.had(w) || len(w.ledger) > 0 || d.coldCost(j) > d.coldBudget(w) {
+		return false
+	}
+	if j.draw == 0 {
+		j.draw = 1 - d.rng.Float64()
+	}
+	return j.draw > w.lot && (j.draw-w.lot)*max(1, d.coldCost(j)/(d.meanCost+1e-9)) <= w.lots
+}
+
 // ---- Taken out by hand ----
 
 // suspend keeps all new work from a worker; what is out there runs on.
@@ -893,7 +908,7 @@
 		d.shrink(w, a)
 	}
 	d.forget(w)
-	if j.passed && !j.closed { // it ran when its aim was looked at: without another look it is held for good
+	if j.passed && !j.closed { // it was out when its aim was looked at: without another look it is held for good
 		j.passed = false
 		d.alarm(&j.past, d.now)
 	}
@@ -933,7 +948,8 @@
 // late acts when no worker could meet an unstarted job's aim any more. It gives way to jobs that can still
 // earn in full (else all would wait past tau); where being late earns nothing it is refused in time.
 func (d *Dispatcher) late(j *job) {
-	j.passed = slices.ContainsFunc(j.attempts, func(a *attempt) bool { return !a.ended && a.started })
+	j.passed = slices.ContainsFunc(j.attempts, func(a *attempt) bool { return !a.ended && a.started }) ||
+		d.set.Replicas > many && j.out > 0 // it runs all the same, and its client would come again elsewhere
 	if j.closed || j.passed || j.late && !d.lateIsNil(j) {
 		return
 	}
@@ -1009,6 +1025,7 @@
 		d.do(Subscribe{})
 	}
 	d.fade()
+	d.dealLots()
 	bad, broken, ready := 0, 0, 0
 	sum, best := 0.0, -featureClip
 	for _, w := range d.order {
@@ -1057,19 +1074,3 @@
 		d.alarm(&j.answered, j.askUntil)
 	}
 }
-
-// look does what an alarm is for. After any, held jobs are looked at.
-func (d *Dispatcher) look(a *alarm) {
-	switch a.what {
-	case upkeep:
-		d.sweep()
-	case deadline:
-		d.end(a.job)
-	case aimPast:
-		d.late(a.job)
-	case overlate:
-		d.overdue(a.attempt)
-	case woken:
-		d.touch(a.worker)
-	}
-}
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -1039,6 +1039,31 @@
 	}
 }
 
+// Of many dispatchers none refuses what is out and unstarted past its aim: it runs all the same, and its client would
+// come again at another. It ends by its deadline, or once its attempt has ended.
+func TestManyKeepWhatIsOut(t *testing.T) {
+	for _, full := range []bool{false, true} {
+		set := testSettings()
+		set.Replicas = many + 1
+		s := newScene(t, set)
+		s.workers(1)
+		s.step(s.job(1, 2, 300*ms))
+		s.wait(1500 * ms)
+		if n := len(taken[Refuse](s)); n > 0 {
+			t.Fatalf("refused %d times while it waits", n)
+		}
+		if full {
+			s.step(Outcome{Job: 1, Worker: 1, Result: Full})
+			s.wait(100 * ms)
+		} else {
+			s.wait(4 * time.Second)
+		}
+		if n := len(taken[Refuse](s)); n != 1 {
+			t.Fatalf("turned away by its worker %v: refused %d times", full, n)
+		}
+	}
+}
+
 // A job that waits at a worker which gets on with others is queued there, not lost: it is not copied, however late.
 // Only where the worker has given no sign of work since is it sent elsewhere.
 func TestQueuedJobIsNotCopied(t *testing.T) {
--- a/logic/members.go
+++ b/logic/members.go
@@ -219,6 +219,16 @@
 	return out
 }
 
+// ready counts the workers that may be sent work.
+func (d *Dispatcher) ready() (n int) {
+	for _, w := range d.order {
+		if w.Ready {
+			n++
+		}
+	}
+	return n
+}
+
 // isOut tells whether a worker is taken out by hand.
 func (d *Dispatcher) isOut(w *worker) bool {
 	_, out := d.banned[w.ID]
@@ -422,6 +432,14 @@
 	}
 }
 
+// coldBudget is the work that all dispatchers may send a cold worker within a span. Its full capacity is guessed from
+// the slots that its kind has been seen to have free or in use.
+func (d *Dispatcher) coldBudget(w *worker) float64 {
+	k := d.kind(w.Kind)
+	capacity := max(1, k.slots) * math.Exp(k.speed) * d.coldShare(w)
+	return coldMargin * d.set.Overload * capacity * d.set.OverloadSpan.Seconds()
+}
+
 func (d *Dispatcher) features(j *job) (hint, slots float64) {
 	return clip(math.Log(j.work)-d.cutLog, featureClip), clip(math.Log2(j.Slots), featureClip)
 }
@@ -448,3 +466,38 @@
 		}
 	}
 }
+
+// coldShare is the least part of its capacity that a worker has, by when it started.
+func (d *Dispatcher) coldShare(w *worker) float64 {
+	boot := max(w.BootAt, w.back)
+	if boot <= 0 || d.set.Cold <= 0 || d.now-boot >= d.set.Cold {
+		return 1
+	}
+	age := max(0, (d.now - boot).Seconds())
+	return max(0.01, d.set.ColdFrom+(1-d.set.ColdFrom)*age/d.set.Cold.Seconds())
+}
+
+func (d *Dispatcher) learnSpeed(w *worker, got float64) {
+	k := d.kind(w.Kind)
+	k.seen++
+	k.speed += max(sizeRate, 1/(k.seen+2)) * clip(got-k.speed, 1)
+	w.seen++
+	w.speed += max(speedRate, 1/(w.seen+2)) * clip(got-w.speed, featureClip/2)
+	w.pace, w.learned = math.Exp(w.speed), d.now
+}
+
+// look does what an alarm is for. After any, held jobs are looked at.
+func (d *Dispatcher) look(a *alarm) {
+	switch a.what {
+	case upkeep:
+		d.sweep()
+	case deadline:
+		d.end(a.job)
+	case aimPast:
+		d.late(a.job)
+	case overlate:
+		d.overdue(a.attempt)
+	case woken:
+		d.touch(a.worker)
+	}
+}
--- a/logic/rules_test.go
+++ b/logic/rules_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -630,3 +631,115 @@
 		})
 	}
 }
+
+// Rule 4 with hundreds of dispatchers that draw lots for the cold workers of a fleet whose other workers are offered
+// more than they can do: each cold worker gets its share of what the others get, in any span no more than the budget
+// with what chance adds to it, and none is left unused.
+func TestColdWorkersAreDrawnByLot(t *testing.T) {
+	t.Parallel()
+	const replicas, warm, cold, slots = 300, 24, 8, 4
+	rng := rand.New(rand.NewPCG(5, 6))
+	set := testSettings()
+	set.Replicas, set.Cold, set.ColdFrom, set.Overload, set.OverloadSpan = replicas, 8*time.Second, 0.4, 3, 2*time.Second
+	start := time.Hour
+	list := WorkerList{Kind: ListFull}
+	for id := range uint64(warm + cold) {
+		w := Worker{ID: id + 1, Ready: true}
+		if id >= warm {
+			w.BootAt = start
+		}
+		list.Workers = append(list.Workers, w)
+	}
+	all := make([]*Dispatcher, replicas)
+	begin := func(i int) {
+		own := set
+		own.Me = i
+		all[i] = New(own, uint64(i))
+		all[i].Step(start-time.Second, []Event{list}, nil)
+	}
+	for i := range all {
+		begin(i)
+	}
+	type run struct {
+		at     time.Duration
+		i      int
+		worker uint64
+		job    uint64
+		number int
+		began  bool
+	}
+	const work = 300 * time.Millisecond // of a job; a worker has four slots
+	free := make([]time.Duration, (warm+cold+1)*slots)
+	var runs []run
+	sent, spent, id := make([]int, warm+cold+1), make([][]time.Duration, warm+cold+1), uint64(0)
+	take := func(i int, now time.Duration, actions []Action, numbers map[uint64]int) {
+		for _, a := range actions {
+			s, ok := a.(Send)
+			if !ok {
+				continue
+			}
+			number := numbers[s.Job]
+			numbers[s.Job]++
+			if sent[s.Worker]++; s.Worker > warm {
+				spent[s.Worker] = append(spent[s.Worker], now)
+			}
+			next := &free[int(s.Worker)*slots]
+			for k := range slots {
+				if slot := &free[int(s.Worker)*slots+k]; *slot < *next {
+					next = slot
+				}
+			}
+			begins := max(now+time.Millisecond, *next)
+			*next = begins + work
+			runs = append(runs, run{begins, i, s.Worker, s.Job, number, false}, run{begins + work, i, s.Worker, s.Job, number, true})
+		}
+	}
+	numbers := make([]map[uint64]int, replicas)
+	for i := range numbers {
+		numbers[i] = map[uint64]int{}
+	}
+	offered := 1.4 * warm * slots / work.Seconds()
+	for now := start; now < start+8*time.Second; now += 10 * time.Millisecond {
+		due := runs
+		runs = nil
+		for _, r := range due {
+			if r.at > now {
+				runs = append(runs, r)
+				continue
+			}
+			var e Event = Started{Job: r.job, Attempt: r.number, Worker: r.worker}
+			if r.began {
+				e = Outcome{Job: r.job, Attempt: r.number, Worker: r.worker, Result: OK, Closed: true}
+			}
+			take(r.i, now, all[r.i].Step(now, []Event{e}, nil), numbers[r.i])
+		}
+		if i := rng.IntN(replicas); rng.IntN(30) == 0 { // one restarts now and then, and knows nothing of what it sent
+			begin(i)
+			runs = slices.DeleteFunc(runs, func(r run) bool { return r.i == i })
+		}
+		for n := rng.Float64() * 2 * offered / 100; n > 0; n-- {
+			i := int(float64(replicas) * rng.Float64() * rng.Float64()) // some get several times the mean
+			id++
+			job := Job{ID: id, Class: 0, Left: 5 * time.Second, Hint: work, Slots: 1}
+			take(i, now, all[i].Step(now, []Event{job, TimerFired{}}, nil), numbers[i])
+		}
+		for w := range spent {
+			spent[w] = slices.DeleteFunc(spent[w], func(at time.Duration) bool { return now-at > set.OverloadSpan })
+			share := 0.4 + 0.6*(now-start).Seconds()/8
+			most := set.Overload * share * slots / work.Seconds() * set.OverloadSpan.Seconds()
+			if n := float64(len(spent[w])); n > most+2*math.Sqrt(most)+2 {
+				t.Fatalf("worker %d got %v jobs within a span at %v, of %.0f", w, n, now-start, most)
+			}
+		}
+	}
+	others := 0
+	for _, n := range sent[1 : warm+1] {
+		others += n
+	}
+	for w := warm + 1; w <= warm+cold; w++ {
+		if least := others / warm / 8; sent[w] < least {
+			t.Errorf("cold worker %d got %d jobs, fewer than %d", w, sent[w], least)
+		}
+	}
+	t.Logf("warm ones got %d jobs each, cold ones %v", others/warm, sent[warm+1:])
+}
--- a/logic/snapshot.go
+++ b/logic/snapshot.go
@@ -446,7 +446,7 @@
 	c.int(&j.Tenant)
 	c.uint(&j.Key)
 	c.span(&j.Left, &j.Hint)
-	c.float(&j.Slots, &j.Memory, &j.need, &j.score, &j.work)
+	c.float(&j.Slots, &j.Memory, &j.need, &j.score, &j.work, &j.draw)
 	c.at(&j.arrived, &j.deadline, &j.aim, &j.promote, &j.askUntil)
 	c.flag(&j.Retry, &j.spare, &j.late, &j.closed, &j.stream, &j.aged, &j.passed)
 	c.int(&j.out)
@@ -476,7 +476,7 @@
 	c.int(&w.Rank)
 	c.int(&w.Of)
 	c.flag(&w.Ready, &w.Gone, &w.listed, &w.up, &w.lost, &w.probing, &w.broken, &w.touched)
-	c.float(&w.Size, &w.used, &w.room, &w.speed, &w.pace, &w.seen, &w.free, &w.running, &w.tooBig)
+	c.float(&w.Size, &w.used, &w.room, &w.speed, &w.pace, &w.seen, &w.free, &w.running, &w.tooBig, &w.lot, &w.lots)
 	c.at(&w.BootAt, &w.heard, &w.learned, &w.cut, &w.restUntil, &w.badUntil, &w.back, &w.reported, &w.probed, &w.ended,
 		&w.worked, &w.freed)
 	c.span(&w.rest, &w.pause)
--- a/logic/state.go
+++ b/logic/state.go
@@ -69,8 +69,9 @@
 	need                   float64 // slots, or memory where that is more
 	arrived, deadline, aim time.Duration
 	score, work            float64 // chance of running long; expected seconds at speed 1
+	draw                   float64 // above 0 and up to 1, for the lots of cold workers; 0: not drawn yet
 	spare, late            bool    // cannot earn in full any more: goes after those that can; its aim is past reach
-	passed                 bool    // it ran when its aim was looked at, and is not looked at again
+	passed                 bool    // it was out when its aim was looked at, and is not looked at again
 	closed, stream, aged   bool    // aged: it has an entry in the pile by arrival
 	index, shape           int     // in the heap of held jobs of its shape, or -1
 	ends, past, answered   alarm   // at its deadline; its aim; when workers asked for it should have answered
@@ -122,6 +123,7 @@
 	freed            time.Duration // when it was brought back by hand, and sent nothing since; 0: never
 	voids            int           // attempts out that take no slots any more
 	ledger           []spend
+	lot, lots        float64       // of the draws those from lot on, so many; none: it is not cold
 	links            int           // connections that we have open
 	ended            time.Duration // when an attempt last ended
 	wake             alarm         // when it may have room again by itself, or is warm
