--- a/internal/freshness/freshness_test.go
+++ b/internal/freshness/freshness_test.go
@@ -287,6 +287,13 @@
 			}
 			return now
 		}, 2 * sec},
+		{"silent, then refused", func(s *State) time.Duration { // what was missed counts whether or not discovery is up
+			s.Over(firstStep+3*sec, true)
+			now, _ := s.Next()
+			s.Called(now)
+			s.Over(now, false)
+			return now
+		}, 750 * ms},
 		{"moved", func(s *State) time.Duration { s.Move(firstStep); return firstStep }, sec},
 	} {
 		for _, callers := range []int{1, 9, 300} {
