--- /dev/null
+++ b/docs/names_test.go
@@ -0,0 +1,148 @@
+package docs
+
+import (
+	"go/parser"
+	"go/scanner"
+	"go/token"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/BurntSushi/toml"
+
+	"valvecove/scenarios"
+)
+
+// site is what a site file names.
+type site struct {
+	Name  string
+	Net   struct{ Zones []string }
+	Class []struct{ Name string }
+	Tier  []struct {
+		Name string
+		Kind []struct{ Name string }
+	}
+	Tenant []struct{ Name string }
+}
+
+// deploymentNames are the classes, tenants, zones and kinds of every deployment that there is a file of: our sites, and the
+// library's scenarios, which play the co-operative's unless they say otherwise.
+func deploymentNames(t *testing.T) (names []string) {
+	files, err := filepath.Glob("../deploy/sites/*.toml")
+	if err != nil || len(files) < 2 {
+		t.Fatalf("%d site files, %v", len(files), err)
+	}
+	for _, path := range files {
+		var s site
+		if _, err := toml.DecodeFile(path, &s); err != nil {
+			t.Fatal(err)
+		}
+		names = append(append(names, s.Name), s.Net.Zones...)
+		for _, c := range s.Class {
+			names = append(names, c.Name)
+		}
+		for _, r := range s.Tier {
+			names = append(names, r.Name)
+			for _, k := range r.Kind {
+				names = append(names, k.Name)
+			}
+		}
+		for _, c := range s.Tenant {
+			names = append(names, c.Name)
+		}
+	}
+	for _, name := range scenarios.Names() {
+		s, err := scenarios.Open(name)
+		if err != nil {
+			t.Fatal(err)
+		}
+		names = append(names, s.Fleet.Zones...)
+		for _, c := range s.Classes {
+			names = append(names, c.Name)
+		}
+		for _, c := range s.Tenants {
+			names = append(names, c.Name)
+		}
+		for _, k := range s.Fleet.Kinds {
+			names = append(names, k.Name)
+		}
+	}
+	slices.Sort(names)
+	return slices.Compact(names)
+}
+
+// What is deployed is fitted to no deployment: no name of one stands in its code, as a word of its own in any text there, or
+// in the files that it is deployed with.
+func TestNoDeploymentIsNamed(t *testing.T) {
+	names := deploymentNames(t)
+	for _, must := range []string{"tile-render", "north-clinic", "status-check", "khyber-society", "wanchaq"} {
+		if !slices.Contains(names, must) {
+			t.Errorf("%s is not among the names that are looked for", must)
+		}
+	}
+	for _, path := range []string{"../deploy/ops.toml", "../deploy/balancer.toml"} {
+		for _, line := range strings.Split(page(t, path), "\n") {
+			for _, name := range named(line, names) {
+				t.Errorf("%s names %s: %s", path, name, line)
+			}
+		}
+	}
+	list, err := exec.Command("go", "list", "-deps", "-f", `{{if .Module}}{{if .Module.Main}}{{range .GoFiles}}{{$.Dir}}/{{.}}{{"\n"}}{{end}}{{end}}{{end}}`,
+		"valvecove/cmd/valvecove", "valvecove/cmd/benchlink").Output()
+	if err != nil {
+		t.Fatal(err)
+	}
+	files := strings.Fields(string(list))
+	if len(files) < 50 {
+		t.Errorf("%d files are deployed", len(files))
+	}
+	for _, path := range files {
+		for _, text := range texts(t, path) {
+			for _, name := range named(text, names) {
+				t.Errorf("%s names %s: %q", path, name, text)
+			}
+		}
+	}
+}
+
+// texts are the string literals of a file.
+func texts(t *testing.T, path string) (all []string) {
+	source := []byte(page(t, path))
+	set := token.NewFileSet()
+	if _, err := parser.ParseFile(set, path, source, 0); err != nil {
+		t.Fatal(err)
+	}
+	var s scanner.Scanner
+	s.Init(set.AddFile("", -1, len(source)), source, nil, 0)
+	for {
+		_, kind, literal := s.Scan()
+		switch kind {
+		case token.EOF:
+			return all
+		case token.STRING:
+			text, err := strconv.Unquote(literal)
+			if err != nil {
+				t.Fatal(err)
+			}
+			all = append(all, text)
+		}
+	}
+}
+
+// named tells which names a text holds, as words of their own. Those of a letter or two, as some scenarios give zones, say
+// nothing of a deployment.
+func named(text string, names []string) (found []string) {
+	inWord := func(r rune) bool {
+		return r == '-' || r == '_' || r >= '0' && r <= '9' || r >= 'a' && r <= 'z' || r >= 'A' && r <= 'Z'
+	}
+	words := strings.FieldsFunc(text, func(r rune) bool { return !inWord(r) })
+	for _, name := range names {
+		if len(name) > 2 && slices.Contains(words, name) {
+			found = append(found, name)
+		}
+	}
+	return found
+}
