Run the serving path on generated settings; two tests of it are red, and listed

A deployment is drawn by a seed: class names, effects, groups, windows, deadlines, tenants, zones, kinds, limits, copies, cancelling, probes and starts told or not. The real loop, ledger and module serve it, between scripted peers that are clients, worker nodes and discovery. Each query has to get exactly one answer in time, and whatever reaches a worker node is judged by the settings alone: effect, group, window, copies, tries, zones, kinds, drains, probes, the time it tells.

TestGeneratedSettingsLateLinks is red on 3 of 40 seeds. A withdrawal (serverLinks.GiveUp) goes out on a connection that may still be coming up, while the module has heard Cancelled (Ledger.giveUp) and sends the query on: seed 37 gives up at 944 ms and writes the next attempt at 1.142 s, the DELETE unwritten. In trials on other seeds the connection was refused, or not up within connect_timeout, and the DELETE was dropped (serverLink.end); on some, the same worker node then got the query twice. Seeds 26 and 34: a keyed attempt decided within the repeat window is written on a connection that comes up late, after the window.

TestListIsWatched is red where lists are pushed: the module never subscribes there, so no watch is opened.

--- /dev/null
+++ b/internal/link/settings_test.go
@@ -0,0 +1,692 @@
+package link
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"valvecove/internal/config"
+	"valvecove/internal/ledger"
+	"valvecove/internal/steps"
+	"valvecove/logic"
+)
+
+// deployment is a world round a loop with the module that decides in service, both by settings that a seed draws:
+// clients, worker nodes and discovery are peers, and what they see is judged by the settings alone.
+type deployment struct {
+	*world
+	rng       *rand.Rand
+	conf      config.Config
+	nodes     []*workerNode
+	callers   []*caller
+	asked     map[string]*asked
+	out       []*try  // of which worker nodes have something to tell
+	notes     []*peer // connections by which worker nodes tell of their jobs
+	discovery []*peer // watches
+	told      int     // of discovery's list: its generation
+	dials     int     // of discovery
+	late      bool    // some connections come up late, and some are closed by worker nodes after an answer
+	known     map[*peer]*far
+}
+
+// workerNode is one host of the generated host group.
+type workerNode struct {
+	ledger.Host
+	at          netip.AddrPort
+	zone, kind  int
+	drainsSince time.Duration // told so; 0: it does not drain
+	down        time.Duration // its process has died, and comes back then
+}
+
+// far is what a test knows of the other end of a link of the loop's.
+type far struct {
+	node   *workerNode // nil: discovery
+	filler int         // bytes that hold the connection up, not taken out yet
+	up     time.Duration
+	try    *try // the one that it has not answered
+}
+
+// caller is a client with one connection, on which it asks for one thing at a time.
+type caller struct {
+	peer *peer
+	asks *asked
+}
+
+// asked is a query as its client and the worker nodes know it.
+type asked struct {
+	id       string
+	class    int
+	key      string
+	deadline time.Duration
+	answers  int
+	left     bool
+	results  []string
+	tries    []*try
+}
+
+// try is an attempt whose last byte has come to a worker node.
+type try struct {
+	of       *asked
+	node     *workerNode
+	at       time.Duration
+	accepted bool
+	ended    bool // the scheduler has been told so
+	never    bool // and that it never ran
+	givenUp  bool
+	ends     time.Duration // when the worker node tells how it ended; 0: never
+	state    string        // and with which word
+	start    time.Duration // when it tells of the start; 0: never
+}
+
+// loud fails a test on a line of the log that tells of a fault within.
+type loud struct{ *testing.T }
+
+func (l loud) Enabled(_ context.Context, level slog.Level) bool { return level >= slog.LevelError }
+func (l loud) WithAttrs([]slog.Attr) slog.Handler               { return l }
+func (l loud) WithGroup(string) slog.Handler                    { return l }
+func (l loud) Handle(_ context.Context, r slog.Record) error {
+	l.Errorf("logged: %s", r.Message)
+	r.Attrs(func(a slog.Attr) bool { l.Errorf("  %s", a); return true })
+	return nil
+}
+
+// names draws so many different words, some of them awkward: those that paths of the protocol begin with.
+func names(rng *rand.Rand, n int) (all []string) {
+	const letters = "abcdefghijklmnopqrstuvwxyzABCXYZ0123456789-._~"
+	for len(all) < n {
+		name := []string{"up", "v1", "jobs", "alive", "metrics", "discovery"}[rng.IntN(6)]
+		if rng.IntN(5) > 0 {
+			b := make([]byte, 1+rng.IntN(24))
+			for i := range b {
+				b[i] = letters[rng.IntN(len(letters))]
+			}
+			name = "x" + string(b)
+		}
+		if !slices.Contains(all, name) {
+			all = append(all, name)
+		}
+	}
+	return all
+}
+
+type object = map[string]any
+
+// generated draws a whole configuration as the platform tells it; set may then set some of the settings.
+func generated(rng *rand.Rand, nodes []*workerNode, zones, kinds []string, set func(settings object)) []byte {
+	flip := func() bool { return rng.IntN(2) == 0 }
+	us := func(least, most time.Duration) int64 {
+		return (least + time.Duration(rng.Int64N(int64(most-least)))).Microseconds()
+	}
+	some := func(n int) []int {
+		var all []int
+		for i := range n {
+			if rng.IntN(3) > 0 {
+				all = append(all, i)
+			}
+		}
+		return all
+	}
+	var classes, tenants []object
+	var stretch []float64
+	for i, name := range names(rng, 1+rng.IntN(6)) {
+		effect := []string{"pure", "token", "side_effect"}[(i+rng.IntN(2))%3]
+		class := object{"name": name, "idempotency": effect, "promise": us(5*time.Millisecond, 2*time.Second),
+			"give_up": us(100*time.Millisecond, 9*time.Second), "gain": 5 * rng.Float64(), "late_share": rng.Float64() / 2}
+		if effect == "token" {
+			class["dedup_scope"] = []string{"cell", "zone", "all"}[rng.IntN(3)]
+			class["window"] = us(50*time.Millisecond, 6*time.Second)
+		}
+		if rng.IntN(4) == 0 {
+			class["allowed_in"] = some(len(zones))
+		}
+		if rng.IntN(4) == 0 {
+			class["bound_to"] = some(len(kinds))
+		}
+		classes, stretch = append(classes, class), append(stretch, 1+3*rng.Float64())
+	}
+	for _, name := range names(rng, rng.IntN(4)) {
+		tenants = append(tenants, object{"name": name, "quota_per_s": float64(rng.IntN(3)) * 40 * rng.Float64()})
+	}
+	var hosts []ledger.Host
+	for _, n := range nodes {
+		hosts = append(hosts, n.Host)
+	}
+	of := 1 + rng.IntN(5)
+	settings := object{"replicas_of_me": of, "me": rng.IntN(of), "zone": rng.IntN(len(zones)), "zones": zones, "kinds": kinds,
+		"discovery": []string{"subscribe", "automatic"}[rng.IntN(2)], "classes": classes, "tenants": tenants,
+		"bounds": object{"try_limit": 1 + rng.IntN(6), "second_copies": flip(), "cancelling": flip(), "probes": flip(),
+			"retry_after": flip(), "max_retry_after": us(time.Millisecond, 3*time.Second),
+			"connect_timeout": us(60*time.Millisecond, 400*time.Millisecond), "conn_idle": us(time.Second, time.Minute)},
+		"domain": object{"class_stretch": stretch, "tells_start": flip(), "progress": rng.IntN(2) * 500_000},
+		"prices": object{"probe": rng.Float64() / 100, "cross_zone": rng.Float64() / 10, "handshake": rng.Float64() / 10},
+		"rules": object{"ask_every": us(500*time.Millisecond, 12*time.Second), "cold": us(time.Second, 20*time.Second),
+			"cold_from": 0.1 + 0.8*rng.Float64(), "overload_factor": 1 + 3*rng.Float64(), "fall": us(500*time.Millisecond, 3*time.Second)}}
+	set(settings)
+	text, err := json.Marshal(object{"name": "n0", "listen": "127.0.0.1:0", "discovery": "10.9.9.9:8500", "seed": strconv.FormatUint(rng.Uint64(), 16),
+		"limits": object{"sockets": 64 + rng.IntN(900), "memory_mb": 16 + rng.IntN(170)},
+		"known":  ledger.HostGroup{Generation: 1, Reset: true, Hosts: hosts}, "settings": settings})
+	if err != nil {
+		panic(err)
+	}
+	return text
+}
+
+// newDeployment draws a deployment, but for what set sets, and starts a scheduler in it as its configuration says. late has
+// connections to worker nodes come up late, and others close after an answer.
+func newDeployment(t *testing.T, seed uint64, late bool, set func(settings object)) *deployment {
+	rng := rand.New(rand.NewPCG(seed, 21))
+	w := &world{Steps: &steps.Steps{T: t}, now: 1000 * time.Hour}
+	d := &deployment{world: w, rng: rng, asked: map[string]*asked{}, known: map[*peer]*far{}, told: 1, late: late}
+	zones, kinds := names(rng, 1+rng.IntN(5)), names(rng, 1+rng.IntN(3))
+	for i := range 2 + rng.IntN(7) {
+		n := &workerNode{zone: rng.IntN(len(zones)), kind: rng.IntN(len(kinds))}
+		n.at = netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, byte(i), byte(1 + rng.IntN(250))}), uint16(1000+rng.IntN(60000)))
+		n.Host = ledger.Host{ID: fmt.Sprintf("s-%08x", rng.Uint32()), Addr: n.at.String(), Zone: zones[n.zone], Kind: kinds[n.kind],
+			Cell: rng.IntN(3), State: "up", Weight: float64(rng.IntN(3))}
+		if rng.IntN(3) == 0 {
+			n.StartedMs = (w.now - time.Duration(rng.IntN(int(20*time.Second)))).Milliseconds()
+		}
+		d.nodes = append(d.nodes, n)
+	}
+	text := generated(rng, d.nodes, zones, kinds, set)
+	var err error
+	if d.conf, err = config.Decode(text, func(string) string { return "" }); err != nil {
+		t.Fatalf("%v in %s", err, text)
+	}
+	t.Logf("%s", text)
+	d.open()
+	return d
+}
+
+// open is Open, but that the loop is on the test's clock and its links lead to the test.
+func (d *deployment) open() {
+	log := slog.New(loud{d.T})
+	l, err := newLoop(log, log)
+	if err != nil {
+		d.T.Fatal(err)
+	}
+	l.clock = func() time.Duration { return d.now }
+	l.now = d.now
+	l.dial = d.dial
+	d.loop = l
+	c := d.conf
+	servers, clients := share(c.Limits.Sockets, 0)
+	l.limits, l.onWake = c.Limits, func() {}
+	l.serve(servers, c.Settings.ConnectTimeout, c.Settings.ConnIdle)
+	l.watch = &watch{stream: stream{loop: l, closed: true}, to: c.Discovery}
+	l.Ledger = ledger.New(c.Settings.TryLimit, c.Settings.Names, func() ledger.Module { return logic.New(c.Settings.Settings, c.Seed) },
+		c.Known, l.servers, log)
+	l.accept(clients, bufferBudget(c), &c.Settings.Settings, c.Settings.Names)
+	d.T.Cleanup(func() {
+		for fd, h := range l.handlers {
+			if h != nil {
+				_ = unix.Close(fd)
+			}
+		}
+		_ = unix.Close(l.epoll)
+	})
+	for range 2 {
+		d.notes = append(d.notes, d.connect())
+	}
+	for range 4 + d.rng.IntN(16) {
+		d.callers = append(d.callers, &caller{peer: d.connect()})
+	}
+	d.settle()
+}
+
+// connect is a connection that the loop has accepted.
+func (d *deployment) connect() *peer {
+	p, fd := d.pair()
+	d.loop.clients.adopt(fd, netip.AddrPort{})
+	return p
+}
+
+// dial takes a connection of the loop's: to a worker node, which may come up late, or to discovery.
+func (d *deployment) dial(at netip.AddrPort) (int, error) {
+	f := &far{}
+	for _, n := range d.nodes {
+		if n.at == at {
+			f.node = n
+		}
+	}
+	if f.node != nil && f.node.down > d.now {
+		return -1, unix.ECONNREFUSED
+	}
+	p, fd := d.pair()
+	p.at = at
+	if f.node == nil {
+		d.discovery = append(d.discovery, p)
+		d.dials++
+	} else if d.late && d.rng.IntN(3) == 0 { // what fills it up is no byte of the loop's
+		for zeros := make([]byte, 64<<10); ; {
+			n, err := unix.Write(fd, zeros)
+			if err != nil {
+				break
+			}
+			f.filler += n
+		}
+		f.up = d.now + time.Duration(d.rng.IntN(600))*time.Millisecond
+	}
+	d.known[p] = f
+	d.dialed = append(d.dialed, p)
+	return fd, nil
+}
+
+// settle lets the loop do all that it can do now, and everybody else take in what has come. Of what came in one go, what was
+// given up counts before what began.
+func (d *deployment) settle() {
+	for more := true; more; {
+		d.turn()
+		more = false
+		for _, p := range d.dialed {
+			before, f := len(p.got), d.known[p]
+			if f.filler == 0 || f.up <= d.now || p.ended {
+				p.read(16 << 10)
+				take := min(f.filler, len(p.got))
+				p.got, f.filler = p.got[take:], f.filler-take
+				more = more || take > 0
+			}
+			more = more || len(p.got) > before
+			if t := f.try; p.ended && t != nil {
+				f.try = nil
+				t.givenUp = t.givenUp || !t.accepted
+			}
+		}
+		for _, begins := range [...]bool{false, true} {
+			for _, p := range d.dialed {
+				more = d.takeIn(p, begins) || more
+			}
+		}
+		for _, c := range d.callers {
+			d.hear(c)
+		}
+		for _, p := range d.notes {
+			p.read(16 << 10)
+			p.got = p.got[:0]
+		}
+		d.dialed = slices.DeleteFunc(d.dialed, func(p *peer) bool {
+			if p.ended || p.closed {
+				p.close()
+				delete(d.known, p)
+			}
+			return p.closed
+		})
+	}
+}
+
+// takeIn takes one whole request, if there is one, either of a job or any other.
+func (d *deployment) takeIn(p *peer, begins bool) bool {
+	f := d.known[p]
+	var m Message
+	n, err := m.ParseRequest(p.got)
+	if err != nil || f.filler > 0 || (string(m.Method) == "POST") != begins {
+		if err != errShort && err != nil {
+			d.T.Fatalf("%v in %.100q", err, p.got)
+		}
+		return false
+	}
+	target := string(m.Target)
+	p.got = bytes.Clone(p.got[n:])
+	switch {
+	case f.node == nil:
+		d.Check(strings.HasPrefix(target, "/discovery/hosts?stream=1"), "discovery was asked for %s", target)
+		p.write([]byte("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"))
+		d.list(p)
+	case string(m.Method) == "DELETE":
+		for _, t := range d.asked[strings.TrimPrefix(target, "/jobs/")].tries {
+			if t.node == f.node {
+				t.givenUp = true
+				if d.rng.IntN(2) == 0 {
+					t.ends = 0 // some go on with what is given up
+				}
+			}
+		}
+		p.write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"))
+	case string(m.Method) == "GET":
+		d.Check(d.conf.Settings.Probes, "a probe, and the settings allow none")
+		if d.rng.IntN(4) > 0 {
+			p.write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"))
+		}
+	default:
+		d.Check(len(p.got) == 0 && f.try == nil, "a second request on a link before the first was answered")
+		d.begin(p, f, &m)
+	}
+	return true
+}
+
+// begin judges an attempt whose last byte has come, and settles what becomes of it.
+func (d *deployment) begin(p *peer, f *far, m *Message) {
+	q := d.asked[string(m.Get("X-Call-Id"))]
+	if q == nil {
+		d.T.Fatalf("an attempt of a query that nobody sent: %q", m.Get("X-Call-Id"))
+	}
+	set, n := &d.conf.Settings, f.node
+	class := set.Classes[q.class]
+	d.Check(!q.left && q.answers == 0, "%s was sent on after it was over", q.id)
+	d.Check(string(m.Get("Idempotency-Key")) == q.key, "%s went on with another key", q.id)
+	left, _ := decimal(m.Get("X-Budget-Ms"))
+	d.Check(time.Duration(left)*time.Millisecond <= max(q.deadline-d.now, time.Millisecond), "%s has %v left, and tells %d ms", q.id, q.deadline-d.now, left)
+	d.Check(n.drainsSince == 0 || d.now-n.drainsSince <= 550*time.Millisecond, "%s went to %s, which drains since %v", q.id, n.ID, d.now-n.drainsSince)
+	d.Check(class.Zones == nil || slices.Contains(class.Zones, n.zone), "%s went to a zone where its class may not go", q.id)
+	d.Check(class.Kinds == nil || slices.Contains(class.Kinds, n.kind), "%s went to a kind where its class may not go", q.id)
+	for i, t := range q.tries {
+		out := !t.ended && !t.givenUp
+		d.Check(!out || t.node != n, "%s went twice to %s", q.id, n.ID)
+		d.Check(!out || set.SecondCopies, "%s: a second copy after attempt %d", q.id, i)
+		if t.never || class.Effect == logic.Safe {
+			continue
+		}
+		d.Check(class.Effect == logic.Keyed, "%s may run twice: attempt %d, ended %v, given up %v", q.id, i, t.ended, t.givenUp)
+		same := class.Group == logic.GroupAll || class.Group == logic.GroupZone && t.node.zone == n.zone ||
+			class.Group == logic.GroupCell && t.node.Cell == n.Cell
+		d.Check(same, "%s went to another group after attempt %d", q.id, i)
+		d.Check(d.now-t.at <= class.Window+50*time.Millisecond, "%s went again %v after attempt %d, window %v", q.id, d.now-t.at, i, class.Window)
+	}
+	t := &try{of: q, node: n, at: d.now}
+	q.tries, d.out = append(q.tries, t), append(d.out, t)
+	d.Check(len(q.tries) <= set.TryLimit, "%s has %d attempts", q.id, len(q.tries))
+	if p.ended { // given up as soon as it was written
+		t.givenUp = true
+		return
+	}
+	f.try = t
+	work := time.Duration(1+d.rng.IntN(int(class.GiveUp.Milliseconds()))) * time.Millisecond / time.Duration(1+d.rng.IntN(40))
+	switch d.rng.IntN(18) {
+	case 0:
+		d.answer(p, f, "HTTP/1.1 503 Full\r\nX-Rejected: 1\r\nContent-Length: 0\r\n\r\n")
+		t.ended, t.never = true, true
+	case 1:
+		d.answer(p, f, "HTTP/1.1 500 Error\r\nContent-Length: 0\r\n\r\n")
+		t.ended = true
+	case 2:
+		f.try, t.ended = nil, true
+		p.close()
+	case 3: // silent
+	case 5: // of no use to any worker node
+		d.answer(p, f, "HTTP/1.1 400 Bad\r\nContent-Length: 0\r\n\r\n")
+		t.ended, t.never = true, true
+	case 4: // told before it is accepted, or without that
+		t.ends, t.state = d.now, "done"
+	default:
+		d.answer(p, f, "HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n")
+		t.accepted = true
+		t.ends = d.now + work
+		t.state = []string{"done", "done", "done", "done", "done", "failed", "returned", "lost"}[d.rng.IntN(8)]
+		if set.TellsStart && t.state != "returned" {
+			t.start = d.now + work/3
+		}
+		if d.rng.IntN(10) == 0 {
+			t.start, t.ends = 0, 0 // it hangs
+		}
+	}
+}
+
+func (d *deployment) answer(p *peer, f *far, text string) {
+	f.try = nil
+	if d.late && d.rng.IntN(2) == 0 {
+		p.write([]byte(strings.Replace(text, "\r\n\r\n", "\r\nConnection: close\r\n\r\n", 1)))
+		p.close()
+		return
+	}
+	p.write([]byte(text))
+}
+
+// crash has a worker node's process die: its connections are reset, and what it had is over. Of some of that its machine
+// tells. For a while new connections are refused.
+func (d *deployment) crash(n *workerNode) {
+	d.settle()
+	n.down = d.now + time.Duration(d.rng.IntN(800))*time.Millisecond
+	if n.State == "up" {
+		n.StartedMs = n.down.Milliseconds()
+	}
+	for _, p := range d.dialed {
+		if f := d.known[p]; f.node == n {
+			f.try, f.filler = nil, 0
+			p.close()
+		}
+	}
+	for _, q := range d.asked {
+		for _, t := range q.tries {
+			if t.node == n && !t.ended {
+				t.ended, t.start = true, 0
+				if t.ends > 0 {
+					t.state = "lost"
+				}
+			}
+		}
+	}
+}
+
+// tell has worker nodes tell what is due.
+func (d *deployment) tell() {
+	for _, t := range d.out {
+		if t.start > 0 && t.start <= d.now && t.start < t.ends {
+			t.start = 0
+			d.note(t, "started", "")
+		}
+		if t.ends == 0 || t.ends > d.now {
+			continue
+		}
+		t.ends = 0
+		t.ended, t.never = true, t.state == "returned"
+		result := ""
+		if t.state == "done" {
+			result = fmt.Sprintf("%s by %s, %d", t.of.id, t.node.ID, len(t.of.results))
+			t.of.results = append(t.of.results, result)
+		}
+		for range 1 + d.rng.IntN(8)/7 { // some are told twice
+			d.note(t, t.state, result)
+		}
+	}
+	d.out = slices.DeleteFunc(d.out, func(t *try) bool { return t.ends == 0 })
+}
+
+func (d *deployment) note(t *try, state, result string) {
+	body, err := json.Marshal(map[string]string{"id": t.of.id, "from": t.node.ID, "state": state, "result": result})
+	if err != nil {
+		d.T.Fatal(err)
+	}
+	d.notes[d.rng.IntN(len(d.notes))].write(fmt.Appendf(nil, "POST /v1/job-events HTTP/1.1\r\nContent-Length: %d\r\n\r\n%s", len(body), body))
+}
+
+// list tells the whole list on a watch.
+func (d *deployment) list(p *peer) {
+	g := ledger.HostGroup{Generation: int64(d.told), Reset: true}
+	for _, n := range d.nodes {
+		g.Hosts = append(g.Hosts, n.Host)
+	}
+	text, err := json.Marshal(g)
+	if err != nil {
+		d.T.Fatal(err)
+	}
+	p.write(fmt.Appendf(nil, "%x\r\n%s\n\r\n", len(text)+1, text))
+}
+
+// ask has a client ask for something, with all the headers that the protocol has.
+func (d *deployment) ask(c *caller) {
+	set := &d.conf.Settings
+	q := &asked{id: fmt.Sprintf("%016x", d.rng.Uint64()), class: d.rng.IntN(len(set.Classes))}
+	class, name := set.Classes[q.class], set.Names.Classes[q.class]
+	budget := class.GiveUp / time.Duration(1+d.rng.IntN(3))
+	budget = max(budget.Truncate(time.Millisecond), time.Millisecond)
+	q.deadline = d.now + budget
+	head := fmt.Sprintf("POST /%s/%x HTTP/1.1\r\nHost: h\r\nX-Call-Id: %s\r\nX-Call-Class: %s\r\nX-Budget-Ms: %d\r\n", name, d.rng.IntN(9), q.id, name, budget.Milliseconds())
+	if class.Effect == logic.Keyed {
+		q.key = fmt.Sprintf("%032x", d.rng.Uint64())
+		head += "Idempotency-Key: " + q.key + "\r\n"
+	}
+	if t := set.Names.Tenants; len(t) > 0 {
+		head += "X-Caller: " + t[d.rng.IntN(len(t))] + "\r\n"
+	}
+	if d.rng.IntN(2) == 0 {
+		head += fmt.Sprintf("X-Call-Cost: %d\r\n", d.rng.IntN(2_000_000))
+	}
+	if d.rng.IntN(4) == 0 {
+		head += "X-Again: 1\r\n"
+	}
+	body := bytes.Repeat([]byte{'b'}, d.rng.IntN(200))
+	c.peer.write(fmt.Appendf(nil, "%sContent-Length: %d\r\n\r\n%s", head, len(body), body))
+	c.asks, d.asked[q.id] = q, q
+}
+
+// hear takes in what a client has been answered.
+func (d *deployment) hear(c *caller) {
+	p := c.peer
+	p.read(16 << 10)
+	for len(p.got) > 0 {
+		var m Message
+		n, err := m.ParseResponse(p.got, p.ended)
+		if err != nil {
+			break
+		}
+		if m.Status >= 200 {
+			d.Check(c.asks != nil, "an answer that nobody waits for: %d", m.Status)
+			q := c.asks
+			q.answers++
+			c.asks = nil
+			d.Check(d.now <= q.deadline+50*time.Millisecond, "%s was answered %v late", q.id, d.now-q.deadline)
+			d.Check(m.Status == 200 || m.Status == 500 || m.Status == 503, "%s was answered %d", q.id, m.Status)
+			d.Check(m.Status != 200 || slices.Contains(q.results, string(m.Body)), "%s was served with %q, of %q", q.id, m.Body, q.results)
+		}
+		p.got = bytes.Clone(p.got[n:])
+	}
+	if p.ended || p.closed { // idle for long, or after an answer that said so
+		d.Check(c.asks == nil || p.closed, "%s lost its connection", "a query")
+		p.close()
+		c.peer, c.asks = d.connect(), nil
+	}
+}
+
+// run plays so many steps, and then lets all come to its end.
+func (d *deployment) run(steps int) {
+	for range steps {
+		d.now += time.Duration(1+d.rng.IntN(25)) * time.Millisecond
+		for _, c := range d.callers {
+			switch {
+			case c.asks == nil && d.rng.IntN(4) == 0:
+				d.ask(c)
+			case c.asks != nil && d.rng.IntN(150) == 0:
+				c.asks.left = true
+				c.peer.close()
+			}
+		}
+		if d.rng.IntN(50) == 0 {
+			d.crash(d.nodes[d.rng.IntN(len(d.nodes))])
+		}
+		d.tell()
+		d.change()
+		d.settle()
+	}
+	for d.loop.Ledger.Open() > 0 {
+		d.now += 25 * time.Millisecond
+		d.tell()
+		d.settle()
+	}
+	d.now += 20 * time.Second // past what any attempt is waited for
+	d.settle()
+	served, again := 0, 0
+	for _, q := range d.asked {
+		d.Check(q.answers == 1 || q.left && q.answers == 0, "%s has %d answers, left %v", q.id, q.answers, q.left)
+		if len(q.results) > 0 {
+			served++
+		}
+		if len(q.tries) > 1 {
+			again++
+		}
+	}
+	d.Check(d.loop.Ledger.Open() == 0 && d.loop.Ledger.Bytes() == 0, "%d queries open, with %d bytes", d.loop.Ledger.Open(), d.loop.Ledger.Bytes())
+	d.T.Logf("%d queries, %d with a result, %d with further attempts", len(d.asked), served, again)
+}
+
+// change has discovery speak, and now and then drain a worker node, start one anew, or fall silent.
+func (d *deployment) change() {
+	changed := d.rng.IntN(60) == 0
+	if n := d.nodes[d.rng.IntN(len(d.nodes))]; changed {
+		if d.told++; n.State == "up" {
+			n.State = "draining"
+		} else {
+			n.State, n.StartedMs = "up", d.now.Milliseconds()
+		}
+	}
+	d.discovery = slices.DeleteFunc(d.discovery, func(p *peer) bool { return p.closed || p.ended })
+	for _, p := range d.discovery {
+		switch {
+		case d.known[p] == nil || d.known[p].filler > 0:
+		case d.rng.IntN(300) == 0:
+			p.close()
+		case changed:
+			d.list(p)
+		case d.rng.IntN(20) == 0:
+			p.write([]byte("1\r\n\n\r\n"))
+		}
+	}
+	for _, n := range d.nodes { // told only where a watch is open
+		switch {
+		case n.State == "up":
+			n.drainsSince = 0
+		case n.drainsSince == 0 && changed && len(d.discovery) == 1:
+			n.drainsSince = d.now
+		}
+	}
+}
+
+func asDrawn(object) {}
+
+// By whatever settings it runs, a scheduler gives each query one answer, in time, breaks no class's effect, and does
+// nothing that the settings don't allow.
+func TestGeneratedSettings(t *testing.T) {
+	for seed := range uint64(80) {
+		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) { newDeployment(t, seed, false, asDrawn).run(200) })
+	}
+}
+
+// The same where connections to worker nodes come up late, also those by which attempts are withdrawn: until an attempt has
+// ended, or its worker node has been told that it is given up, there is no other where copies are not allowed, and none at
+// that worker node anywhere; and a keyed query is repeated within its window, however late the connection is.
+func TestGeneratedSettingsLateLinks(t *testing.T) {
+	for seed := range uint64(40) {
+		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
+			newDeployment(t, 1000+seed, true, func(settings object) {
+				if settings["bounds"].(object)["second_copies"] = seed%2 == 0; seed%2 > 0 {
+					return
+				}
+				for _, c := range settings["classes"].([]object) { // so short that a connection may outlast it
+					if c["idempotency"] == "token" {
+						c["window"], c["dedup_scope"] = c["window"].(int64)/12, "all"
+					}
+				}
+			}).run(200)
+		})
+	}
+}
+
+// However discovery is said to tell of changes, a process hears of them only by a watch: it opens one within a second of its
+// start, and again when one has ended.
+func TestListIsWatched(t *testing.T) {
+	for _, how := range []string{"subscribe", "automatic"} {
+		t.Run(how, func(t *testing.T) {
+			d := newDeployment(t, 1, false, func(settings object) {
+				settings["discovery"], settings["replicas_of_me"], settings["me"] = how, 3, 0
+			})
+			for dials := range 3 {
+				for range 100 {
+					d.now += 10 * time.Millisecond
+					d.settle()
+				}
+				d.Check(d.dials == dials+1 && len(d.discovery) > 0, "discovery was called %d times, expected %d", d.dials, dials+1)
+				d.discovery[len(d.discovery)-1].close()
+			}
+		})
+	}
+}
