--- a/internal/link/settings_test.go
+++ b/internal/link/settings_test.go
@@ -17,6 +17,7 @@
 	"golang.org/x/sys/unix"
 
 	"valvecove/internal/config"
+	"valvecove/internal/freshness"
 	"valvecove/internal/ledger"
 	"valvecove/internal/steps"
 	"valvecove/logic"
@@ -224,10 +225,12 @@
 	servers, clients := share(c.Limits.Sockets, 0)
 	l.limits, l.onWake = c.Limits, func() {}
 	l.serve(servers, c.Settings.ConnectTimeout, c.Settings.ConnIdle)
-	l.watch = &watch{stream: stream{loop: l, closed: true}, to: c.Discovery}
+	l.watch = l.newWatch(c.Discovery, freshness.Rules{AskEvery: c.Settings.AskEvery, Pushed: !c.Settings.MustSubscribe,
+		Callers: c.Settings.Replicas}, rand.New(rand.NewPCG(c.Seed, freshSeed)).Int64N)
 	l.Ledger = ledger.New(c.Settings.TryLimit, c.Settings.Names, func() ledger.Module { return logic.New(c.Settings.Settings, c.Seed) },
 		c.Known, l.servers, log)
 	l.accept(clients, bufferBudget(c), &c.Settings.Settings, c.Settings.Names)
+	l.watch.begin(len(c.Known.Hosts) > 0)
 	d.T.Cleanup(func() {
 		for fd, h := range l.handlers {
 			if h != nil {
