Send a keyed job again only if its connection can still come up within the repeat window

Cause: maySend kept a twentieth of the window in hand; a connection may take connect_timeout.

Change: the larger of the two is kept.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -624,9 +624,9 @@
 	return (rank < owners || w.freed > 0) && d.now-d.born > span && sum <= budget/float64(owners)
 }
 
-// dealLots gives each cold worker that needs it a part of the numbers from 0 to 1 that jobs draw: its share of a ready
-// worker's even part of all jobs, or less where the budget allows less. Only jobs that could go elsewhere are drawn for
-// it, so the sum over dispatchers that tell each other nothing follows what the others of its fleet are given.
+// dealLots gives each cold worker a part of the numbers from 0 to 1 that jobs draw: its share of a ready
+// one's even part of all jobs, or less where the budget allows less. Only jobs that could go elsewhere go by
+// it, so the sum over dispatchers that tell each other nothing follows what the rest of the fleet is given.
 func (d *Dispatcher) dealLots() {
 	from, ready := 0.0, d.ready()
 	for _, w := range d.order {
@@ -638,8 +638,8 @@
 	}
 }
 
-// wins tells whether a job has drawn a cold worker. One heavier than most has to come closer, as the mean of work counts;
-// one that would use up what the guess at its capacity allows it never goes.
+// wins tells whether a job has drawn a cold worker. One heavier than most has to come closer, as work counts
+// by its mean; one that would use up what the guess at the worker's capacity allows it never goes.
 func (d *Dispatcher) wins(j *job, w *worker) bool {
 	if w.lots == 0 || j.had(w) || len(w.ledger) > 0 || d.coldCost(j) > d.coldBudget(w) {
 		return false
@@ -713,7 +713,8 @@
 		if !a.mayHaveRun() || j.class.Effect == Safe {
 			continue
 		}
-		if j.class.Effect == Unsafe || d.now-a.sent >= j.class.Window-j.class.Window/20 ||
+		spare := max(j.class.Window/20, d.set.ConnectTimeout) // what is sent now may wait for its connection
+		if j.class.Effect == Unsafe || d.now-a.sent >= j.class.Window-spare ||
 			j.class.Group == GroupZone && a.zone != w.Zone || j.class.Group == GroupCell && a.cell != w.Cell {
 			return false
 		}
@@ -908,7 +909,7 @@
 		d.shrink(w, a)
 	}
 	d.forget(w)
-	if j.passed && !j.closed { // it was out when its aim was looked at: without another look it is held for good
+	if j.passed && !j.closed { // it was out at its aim: without another look it is held for good
 		j.passed = false
 		d.alarm(&j.past, d.now)
 	}
--- a/logic/rules_test.go
+++ b/logic/rules_test.go
@@ -190,7 +190,7 @@
 		}
 		same := c.Group == GroupAll || c.Group == GroupZone && t.worker.Zone == w.Zone ||
 			c.Group == GroupCell && t.worker.Cell == w.Cell
-		if c.Effect == Unsafe || !same || r.now-t.sent > c.Window {
+		if c.Effect == Unsafe || !same || r.now-t.sent+r.set.ConnectTimeout > c.Window { // it may wait for its connection
 			r.fault("job %d sent again though it may have run", a.Job)
 		}
 	}
