Keep a withdrawn attempt out until its DELETE is written

Cause: Ledger.giveUp ended an accepted attempt before its worker node could be told, and serverLinks tried one connection for the DELETE.

Change: the module's Cancel of an accepted attempt, and a patience that is over before the query's time, now withdraw it: it stays out, its notes count, and it ends as Cancelled (TimedOut) once the DELETE is written. A connection that is refused, late or broken is tried again, four in all, 50 ms apart, also where no descriptor was left; after that the attempt is out as before, and may be withdrawn again. Its query's deadline ends it; the client's leaving does not. What waits at a hand-over goes on at the successor. Once the worker node has told how it ended no DELETE is sent. The lab's links do the same.

Stand-ins of tests that have no links tell their worker nodes at once. FuzzLedger's step that ends an attempt no longer takes an accepted one back to an earlier stage, which can't happen.

--- a/internal/follow/rig_test.go
+++ b/internal/follow/rig_test.go
@@ -81,9 +81,14 @@
 
 func (r *rig) Carry(a *ledger.Attempt)  { r.carry(a) }
 func (r *rig) GiveUp(a *ledger.Attempt) { r.giveUp(a) }
-func (r *rig) Probe(worker uint64)      { r.probe(worker) }
-func (r *rig) FreeLinks(worker uint64)  { r.free(worker) }
-func (r *rig) Watch(after int64)        { r.watched(after) }
+
+func (r *rig) Withdraw(a *ledger.Attempt) { // its worker node is told at once
+	r.l.Withdrawn(a, true)
+	r.giveUp(a)
+}
+func (r *rig) Probe(worker uint64)     { r.probe(worker) }
+func (r *rig) FreeLinks(worker uint64) { r.free(worker) }
+func (r *rig) Watch(after int64)       { r.watched(after) }
 
 // settle turns the loop until nothing is left to do at this instant.
 func (r *rig) settle() {
--- a/internal/lab/virtual/links.go
+++ b/internal/lab/virtual/links.go
@@ -20,6 +20,9 @@
 	trustLeast  = 20 * time.Millisecond
 	trustGrows  = 10 * time.Second
 	trustMost   = time.Minute // beyond that it is without limit
+
+	withdrawTimes = 4 // connections are tried for a DELETE
+	withdrawAgain = 50 * time.Millisecond
 )
 
 // What ends links, as causes of faults.
@@ -41,13 +44,15 @@
 	order   []*hostLinks // map order decides nothing
 	links   map[edge.Conn]*serverLink
 	carried map[*ledger.Attempt]*serverLink // until the worker node has accepted
-	most    int
-	resting int           // idle links, over all hosts
-	victim  int           // where in order evict looks first
-	dial    time.Duration // a connection comes up within this or not at all
-	idleFor time.Duration // and is not kept for longer when idle; 0: for ever
-	trust   time.Duration // nor for longer than has lately gone well; 0: as long as may be
-	doubted time.Duration // when that was set
+	// withdrawals are the attempts whose worker node is being told, and how many connections were tried for that.
+	withdrawals map[*ledger.Attempt]int
+	most        int
+	resting     int           // idle links, over all hosts
+	victim      int           // where in order evict looks first
+	dial        time.Duration // a connection comes up within this or not at all
+	idleFor     time.Duration // and is not kept for longer when idle; 0: for ever
+	trust       time.Duration // nor for longer than has lately gone well; 0: as long as may be
+	doubted     time.Duration // when that was set
 }
 
 // hostLinks are the links to one worker node.
@@ -73,7 +78,7 @@
 type errandKind uint8
 
 const (
-	nothing errandKind = iota // or nothing that hangs on its answer: a DELETE
+	nothing errandKind = iota
 	carrying
 	probing
 	withdrawing
@@ -105,7 +110,7 @@
 
 func newServerLinks(p *process, most int, dial, idleFor time.Duration) *serverLinks {
 	s := &serverLinks{p: p, hosts: map[uint64]*hostLinks{}, links: map[edge.Conn]*serverLink{},
-		carried: map[*ledger.Attempt]*serverLink{}, most: most, dial: dial, idleFor: idleFor * 3 / 4}
+		carried: map[*ledger.Attempt]*serverLink{}, withdrawals: map[*ledger.Attempt]int{}, most: most, dial: dial, idleFor: idleFor * 3 / 4}
 	s.retire()
 	return s
 }
@@ -152,10 +157,37 @@
 	if k := s.carried[a]; k != nil {
 		k.end(nil)
 	} else if a.Stage == ledger.Accepted {
+		s.Withdraw(a)
+	}
+}
+
+// Withdraw sends a DELETE, unless one is on its way.
+func (s *serverLinks) Withdraw(a *ledger.Attempt) {
+	if _, is := s.withdrawals[a]; !is {
+		s.withdrawals[a] = 1
 		s.start(a.Worker, errand{withdrawing, a})
 	}
 }
 
+// withdrew takes in how a DELETE ended. What broke is tried again, on another connection.
+func (s *serverLinks) withdrew(a *ledger.Attempt, fault *ledger.Fault) {
+	broke := fault != nil && fault.Reason == ledger.Cut
+	wanted := !a.Ended() || fault != nil && fault.Stage >= ledger.AllWritten
+	if !broke || !wanted || a.Told() || s.withdrawals[a] >= withdrawTimes {
+		delete(s.withdrawals, a)
+		s.p.ledger.Withdrawn(a, false) // means nothing once it is told
+		return
+	}
+	s.p.after(withdrawAgain, func() {
+		if a.Told() {
+			delete(s.withdrawals, a)
+			return
+		}
+		s.withdrawals[a]++
+		s.start(a.Worker, errand{withdrawing, a})
+	})
+}
+
 // Probe asks a worker node for a sign of life.
 func (s *serverLinks) Probe(worker uint64) { s.start(worker, errand{kind: probing}) }
 
@@ -204,13 +236,13 @@
 // start gives an errand to the link that was used last, or to a new one.
 func (s *serverLinks) start(worker uint64, e errand) {
 	h := s.host(worker)
-	for len(h.idle) > 0 {
-		k := h.idle[len(h.idle)-1]
+	for i := len(h.idle) - 1; i >= 0; i-- {
+		k := h.idle[i]
 		if s.stale(k) {
 			k.end(nil)
 			continue
 		}
-		h.idle = h.idle[:len(h.idle)-1]
+		h.idle = append(h.idle[:i], h.idle[i+1:]...)
 		s.resting--
 		k.rested = max(s.p.now-k.idleAt, 1)
 		k.take(e)
@@ -307,6 +339,9 @@
 		k.await(withdrawFor)
 	}
 	p.emit(o)
+	if k.errand.kind == withdrawing {
+		p.ledger.Withdrawn(a, true)
+	}
 }
 
 func (k *serverLink) reach(stage ledger.Stage) {
@@ -319,7 +354,8 @@
 func (k *serverLink) up() {
 	switch {
 	case k.state != connecting:
-	case k.errand.kind == carrying && k.errand.attempt.Ended(): // by a late note of an attempt before
+	case k.errand.kind == carrying && k.errand.attempt.Ended(), // by a late note of an attempt before
+		k.errand.kind == withdrawing && k.errand.attempt.Told():
 		k.end(nil)
 	default:
 		k.write()
@@ -392,6 +428,8 @@
 		k.home.p.ledger.End(e.attempt, nil, fault)
 	case probing:
 		k.home.p.ledger.Probed(k.host.worker, fault)
+	case withdrawing:
+		k.home.withdrew(e.attempt, fault)
 	}
 }
 
@@ -430,7 +468,7 @@
 	if dropped {
 		s.doubt(k.rested)
 	}
-	if k.errand.kind == nothing || k.errand.kind == withdrawing {
+	if k.errand.kind == nothing {
 		return
 	}
 	reason := ledger.Cut
--- a/internal/lab/virtual/links_test.go
+++ b/internal/lab/virtual/links_test.go
@@ -402,3 +402,61 @@
 		t.Errorf("trusted for %v ten seconds later", got)
 	}
 }
+
+// An accepted attempt that is withdrawn ends once its DELETE is written: one whose connection does not come up in time is
+// tried again, and what its worker node tells meanwhile counts.
+func TestWithdrawnOnceWritten(t *testing.T) {
+	for name, c := range map[string]struct {
+		far  func(b *bench)
+		want []logic.Result
+	}{
+		"comes up": {func(b *bench) { b.up() }, []logic.Result{logic.Cancelled}},
+		"late": {func(b *bench) {
+			b.now += 250*ms + withdrawAgain
+			b.step()
+		}, nil},
+		"late, then on another": {func(b *bench) {
+			b.until(b.now + 250*ms + withdrawAgain)
+			b.up()
+		}, []logic.Result{logic.Cancelled}},
+		"never":        {func(b *bench) { b.until(b.now + 4*sec) }, nil},
+		"till its end": {func(b *bench) { b.until(b.now + 10*sec) }, []logic.Result{logic.TimedOut}},
+		"handed back": {func(b *bench) {
+			b.step(edge.In{Kind: edge.Told, Note: &ledger.Note{ID: "c", From: "w-1", State: "returned"}})
+			if b.up(); slices.ContainsFunc(b.outs, func(o edge.Out) bool { return o.Kind == edge.Delete }) {
+				b.fail("a DELETE for what has ended")
+			}
+		}, []logic.Result{logic.Full}},
+	} {
+		b := newBench(t, nil)
+		b.start()
+		b.step(edge.In{Kind: edge.Asked, Conn: 1, Ask: &edge.Ask{Call: "c", Budget: 9 * sec}})
+		b.act(logic.Send{Job: 1, Worker: hostNumber("w-1")})
+		conn := b.order[0].conn
+		b.up()
+		b.conns[conn].asked = nil
+		b.step(edge.In{Kind: edge.Answered, Conn: conn, Status: 202})
+		b.forget(b.conns[conn])
+		b.step(edge.In{Kind: edge.LinkDown, Conn: conn, Reset: true})
+		b.script.Heard = nil
+		b.act(logic.Cancel{Job: 1})
+		c.far(b)
+		var got []logic.Result
+		for _, e := range b.script.Heard {
+			if o, ok := e.(logic.Outcome); ok {
+				got = append(got, o.Result)
+			}
+		}
+		if !slices.Equal(got, c.want) || b.wrong != "" {
+			t.Errorf("%s: outcomes %v, expected %v; %s", name, got, c.want, b.wrong)
+		}
+	}
+}
+
+// up has the newest connection come up, if it still waits for that.
+func (b *bench) up() {
+	if c := b.order[len(b.order)-1]; !c.up {
+		c.up = true
+		b.step(edge.In{Kind: edge.LinkUp, Conn: c.conn, Node: c.node})
+	}
+}
--- a/internal/lab/virtual/planner.go
+++ b/internal/lab/virtual/planner.go
@@ -492,10 +492,11 @@
 }
 
 // Carry and the others are for queries, of which there are none.
-func (p *planProcess) Carry(*ledger.Attempt)  {}
-func (p *planProcess) GiveUp(*ledger.Attempt) {}
-func (p *planProcess) Probe(uint64)           {}
-func (p *planProcess) FreeLinks(uint64)       {}
+func (p *planProcess) Carry(*ledger.Attempt)    {}
+func (p *planProcess) GiveUp(*ledger.Attempt)   {}
+func (p *planProcess) Withdraw(*ledger.Attempt) {}
+func (p *planProcess) Probe(uint64)             {}
+func (p *planProcess) FreeLinks(uint64)         {}
 
 // ---- What is to be done ----
 
--- a/internal/ledger/estate.go
+++ b/internal/ledger/estate.go
@@ -42,6 +42,7 @@
 	Until       time.Duration // it is waited for until then
 	Stage       Stage
 	Sent, Ended bool
+	Withdrawing bool         // its worker node has not been told yet
 	Outcome     logic.Result // if it has ended
 }
 
@@ -72,7 +73,7 @@
 			Noted: q.noted, Closed: q.closed, Left: q.left, Over: q.over, Outcome: q.outcome, Answer: q.answer}
 		for _, a := range q.attempts {
 			o.Attempts = append(o.Attempts, OpenAttempt{Worker: a.Worker, From: a.From, Until: a.At, Stage: a.Stage, Sent: a.sent,
-				Ended: a.ended, Outcome: a.result})
+				Ended: a.ended, Withdrawing: a.withdrawing, Outcome: a.result})
 		}
 		open = append(open, o)
 	}
@@ -107,6 +108,7 @@
 	for _, o := range open {
 		l.inherit(o, askers[o.ID])
 	}
+	defer l.resumeWithdrawals()
 	l.timer, l.events = e.Timer, l.events[:0]
 	if m := module(); m != nil {
 		l.module = m
@@ -144,7 +146,7 @@
 	}
 	for i, x := range o.Attempts {
 		a := &Attempt{Query: q, Number: i, Worker: x.Worker, From: x.From, Stage: x.Stage, sent: x.Sent, ended: x.Ended,
-			result: x.Outcome}
+			result: x.Outcome, withdrawing: x.Withdrawing, why: Withdrawn}
 		a.At = x.Until
 		q.attempts = append(q.attempts, a)
 		if a.ended {
@@ -159,6 +161,17 @@
 	}
 }
 
+// resumeWithdrawals goes on with what the other process was about to tell worker nodes.
+func (l *Ledger) resumeWithdrawals() {
+	for _, q := range l.inOrder() {
+		for _, a := range q.attempts {
+			if a.withdrawing {
+				l.carrier.Withdraw(a)
+			}
+		}
+	}
+}
+
 // Attempt finds an attempt that is out.
 func (l *Ledger) Attempt(query uint64, number int) *Attempt {
 	if q := l.queries[query]; q != nil && number >= 0 && number < len(q.attempts) && !q.attempts[number].ended {
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -27,8 +27,9 @@
 
 // Carrier is the side that reaches the worker nodes.
 type Carrier interface {
-	Carry(a *Attempt)  // starts it; its end is told by End or by a Note
-	GiveUp(a *Attempt) // it has ended here, and the worker node should know
+	Carry(a *Attempt)    // starts it; its end is told by End or by a Note
+	GiveUp(a *Attempt)   // it has ended here, and the worker node should know
+	Withdraw(a *Attempt) // it was accepted, and ends once its worker node is told that it should; Withdrawn says so
 	Probe(worker uint64)
 	FreeLinks(worker uint64)
 	Watch(after int64) // follow the host group from this generation on
@@ -84,6 +85,9 @@
 	sent     bool   // the carrier has it, or had it
 	ended    bool
 	result   logic.Result // once it has
+	// withdrawing is set from the withdrawal of an accepted attempt until its worker node is told: it may run until then.
+	withdrawing bool
+	why         Reason // of that
 }
 
 // Ended tells whether it has its outcome. A note may bring that about before a carrier has written all of it: one that
@@ -91,6 +95,11 @@
 // at another host by now.
 func (a *Attempt) Ended() bool { return a.ended }
 
+// Told tells whether its own worker node has said how it ended: nothing is left there that could be withdrawn.
+func (a *Attempt) Told() bool {
+	return a.ended && a.result != logic.TimedOut && a.result != logic.Cancelled
+}
+
 // Over tells whether a query has its answer, or has lost its client.
 func (q *Query) Over() bool { return q.closed }
 
@@ -211,7 +220,7 @@
 		return
 	}
 	q := a.Query
-	a.ended, a.result = true, result(fault)
+	a.ended, a.result, a.withdrawing = true, result(fault), false
 	q.out--
 	l.expiries.Remove(a)
 	if k := (attemptKey{q.Call, a.From}); l.live[k] == a {
@@ -381,7 +390,15 @@
 		l.tellChanges(now)
 	}
 	for l.expiries.Len() > 0 && l.expiries.First().At <= now {
-		l.giveUp(l.expiries.First(), Expired)
+		a := l.expiries.First()
+		if now >= a.Query.Deadline {
+			l.giveUp(a, Expired)
+			continue
+		}
+		l.expiries.Remove(a) // the patience is over, and the query is not: another copy may be sent
+		a.At = a.Query.Deadline
+		l.expiries.Add(a)
+		l.withdraw(a, Expired)
 	}
 	if l.timer > 0 && l.timer <= now {
 		l.timer = 0
@@ -477,7 +494,7 @@
 	case logic.Cancel:
 		if q := l.queries[a.Job]; q != nil && a.Attempt >= 0 && a.Attempt < len(q.attempts) {
 			if t := q.attempts[a.Attempt]; !t.ended {
-				l.giveUp(t, Withdrawn)
+				l.withdraw(t, Withdrawn)
 			}
 		}
 	case logic.Probe:
@@ -535,3 +552,27 @@
 	l.End(a, nil, &Fault{Stage: a.Stage, Reason: why})
 	l.carrier.GiveUp(a)
 }
+
+// withdraw ends an attempt from this side of a query that may be sent on. An accepted one ends only once its worker node is
+// told: a copy sent before would be a second one. It stays out until then, and its notes count.
+func (l *Ledger) withdraw(a *Attempt, why Reason) {
+	switch {
+	case a.withdrawing:
+	case a.Stage < Accepted || a.Query.closed:
+		l.giveUp(a, why)
+	default:
+		a.withdrawing, a.why = true, why
+		l.carrier.Withdraw(a)
+	}
+}
+
+// Withdrawn tells what came of a withdrawal. With told, the attempt has been given up. Without, its worker node could not
+// be reached: it is out as before, to its query's deadline at most, and may be withdrawn again.
+func (l *Ledger) Withdrawn(a *Attempt, told bool) {
+	if !a.withdrawing {
+		return
+	}
+	if a.withdrawing = false; told {
+		l.End(a, nil, &Fault{Stage: a.Stage, Reason: a.why})
+	}
+}
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -23,7 +23,18 @@
 type carrier struct {
 	out   []*Attempt
 	given map[*Attempt]bool
-	twice bool // a worker node had two attempts of a query at once
+	twice bool       // a worker node had two attempts of a query at once
+	due   []*Attempt // whose worker nodes are to be told
+	told  map[*Attempt]bool
+}
+
+// tell ends the oldest withdrawal that is due.
+func (c *carrier) tell(l *Ledger, told bool) {
+	a := c.due[0]
+	if c.due = c.due[1:]; told && !a.ended {
+		c.told[a] = true
+	}
+	l.Withdrawn(a, told)
 }
 
 func (c *carrier) Carry(a *Attempt) {
@@ -33,10 +44,11 @@
 	c.out = append(c.out, a)
 }
 
-func (c *carrier) GiveUp(a *Attempt) { c.given[a] = true }
-func (c *carrier) Probe(uint64)      {}
-func (c *carrier) FreeLinks(uint64)  {}
-func (c *carrier) Watch(int64)       {}
+func (c *carrier) GiveUp(a *Attempt)   { c.given[a] = true }
+func (c *carrier) Withdraw(a *Attempt) { c.due = append(c.due, a) }
+func (c *carrier) Probe(uint64)        {}
+func (c *carrier) FreeLinks(uint64)    {}
+func (c *carrier) Watch(int64)         {}
 
 // modelQuery is what the model knows of a query.
 type modelQuery struct {
@@ -51,7 +63,7 @@
 func FuzzLedger(f *testing.F) { steps.Fuzz(f, runLedger) }
 
 func runLedger(s *steps.Steps) {
-	module, carried := &steps.Script{}, &carrier{given: map[*Attempt]bool{}}
+	module, carried := &steps.Script{}, &carrier{given: map[*Attempt]bool{}, told: map[*Attempt]bool{}}
 	l := New(4, Names{Classes: []string{"a"}}, func() Module { return module }, HostGroup{Hosts: []Host{
 		{ID: "s-0", Addr: "127.0.0.1:1", State: "up"}, {ID: "s-1", Addr: "127.0.0.1:2", State: "up"}}}, carried,
 		slog.New(slog.DiscardHandler))
@@ -65,7 +77,7 @@
 			m = qs[s.Pick(len(qs))]
 		}
 		act := func(a logic.Action) { module.Next = append(module.Next, a) }
-		switch what := s.Pick(10); {
+		switch what := s.Pick(14); {
 		case what == 0 || m == nil:
 			e := &ends{}
 			q, err := l.Take(now, Arrival{Call: strconv.Itoa(len(qs)), Job: logic.Job{Left: time.Second}, Asker: e})
@@ -107,7 +119,7 @@
 			s.Did(n.State)
 		case what == 8 && len(carried.out) > 0:
 			a := carried.out[s.Pick(len(carried.out))]
-			if stage := Stage(s.Pick(3)); !a.ended {
+			if stage := Stage(s.Pick(3)); !a.ended && a.Stage < Accepted {
 				a.Stage = stage
 			}
 			why := []Reason{Cut, Unusable}[s.Pick(2)]
@@ -129,9 +141,26 @@
 				return
 			}
 			module.Panic = false
+		case what <= 11 && what > 9 && len(carried.out) > 0:
+			if a := carried.out[s.Pick(len(carried.out))]; !a.ended {
+				a.Stage = Accepted
+				if what == 11 {
+					act(logic.Cancel{Job: a.Query.ID, Attempt: a.Number})
+				}
+			}
+			s.Did("accept")
+		case what > 11 && len(carried.due) > 0:
+			carried.tell(l, what == 12)
+			s.Did("tell of a withdrawal")
 		}
 		l.Step(now)
+		for _, a := range carried.due {
+			s.Check(a.Stage == Accepted, "an attempt that is %v is withdrawn by name", a.Stage)
+		}
 		for _, a := range carried.out {
+			s.Check(!a.ended || a.Stage < Accepted || a.result != logic.Cancelled && a.result != logic.TimedOut ||
+				carried.told[a] || a.Query.closed || now >= a.Query.Deadline,
+				"query %d: an accepted attempt is given up, and its worker node does not know", a.Query.ID)
 			s.Check(a.ended || !a.Query.closed || a.Stage >= AllWritten, "query %d is over, and may still be sent", a.Query.ID)
 		}
 	}
@@ -173,7 +202,7 @@
 		o := outcomes[[2]uint64{a.Query.ID, uint64(a.Number)}]
 		timedOut := o.Result == logic.TimedOut || o.Result == logic.Cancelled
 		recalled := o.Result == logic.NotSent && o.Closed && a.Stage < AllWritten
-		given := carried.given[a]
+		given := carried.given[a] || carried.told[a]
 		s.Check(!timedOut || given, "result %v, and the worker node was not told", o.Result)
 		s.Check(!given || timedOut || recalled, "result %v, stage %v, and the worker node was told", o.Result, a.Stage)
 		if o.Result == logic.NoConnect {
@@ -377,3 +406,147 @@
 		t.Errorf("of the one that is out: %v", l.Bans())
 	}
 }
+
+// copies is a ledger with one query that has an accepted attempt at s-0.
+type copies struct {
+	l       *Ledger
+	module  *steps.Script
+	carried *carrier
+	asker   *ends
+	q       *Query
+	first   *Attempt
+}
+
+func newCopies(t *testing.T, patience time.Duration) *copies {
+	t.Helper()
+	c := &copies{module: &steps.Script{}, carried: &carrier{given: map[*Attempt]bool{}, told: map[*Attempt]bool{}}, asker: &ends{}}
+	c.l = New(4, Names{}, func() Module { return c.module }, HostGroup{Hosts: []Host{{ID: "s-0", State: "up"}, {ID: "s-1", State: "up"}}},
+		c.carried, slog.New(slog.DiscardHandler))
+	var err error
+	if c.q, err = c.l.Take(0, Arrival{Call: "c", Job: logic.Job{Left: time.Second}, Asker: c.asker}); err != nil {
+		t.Fatal(err)
+	}
+	c.act(1, logic.Send{Job: c.q.ID, Worker: hashID("s-0"), Patience: patience})
+	c.first = c.carried.out[0]
+	c.first.Stage = Accepted
+	return c
+}
+
+// act has the module do something, and hear what comes of it.
+func (c *copies) act(now time.Duration, actions ...logic.Action) {
+	c.module.Next = actions
+	c.l.Wake()
+	c.l.Step(now)
+	c.l.Step(now)
+}
+
+func (c *copies) outcomes() (results []logic.Result) {
+	for _, e := range c.module.Heard {
+		if o, ok := e.(logic.Outcome); ok {
+			results = append(results, o.Result)
+		}
+	}
+	return results
+}
+
+// An accepted attempt that is withdrawn is out until its worker node is told: the module hears of no end that would have it
+// send another copy, and the worker node's own word counts.
+func TestWithdrawnOnceTold(t *testing.T) {
+	result := "r"
+	note := func(state string) func(c *copies) {
+		return func(c *copies) { _, _ = c.l.Tell(Note{ID: "c", From: "s-0", State: state, Result: &result}) }
+	}
+	for name, x := range map[string]struct {
+		then func(c *copies)
+		want []logic.Result // once that has happened
+		last logic.Result   // at the end of the query
+	}{
+		"told":                  {func(c *copies) { c.carried.tell(c.l, true) }, []logic.Result{logic.Cancelled}, logic.Cancelled},
+		"not to be reached":     {func(c *copies) { c.carried.tell(c.l, false) }, nil, logic.TimedOut},
+		"nothing yet":           {func(*copies) {}, nil, logic.TimedOut},
+		"withdrawn twice":       {func(c *copies) { c.act(3, logic.Cancel{Job: c.q.ID}) }, nil, logic.TimedOut},
+		"done":                  {note("done"), []logic.Result{logic.OK}, logic.OK},
+		"handed back unstarted": {note("returned"), []logic.Result{logic.Full}, logic.Full},
+		"lost":                  {note("lost"), []logic.Result{logic.Reset}, logic.Reset},
+		"its client leaves":     {func(c *copies) { c.l.Gone(c.q) }, nil, logic.TimedOut},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := newCopies(t, 0)
+			c.act(2, logic.Cancel{Job: c.q.ID})
+			if got := c.outcomes(); len(got) != 0 || len(c.carried.due) != 1 || c.carried.due[0] != c.first {
+				t.Fatalf("withdrawn: outcomes %v, %d worker nodes to be told", got, len(c.carried.due))
+			}
+			x.then(c)
+			c.act(4)
+			if got := c.outcomes(); !slices.Equal(got, x.want) || len(c.carried.due) > 1 {
+				t.Errorf("outcomes %v, expected %v, %d withdrawals", got, x.want, len(c.carried.due))
+			}
+			c.act(time.Second)
+			if len(c.carried.due) > 0 {
+				c.carried.tell(c.l, true) // too late to mean anything
+			}
+			if c.act(time.Second); !slices.Equal(c.outcomes(), []logic.Result{x.last}) {
+				t.Errorf("outcomes %v at the end, expected %v", c.outcomes(), x.last)
+			}
+			if x.last == logic.OK && c.asker.served != 1 {
+				t.Error("what was done while it was withdrawn did not serve")
+			}
+		})
+	}
+}
+
+// One that could not be withdrawn may be later.
+func TestWithdrawnAgain(t *testing.T) {
+	c := newCopies(t, 0)
+	c.act(2, logic.Cancel{Job: c.q.ID})
+	c.carried.tell(c.l, false)
+	c.act(3, logic.Cancel{Job: c.q.ID})
+	if len(c.carried.due) != 1 {
+		t.Fatal("it is not withdrawn again")
+	}
+	c.carried.tell(c.l, true)
+	if c.act(4); !slices.Equal(c.outcomes(), []logic.Result{logic.Cancelled}) {
+		t.Errorf("outcomes %v", c.outcomes())
+	}
+}
+
+// A patience that is over before the query's time withdraws too: another copy may be sent.
+func TestPatienceWithdraws(t *testing.T) {
+	c := newCopies(t, time.Millisecond)
+	c.act(2 * time.Millisecond)
+	if got := c.outcomes(); len(got) != 0 || len(c.carried.due) != 1 {
+		t.Fatalf("outcomes %v, %d worker nodes to be told", got, len(c.carried.due))
+	}
+	c.carried.tell(c.l, true)
+	if c.act(3 * time.Millisecond); !slices.Equal(c.outcomes(), []logic.Result{logic.TimedOut}) {
+		t.Errorf("outcomes %v", c.outcomes())
+	}
+}
+
+// handOver goes on in another process.
+func (c *copies) handOver(t *testing.T) {
+	t.Helper()
+	if !c.l.Settle(5) {
+		t.Fatal("not settled")
+	}
+	book, open := c.l.Estate()
+	next := newCopies(t, 0)
+	next.l = New(4, Names{}, func() Module { return next.module }, HostGroup{}, next.carried, slog.New(slog.DiscardHandler))
+	next.module.Heard, next.carried.out = nil, nil
+	next.l.TakeOver(5, book, open, map[uint64]Asker{c.q.ID: c.asker}, func() Module { return next.module })
+	c.l, c.module, c.carried, c.q = next.l, next.module, next.carried, next.l.Query(c.q.ID)
+}
+
+// What a process was about to tell a worker node, the one that takes over tells; until then the attempt is out there too.
+func TestWithdrawalHandedOver(t *testing.T) {
+	c := newCopies(t, 0)
+	c.act(2, logic.Cancel{Job: c.q.ID})
+	c.handOver(t)
+	if len(c.outcomes()) != 0 || len(c.carried.due) != 1 || c.l.Attempt(c.q.ID, 0) == nil {
+		t.Fatalf("outcomes %v, %d worker nodes to be told", c.outcomes(), len(c.carried.due))
+	}
+	c.carried.tell(c.l, true)
+	if c.act(6); !slices.Equal(c.outcomes(), []logic.Result{logic.Cancelled}) {
+		t.Errorf("outcomes %v", c.outcomes())
+	}
+}
--- a/internal/link/servers.go
+++ b/internal/link/servers.go
@@ -19,6 +19,9 @@
 	retireEvery = time.Second
 	trustLeast  = 20 * time.Millisecond // a link used as lately as that is as good as a new one
 	trustGrows  = 10 * time.Second      // the trust in idle links doubles when they have done well for so long
+
+	withdrawTimes = 4 // connections are tried for a DELETE before it is given up
+	withdrawAgain = 50 * time.Millisecond
 )
 
 // serverLinks are the connections to worker nodes: the ledger's Carrier.
@@ -26,12 +29,14 @@
 	loop    *Loop
 	hosts   map[uint64]*hostLinks
 	carried map[*ledger.Attempt]*serverLink // until the worker node has accepted
-	open    int
-	most    int
-	dial    time.Duration // a connection comes up within this or not at all
-	idleFor time.Duration // and is not kept for longer when idle; 0: for ever
-	trust   time.Duration // nor for longer than has lately gone well; 0: as long as may be
-	doubted time.Duration // when that was set
+	// withdrawals are the attempts whose worker node is being told, and how many connections were tried for that.
+	withdrawals map[*ledger.Attempt]int
+	open        int
+	most        int
+	dial        time.Duration // a connection comes up within this or not at all
+	idleFor     time.Duration // and is not kept for longer when idle; 0: for ever
+	trust       time.Duration // nor for longer than has lately gone well; 0: as long as may be
+	doubted     time.Duration // when that was set
 }
 
 // hostLinks are the links to one worker node.
@@ -48,7 +53,7 @@
 	// The worker node closes an idle link at its limit, and a request that crosses the close is lost: keep well
 	// clear of it.
 	l.servers = &serverLinks{loop: l, hosts: map[uint64]*hostLinks{}, carried: map[*ledger.Attempt]*serverLink{},
-		most: most, dial: dial, idleFor: idleFor * 3 / 4}
+		withdrawals: map[*ledger.Attempt]int{}, most: most, dial: dial, idleFor: idleFor * 3 / 4}
 	l.servers.retire()
 }
 
@@ -78,10 +83,38 @@
 	if k := s.carried[a]; k != nil {
 		k.end(nil)
 	} else if a.Stage == ledger.Accepted {
+		s.Withdraw(a)
+	}
+}
+
+// Withdraw sends a DELETE, unless one is on its way.
+func (s *serverLinks) Withdraw(a *ledger.Attempt) {
+	if _, is := s.withdrawals[a]; !is {
+		s.withdrawals[a] = 1
 		s.start(a.Worker, errand{kind: withdrawing, attempt: a})
 	}
 }
 
+// withdrew takes in how a DELETE ended. What broke is tried again, on another connection: the first may not have come up
+// in time, or may have been dropped unseen while it was idle.
+func (s *serverLinks) withdrew(a *ledger.Attempt, fault *ledger.Fault) {
+	broke := fault != nil && fault.Reason == ledger.Cut
+	wanted := !a.Ended() || fault != nil && fault.Stage >= ledger.AllWritten
+	if !broke || !wanted || a.Told() || s.withdrawals[a] >= withdrawTimes {
+		delete(s.withdrawals, a)
+		s.loop.Ledger.Withdrawn(a, false) // means nothing once it is told
+		return
+	}
+	s.loop.after(withdrawAgain, s, func() {
+		if a.Told() || s.loop.ceded {
+			delete(s.withdrawals, a)
+			return
+		}
+		s.withdrawals[a]++
+		s.start(a.Worker, errand{kind: withdrawing, attempt: a})
+	})
+}
+
 func (s *serverLinks) Probe(worker uint64) { s.start(worker, errand{kind: probing}) }
 
 func (s *serverLinks) FreeLinks(worker uint64) {
@@ -127,13 +160,13 @@
 // start gives an errand to the link that was used last, or to a new one.
 func (s *serverLinks) start(worker uint64, e errand) {
 	h := s.host(worker)
-	for len(h.idle) > 0 {
-		k := h.idle[len(h.idle)-1]
+	for i := len(h.idle) - 1; i >= 0; i-- {
+		k := h.idle[i]
 		if s.stale(k) || !k.alive() {
 			k.end(nil)
 			continue
 		}
-		h.idle = h.idle[:len(h.idle)-1]
+		h.idle = append(h.idle[:i], h.idle[i+1:]...)
 		k.rested = max(s.loop.now-k.idleAt, 1)
 		k.take(e)
 		s.loop.guard(k, k.write)
@@ -282,8 +315,12 @@
 // written notes once the last byte has left: from there on it may run.
 func (k *serverLink) written() {
 	if len(k.out) == 0 && k.stage < ledger.AllWritten {
-		if k.reach(ledger.AllWritten); k.errand.kind == carrying {
-			k.loop.Ledger.Written(k.errand.attempt)
+		k.reach(ledger.AllWritten)
+		switch a := k.errand.attempt; {
+		case k.errand.kind == carrying:
+			k.loop.Ledger.Written(a)
+		case k.errand.kind == withdrawing && a != nil:
+			k.loop.Ledger.Withdrawn(a, true)
 		}
 	}
 }
@@ -295,9 +332,11 @@
 }
 
 // needless tells whether what it was to write has ended before its last byte was written, by a late note of an attempt
-// before: what is written on would be a send after the query was over, or one more than the module knows of.
+// before: what is written on would be a send after the query was over, or one more than the module knows of. Nor is a
+// DELETE of any use once the worker node has told how the attempt ended.
 func (k *serverLink) needless() bool {
-	return k.errand.kind == carrying && k.stage < ledger.AllWritten && k.errand.attempt.Ended()
+	a := k.errand.attempt
+	return k.stage < ledger.AllWritten && a != nil && (k.errand.kind == carrying && a.Ended() || a.Told())
 }
 
 func (k *serverLink) ready(events uint32) {
@@ -401,6 +440,10 @@
 		k.home.loop.Ledger.End(e.attempt, nil, fault)
 	case probing:
 		k.home.loop.Ledger.Probed(k.host.worker, fault)
+	case withdrawing:
+		if e.attempt != nil {
+			k.home.withdrew(e.attempt, fault)
+		}
 	}
 }
 
--- a/internal/link/servers_test.go
+++ b/internal/link/servers_test.go
@@ -34,12 +34,15 @@
 	peer     *peer
 	whole    bool // its last byte has come
 	accepted bool
+	taken    bool // and that was read while it was out: from then on only a DELETE gives it up
+	deleted  bool
 	want     logic.Result // once settled
 	settled  bool
 }
 
 // A server link carries one request at a time; each attempt has one outcome, and that follows from how far it
-// came; nothing is sent twice; what is left at the end is idle.
+// came; nothing is sent twice; one that was accepted is given up by a DELETE that is written; what is left at the end is
+// idle. Some connections come up late.
 func FuzzServerLink(f *testing.F) { steps.Fuzz(f, runServerLink) }
 
 func runServerLink(s *steps.Steps) {
@@ -48,6 +51,15 @@
 	attempts := map[string]*tried{}
 	sizes := []int{0, 100, maxBody}
 	probes := 0
+	slow := map[*peer]*late{}
+	w.loop.dial = func(at netip.AddrPort) (int, error) {
+		p, fd := w.pair()
+		w.dialed = append(w.dialed, p)
+		if slow[p] = (&late{peer: p}); s.Pick(4) == 0 {
+			slow[p].held = fill(fd)
+		}
+		return fd, nil
+	}
 	for s.More() {
 		step := true
 		switch what := s.Pick(10); {
@@ -61,7 +73,12 @@
 			attempts[id] = &tried{}
 			s.Did("send")
 		case what < 6 && len(w.dialed) > 0:
-			w.workerActs(w.dialed[s.Pick(len(w.dialed))], attempts)
+			if p := w.dialed[s.Pick(len(w.dialed))]; slow[p].held > 0 {
+				slow[p].release()
+				s.Did("up")
+			} else {
+				w.workerActs(p, attempts)
+			}
 		case what == 6 && len(queries) > 0:
 			w.module.Next = append(w.module.Next, logic.Cancel{Job: queries[s.Pick(len(queries))]})
 			w.loop.Ledger.HostsLost()
@@ -84,12 +101,18 @@
 		w.now += 10 * time.Second
 		w.turn()
 	}
+	for _, p := range w.dialed {
+		slow[p].release()
+		p.read(1 << 20)
+		p.deleted(attempts)
+	}
 	w.judge(queries, attempts, probes)
 }
 
 // workerActs lets the far end of one link read, and then answer or close.
 func (w *world) workerActs(p *peer, attempts map[string]*tried) {
 	p.read([]int{50, 4000, 1 << 20}[w.Pick(3)])
+	p.deleted(attempts)
 	var m Message
 	n, err := m.ParseRequest(p.got)
 	var t *tried
@@ -108,11 +131,13 @@
 		p.got = nil
 		if t != nil {
 			t.accepted = a.want < 0
+			t.taken = t.taken || t.accepted && w.carries(string(m.Get("X-Call-Id")))
 			t.want, t.settled = a.want, a.want >= 0
 		}
 		w.Did(a.text[:min(len(a.text), 14)])
 	case act == 4:
 		if p.read(1 << 20); t == nil && len(p.got) > 0 { // what has come has come, read or not
+			p.deleted(attempts)
 			if _, err := m.ParseRequest(p.got); err == nil && attempts[string(m.Get("X-Call-Id"))] != nil {
 				attempts[string(m.Get("X-Call-Id"))].whole = true
 			}
@@ -125,6 +150,24 @@
 	}
 }
 
+// deleted notes which attempt a far end has had a DELETE for.
+func (p *peer) deleted(attempts map[string]*tried) {
+	text, ok := strings.CutPrefix(string(p.got), "DELETE /jobs/")
+	if id, _, whole := strings.Cut(text, " "); ok && whole {
+		attempts[id].deleted = true
+	}
+}
+
+// carries tells whether an attempt of a query is on its way.
+func (w *world) carries(call string) bool {
+	for a := range w.loop.servers.carried {
+		if a.Query.Call == call && !a.Ended() {
+			return true
+		}
+	}
+	return false
+}
+
 // judge checks what the module heard against what the worker node saw.
 func (w *world) judge(queries []uint64, attempts map[string]*tried, probes int) {
 	heard := map[uint64][]logic.Result{}
@@ -141,6 +184,7 @@
 		t, got := attempts[fmt.Sprint("q", n)], heard[q]
 		w.Check(len(got) == 1, "outcomes %v for one attempt", got)
 		gaveUp := got[0] == logic.TimedOut || got[0] == logic.Cancelled
+		w.Check(got[0] != logic.Cancelled || !t.taken || t.deleted, "given up, and its worker node does not know")
 		switch {
 		case gaveUp: // at any time
 		case got[0] == logic.NoConnect:
--- a/internal/steps/sides/sides.go
+++ b/internal/steps/sides/sides.go
@@ -51,6 +51,9 @@
 // GiveUp does nothing.
 func (w *World) GiveUp(*ledger.Attempt) {}
 
+// Withdraw tells the worker node at once.
+func (w *World) Withdraw(a *ledger.Attempt) { w.Ledger.Withdrawn(a, true) }
+
 // Probe does nothing.
 func (w *World) Probe(uint64) {}
 
