Bound worker nodes' answers, and take none for another request's or too early

A second answer some milliseconds late was then the next request's: a 503 would have sent on what ran. - A request was written, with a budget of 1 ms, when its connection came up with no time left. The budget was counted from the start of the turn; a request that goes in parts was told what was left at its first byte.

Change: an answer may take twice a message's most bytes, 160 KB. Before the last byte, only a refusal or a 4xx counts; all else is a connection that broke before it. A link that has carried rests 10 ms before it carries again, and one that was used for another errand takes only that errand's own status for a yes (202, 200). With under a millisecond left nothing is written. The budget counts from the moment of writing, less what parts may take for a body of over 4 KiB; that is the time for a connection, or half of what is left, and a request not whole by then never ran. The lab's links rest as well. A second answer later than 10 ms, behind a request written meanwhile, still can't be told from the first.

Tests: TestSecondAnswer, TestAnswerCutShort, TestAnswerWithoutEnd, TestAnswerBeforeTheLastByte, TestBudgetIsWhatIsLeft, TestResetRoundTheLastByte, TestCallBackBeforeTheAcceptance.

--- a/internal/lab/virtual/links.go
+++ b/internal/lab/virtual/links.go
@@ -21,7 +21,8 @@
 	trustGrows  = 10 * time.Second
 	trustMost   = time.Minute // beyond that it is without limit
 
-	withdrawTimes = 4 // connections are tried for a DELETE
+	settleFor     = 10 * time.Millisecond // before a link carries again
+	withdrawTimes = 4                     // connections are tried for a DELETE
 	withdrawAgain = 50 * time.Millisecond
 )
 
@@ -104,6 +105,7 @@
 	came   bool // part of an answer has come
 	cut    bool // the other side has ended it
 	errand errand
+	last   errandKind // what it was used for
 	idleAt time.Duration
 	rested time.Duration // how long it had been idle before its errand; 0: it is new
 }
@@ -242,6 +244,9 @@
 			k.end(nil)
 			continue
 		}
+		if e.kind == carrying && k.last == carrying && s.p.now-k.idleAt < settleFor {
+			continue
+		}
 		h.idle = append(h.idle[:i], h.idle[i+1:]...)
 		s.resting--
 		k.rested = max(s.p.now-k.idleAt, 1)
@@ -287,7 +292,7 @@
 
 // take gives the link its errand.
 func (k *serverLink) take(e errand) {
-	k.errand, k.stage, k.came = e, ledger.NotConnected, false
+	k.errand, k.last, k.stage, k.came = e, e.kind, ledger.NotConnected, false
 	if e.kind == carrying {
 		k.home.carried[e.attempt] = k
 	}
@@ -322,6 +327,10 @@
 // write sends the errand's request, whole.
 func (k *serverLink) write() {
 	p, a := k.home.p, k.errand.attempt
+	if k.errand.kind == carrying && a.At-p.now < time.Millisecond {
+		k.until = 0 // the ledger gives it up in a moment, and the link ends with it
+		return
+	}
 	k.state = asking
 	k.reach(ledger.AllWritten)
 	o := edge.Out{Conn: k.conn, Node: k.host.node, First: p.now - p.s.epoch}
--- a/internal/link/attempts_test.go
+++ b/internal/link/attempts_test.go
@@ -354,3 +354,348 @@
 		t.Errorf("%d connections: it is not sent again", len(*links))
 	}
 }
+
+func (p *peer) budget(t *testing.T) time.Duration {
+	t.Helper()
+	_, text, ok := strings.Cut(string(p.got), "X-Budget-Ms: ")
+	text, _, _ = strings.Cut(text, "\r\n")
+	ms, good := decimal([]byte(text))
+	if !ok || !good {
+		t.Fatalf("no budget in %.200q", p.got)
+	}
+	return time.Duration(ms) * time.Millisecond
+}
+
+// A worker node is told at most what is left to the client when the attempt is sent, however late that is.
+func TestBudgetIsWhatIsLeft(t *testing.T) {
+	t.Run("comes up late", func(t *testing.T) {
+		w := newAttempts(t)
+		links := w.hold()
+		q := w.send(0)
+		w.now += w.loop.servers.dial - time.Millisecond
+		(*links)[0].release()
+		w.turn()
+		(*links)[0].read(1 << 12)
+		if got, left := (*links)[0].budget(t), q.Deadline-w.now; got > left || got < left-time.Millisecond {
+			t.Errorf("told %v, %v are left", got, left)
+		}
+	})
+	t.Run("a turn that takes long", func(t *testing.T) {
+		w := newAttempts(t)
+		links := w.hold()
+		q := w.send(0)
+		(*links)[0].release()
+		reads := 0
+		w.loop.clock = func() time.Duration { // from the start of the turn on
+			if reads++; reads > 1 {
+				return w.now + 300*time.Millisecond
+			}
+			return w.now
+		}
+		w.turn()
+		(*links)[0].read(1 << 12)
+		if got, left := (*links)[0].budget(t), q.Deadline-w.now-300*time.Millisecond; got > left {
+			t.Errorf("told %v, %v are left", got, left)
+		}
+	})
+	t.Run("comes up too late", func(t *testing.T) {
+		w := newAttempts(t)
+		links := w.hold()
+		q := w.send(0)
+		p := (*links)[0]
+		w.loop.servers.carried[w.loop.Ledger.Attempt(q.ID, 0)].await(time.Hour) // a connection may take as long as a query
+		w.now = q.Deadline
+		p.release()
+		w.turn()
+		if p.read(1 << 12); len(p.got) > 0 || !p.ended {
+			t.Errorf("with no time left %q was sent, closed %v", p.got, p.ended)
+		}
+		w.expect("out of time", q, logic.TimedOut)
+	})
+	t.Run("goes in parts", func(t *testing.T) {
+		w := newAttempts(t)
+		q := w.send(maxBody)
+		p := w.dialed[0]
+		w.now += w.loop.servers.dial - time.Millisecond
+		for range 64 {
+			w.turn()
+			p.read(1 << 20)
+		}
+		var m Message
+		if _, err := m.ParseRequest(p.got); err != nil {
+			t.Fatalf("%d bytes came: %v", len(p.got), err)
+		}
+		if got, left := p.budget(t), q.Deadline-w.now; got > left {
+			t.Errorf("told %v, %v were left with the last byte", got, left)
+		}
+	})
+	t.Run("stays in parts", func(t *testing.T) {
+		w := newAttempts(t)
+		q := w.send(maxBody)
+		p := w.dialed[0]
+		p.read(50)
+		w.turn()
+		w.now += w.loop.servers.dial
+		for range 64 {
+			w.turn()
+			p.read(1 << 20)
+		}
+		var m Message
+		if _, err := m.ParseRequest(p.got); err == nil || !p.ended {
+			t.Errorf("the rest came too, closed %v", p.ended)
+		}
+		w.expect("never whole", q, logic.NoConnect)
+	})
+}
+
+// 'Has it run?' follows from the last byte, also where the connection is reset in the very moment.
+func TestResetRoundTheLastByte(t *testing.T) {
+	for name, x := range map[string]struct {
+		size int
+		far  func(w *attempts, q *ledger.Query, p *peer)
+		want []logic.Result
+	}{
+		"before it": {maxBody, func(_ *attempts, _ *ledger.Query, p *peer) { p.read(4000); p.close() }, []logic.Result{logic.NoConnect}},
+		"after it":  {0, func(_ *attempts, _ *ledger.Query, p *peer) { p.read(4000); p.close() }, []logic.Result{logic.Reset}},
+		"in the answer": {0, func(_ *attempts, _ *ledger.Query, p *peer) {
+			p.read(4000)
+			p.write([]byte(accepted[:20]))
+			p.close()
+		}, []logic.Result{logic.Reset}},
+		"behind the 202": {0, func(_ *attempts, _ *ledger.Query, p *peer) { p.read(4000); p.write([]byte(accepted)); p.close() }, nil},
+		"behind the 202, told as lost": {0, func(w *attempts, q *ledger.Query, p *peer) {
+			p.read(4000)
+			p.write([]byte(accepted))
+			p.close()
+			w.turn()
+			w.note(q, "lost")
+		}, []logic.Result{logic.Reset}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newAttempts(t)
+			q := w.send(x.size)
+			x.far(w, q, w.dialed[0])
+			w.turn()
+			w.expect(name, q, x.want...)
+			if w.loop.servers.open != 0 {
+				t.Error("the link is still kept")
+			}
+		})
+	}
+}
+
+// A call-back may come before the 202, and twice. It counts once, and the link is free with the 202 all the same.
+func TestCallBackBeforeTheAcceptance(t *testing.T) {
+	for state, want := range map[string]logic.Result{"done": logic.OK, "returned": logic.Full, "failed": logic.Failed, "lost": logic.Reset} {
+		t.Run(state, func(t *testing.T) {
+			w := newAttempts(t)
+			q := w.send(0)
+			w.note(q, state)
+			w.note(q, state)
+			w.expect("told twice", q, want)
+			p := w.dialed[0]
+			p.read(1 << 12)
+			p.got = nil
+			p.write([]byte(accepted))
+			w.turn()
+			w.expect("and accepted", q, want)
+			w.now += settleFor
+			next := w.send(0)
+			if p.read(1 << 12); len(w.dialed) != 1 || !strings.Contains(string(p.got), "X-Call-Id: "+next.Call+"\r\n") {
+				t.Errorf("%d links, the free one carries %q", len(w.dialed), p.got)
+			}
+			w.expect("of the next", next)
+		})
+	}
+}
+
+// A second answer is never that of the next request, wherever it comes: its link ends, or does not carry until none is due.
+func TestSecondAnswer(t *testing.T) {
+	const refused = "HTTP/1.1 503 Full\r\nX-Rejected: 1\r\nContent-Length: 0\r\n\r\n"
+	for name, far := range map[string]func(w *attempts, p *peer){
+		"right behind the first": func(w *attempts, p *peer) { p.write([]byte(accepted + refused)); w.turn(); w.now += settleFor },
+		"half of one behind it":  func(w *attempts, p *peer) { p.write([]byte(accepted + refused[:5])); w.turn(); w.now += settleFor },
+		"at rest": func(w *attempts, p *peer) {
+			p.write([]byte(accepted))
+			w.turn()
+			w.now += settleFor
+			p.write([]byte(refused))
+			w.turn()
+		},
+		"between what is gathered and what is written": func(w *attempts, p *peer) {
+			p.write([]byte(accepted))
+			w.turn()
+			w.now += settleFor
+			w.loop.now = w.now
+			q, _ := w.loop.Ledger.Take(w.now, ledger.Arrival{Call: "between", Job: logic.Job{Left: 5 * time.Second},
+				Parcel: ledger.Parcel{Verb: "POST", Path: "/a"}, Asker: nobody{}})
+			w.module.Next = append(w.module.Next, logic.Send{Job: q.ID, Worker: w.worker()})
+			p.write([]byte(refused))
+			w.loop.Ledger.Step(w.now)
+		},
+		"some milliseconds later": func(w *attempts, p *peer) {
+			p.write([]byte(accepted))
+			w.turn()
+			w.now += settleFor - time.Millisecond
+			w.send(0)
+			p.write([]byte(refused))
+			w.turn()
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newAttempts(t)
+			q := w.send(0)
+			p := w.dialed[0]
+			p.read(1 << 12)
+			p.got = nil
+			far(w, p)
+			next := w.send(0)
+			if p.read(1 << 12); len(p.got) > 0 {
+				t.Errorf("the link carries %.60q", p.got)
+			}
+			w.expect("the first", q)
+			w.expect("the next", next)
+			if !p.ended {
+				t.Error("the link goes on")
+			}
+			last := w.dialed[len(w.dialed)-1]
+			if last.read(1 << 12); !strings.Contains(string(last.got), "X-Call-Id: "+next.Call+"\r\n") {
+				t.Errorf("the next went as %q", last.got)
+			}
+			last.write([]byte("HTTP/1.1 500 Error\r\nContent-Length: 0\r\n\r\n"))
+			w.turn()
+			w.expect("the next by its own answer", next, logic.Failed)
+		})
+	}
+	// What a link was used for before has a word of its own, so its second answer is known for what it is.
+	t.Run("to a probe", func(t *testing.T) {
+		w := newAttempts(t)
+		const alive = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+		w.act(logic.Probe{Worker: w.worker()})
+		p := w.dialed[0]
+		p.read(1 << 12)
+		p.write([]byte(alive))
+		w.turn()
+		q := w.send(0)
+		if len(w.dialed) != 1 {
+			t.Fatal("the link of a probe does not carry")
+		}
+		p.write([]byte(alive))
+		w.turn()
+		w.expect("no word of its own", q, logic.Reset)
+		if p.read(1 << 12); !p.ended {
+			t.Error("the link goes on")
+		}
+	})
+	t.Run("of a request, to a probe", func(t *testing.T) {
+		w := newAttempts(t)
+		w.send(0)
+		p := w.dialed[0]
+		p.read(1 << 12)
+		p.write([]byte(accepted))
+		w.turn()
+		w.act(logic.Probe{Worker: w.worker()})
+		p.write([]byte(accepted))
+		w.turn()
+		if got, _ := w.module.Heard[len(w.module.Heard)-1].(logic.Probed); got.Result != logic.NotSent || len(w.dialed) != 1 {
+			t.Errorf("the probe ended as %v on %d links", got.Result, len(w.dialed))
+		}
+	})
+}
+
+// A close with a part of an answer is no answer. One without a length lasts until the close, and is whole with that.
+func TestAnswerCutShort(t *testing.T) {
+	for text, want := range map[string][]logic.Result{
+		"":                                    {logic.Reset},
+		"HTTP/1.1 20":                         {logic.Reset},
+		"HTTP/1.1 202 Accepted":               {logic.Reset},
+		"HTTP/1.1 202 Accepted\r\n":           {logic.Reset},
+		"HTTP/1.1 202 Accepted\r\nContent-Le": {logic.Reset},
+		"HTTP/1.1 202 Accepted\r\nContent-Length: 5\r\n\r\nhalf":             {logic.Reset},
+		"HTTP/1.1 202 Accepted\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nha": {logic.Reset},
+		"HTTP/1.1 202 Accepted\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n":   {logic.Reset},
+		"HTTP/1.1 100 Continue\r\n\r\n":                                      {logic.Reset},
+		"HTTP/1.1 503 Full\r\nX-Rejected: 1\r\n":                             {logic.Reset},
+		"HTTP/1.1 202 Accepted\r\n\r\nuntil the cl":                          nil,
+		"HTTP/1.1 503 Full\r\nX-Rejected: 1\r\n\r\nuntil the cl":             {logic.Full},
+	} {
+		w := newAttempts(t)
+		q := w.send(0)
+		p := w.dialed[0]
+		p.read(1 << 12)
+		p.write([]byte(text))
+		w.turn()
+		w.expect(fmt.Sprintf("%q, and no more yet", text), q)
+		p.close()
+		w.turn()
+		w.expect(fmt.Sprintf("%q, closed", text), q, want...)
+		if w.loop.servers.open != 0 || len(w.loop.servers.carried) != 0 {
+			t.Errorf("%q: the link is still kept", text)
+		}
+	}
+}
+
+// An answer without end ends its link within its bound, and nothing else suffers.
+func TestAnswerWithoutEnd(t *testing.T) {
+	for name, x := range map[string]struct{ head, again string }{
+		"a status line":          {"", "HTTP/1.1 202 Accepted "},
+		"a head":                 {"HTTP/1.1 202 Accepted\r\n", "X: y\r\n"},
+		"interim answers":        {"", "HTTP/1.1 100 Continue\r\n\r\n"},
+		"a body until it closes": {"HTTP/1.1 202 Accepted\r\n\r\n", "0123456789abcdef"},
+		"chunks":                 {"HTTP/1.1 202 Accepted\r\nTransfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n"},
+		"trailers":               {"HTTP/1.1 202 Accepted\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "X: y\r\n"},
+		"a chunk's line":         {"HTTP/1.1 202 Accepted\r\nTransfer-Encoding: chunked\r\n\r\n", "00000000"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newAttempts(t)
+			q := w.send(0)
+			p := w.dialed[0]
+			p.read(1 << 12)
+			p.write([]byte(x.head))
+			k := w.loop.servers.carried[w.loop.Ledger.Attempt(q.ID, 0)]
+			piece, most := strings.Repeat(x.again, 4096/len(x.again)), 0
+			for n := 0; n < 4*mostAnswer && !p.ended; n += len(piece) {
+				p.write([]byte(piece))
+				w.turn()
+				most = max(most, len(k.in))
+				p.read(1)
+			}
+			if !p.ended || most > mostAnswer+64<<10 {
+				t.Fatalf("ended %v, %d bytes were kept", p.ended, most)
+			}
+			w.expect("spoilt", q, logic.Reset)
+			next := w.send(0)
+			last := w.dialed[len(w.dialed)-1]
+			last.read(1 << 12)
+			last.write([]byte("HTTP/1.1 503 Full\r\nX-Rejected: 1\r\nContent-Length: 0\r\n\r\n"))
+			w.turn()
+			w.expect("the next", next, logic.Full)
+		})
+	}
+}
+
+// An answer that comes before our last byte is written ends the link, so the worker node never has it whole and can't run it.
+func TestAnswerBeforeTheLastByte(t *testing.T) {
+	for text, want := range map[string]logic.Result{
+		accepted: logic.NoConnect,
+		"HTTP/1.1 500 Error\r\nContent-Length: 0\r\n\r\n":                 logic.NoConnect,
+		"HTTP/1.1 503 Full\r\nX-Rejected: 1\r\nContent-Length: 0\r\n\r\n": logic.Full,
+		"HTTP/1.1 413 Too large\r\nContent-Length: 0\r\n\r\n":             logic.NotSent,
+		"garbage\r\n\r\n": logic.NoConnect,
+	} {
+		w := newAttempts(t)
+		q := w.send(maxBody)
+		p := w.dialed[0]
+		p.read(1000)
+		p.write([]byte(text))
+		for range 64 {
+			w.turn()
+			p.read(1 << 20)
+		}
+		var m Message
+		if _, err := m.ParseRequest(p.got); err == nil || !p.ended {
+			t.Errorf("%.20q: the rest came too, closed %v", text, p.ended)
+		}
+		w.expect(fmt.Sprintf("%.12q", text), q, want)
+	}
+}
--- a/internal/link/servers.go
+++ b/internal/link/servers.go
@@ -17,11 +17,15 @@
 	withdrawFor = time.Second
 	graceFor    = time.Second // a link outlasts its attempt by so long, in case the answer still comes
 	retireEvery = time.Second
+	settleFor   = 10 * time.Millisecond // before a link carries again: a second answer would be the next one's
 	trustLeast  = 20 * time.Millisecond // a link used as lately as that is as good as a new one
 	trustGrows  = 10 * time.Second      // the trust in idle links doubles when they have done well for so long
 
 	withdrawTimes = 4 // connections are tried for a DELETE before it is given up
 	withdrawAgain = 50 * time.Millisecond
+
+	mostAtOnce = 4 << 10                 // a request of that size goes into any socket's buffer whole
+	mostAnswer = 2 * (maxHead + maxBody) // with interim answers, and with what frames chunks
 )
 
 // serverLinks are the connections to worker nodes: the ledger's Carrier.
@@ -166,6 +170,9 @@
 			k.end(nil)
 			continue
 		}
+		if e.kind == carrying && k.last == carrying && s.loop.now-k.idleAt < settleFor {
+			continue
+		}
 		h.idle = append(h.idle[:i], h.idle[i+1:]...)
 		k.rested = max(s.loop.now-k.idleAt, 1)
 		k.take(e)
@@ -222,6 +229,7 @@
 	epoch  int
 	state  linkState
 	errand errand
+	last   errandKind // what it was used for
 	stage  ledger.Stage
 	timer  *timer
 	idleAt time.Duration
@@ -267,7 +275,7 @@
 
 // take gives the link its errand.
 func (k *serverLink) take(e errand) {
-	k.errand, k.stage = e, ledger.NotConnected
+	k.errand, k.last, k.stage = e, e.kind, ledger.NotConnected
 	if e.kind == carrying {
 		k.home.carried[e.attempt] = k
 	}
@@ -278,23 +286,33 @@
 	k.timer = k.home.loop.after(span, k, func() { k.end(errLate) })
 }
 
-// write sends the errand's request.
+// write sends the errand's request. What the worker node is told to have for an attempt is what is left now, however late the
+// connection came up. A large request may go in parts: that it takes the time for a connection at most is taken off.
 func (k *serverLink) write() {
 	l, a := k.loop, k.errand.attempt
+	var parts time.Duration
 	b, host := l.writing[:0], k.host.addr.String()
 	switch k.errand.kind {
 	case carrying:
+		left := a.At - l.clock()
+		if left < time.Millisecond { // the ledger gives it up in a moment, and the link ends with it
+			l.stop(k.timer)
+			return
+		}
 		p := &a.Query.Parcel
+		if parts = min(k.home.dial, left/2); len(p.Body) > mostAtOnce {
+			left -= parts
+		}
 		b = appendCall(b, p.Verb, p.Path, host)
 		b = appendField(b, "X-Call-Id", a.Query.Call)
 		b = appendField(b, "Idempotency-Key", p.Key)
 		b = append(b, "X-Budget-Ms: "...)
-		b = strconv.AppendInt(b, max(1, (a.At-l.now).Milliseconds()), 10)
+		b = strconv.AppendInt(b, max(1, left.Milliseconds()), 10)
 		b = append(b, "\r\nContent-Length: "...)
 		b = strconv.AppendInt(b, int64(len(p.Body)), 10)
 		b = append(b, "\r\n\r\n"...)
 		b = append(b, p.Body...)
-		k.await(a.At - l.now + graceFor)
+		k.await(parts)
 	case probing:
 		b = append(appendCall(b, "GET", "/alive", host), "\r\n"...)
 		k.await(probeFor)
@@ -318,6 +336,7 @@
 		k.reach(ledger.AllWritten)
 		switch a := k.errand.attempt; {
 		case k.errand.kind == carrying:
+			k.await(a.At - k.loop.now + graceFor)
 			k.loop.Ledger.Written(a)
 		case k.errand.kind == withdrawing && a != nil:
 			k.loop.Ledger.Withdrawn(a, true)
@@ -386,6 +405,10 @@
 	switch {
 	case err == nil:
 		keep := m.KeepAlive && !ended && n == len(k.in) && len(k.out) == 0
+		if k.stray(m.Status) {
+			k.end(errStray)
+			return
+		}
 		k.answered(m)
 		if k.closed {
 			return
@@ -399,14 +422,28 @@
 		k.end(errEnded)
 	case !errors.Is(err, errShort):
 		k.end(err)
+	case len(k.in) > mostAnswer:
+		k.end(errLarge)
 	}
 }
 
 var (
 	errEnded = errors.New("ended by the worker node")
 	errLate  = errors.New("no answer in time")
+	errLarge = errors.New("an answer without end")
+	errStray = errors.New("an answer to what the link was used for before")
+	errEarly = errors.New("an answer before the last byte was written")
 )
 
+// stray tells whether an answer that says yes is the second one to what the link was used for before: each kind of errand
+// has a word of its own for that. On a new link it is taken as it is meant.
+func (k *serverLink) stray(status int) bool {
+	if k.rested == 0 || status/100 != 2 {
+		return false
+	}
+	return k.errand.kind == carrying && status != 202 || k.errand.kind == probing && status != 200
+}
+
 // answered settles the errand by the answer's status.
 func (k *serverLink) answered(m *Message) {
 	fault := &ledger.Fault{Stage: k.stage, Reason: ledger.Errored, Cause: fmt.Errorf("status %d", m.Status)}
@@ -420,6 +457,10 @@
 	}
 	if k.errand.kind == carrying {
 		k.loop.Ledger.Answered(k.errand.attempt, m.Status)
+		if k.stage < ledger.AllWritten && (fault == nil || fault.Reason == ledger.Errored) {
+			// It never has all of it, as the link ends with this answer. So it can't run, whatever the answer says.
+			fault = &ledger.Fault{Stage: k.stage, Reason: ledger.Cut, Cause: errEarly}
+		}
 	}
 	if k.errand.kind == carrying && fault == nil {
 		k.reach(ledger.Accepted)
@@ -481,8 +522,11 @@
 			reason = ledger.Unsent // it says nothing of the worker node
 		}
 	}
-	if k.stage >= ledger.AllWritten && errors.Is(cause, errLate) {
+	switch {
+	case k.stage >= ledger.AllWritten && errors.Is(cause, errLate):
 		reason = ledger.Expired
+	case k.errand.kind == probing && errors.Is(cause, errStray):
+		reason = ledger.Unsent // it says nothing of the worker node
 	}
 	k.settle(&ledger.Fault{Stage: k.stage, Reason: reason, Cause: cause})
 }
--- a/internal/link/servers_test.go
+++ b/internal/link/servers_test.go
@@ -271,6 +271,7 @@
 		return p
 	}
 	first := send()
+	w.now += settleFor
 	if second := send(); second != first {
 		t.Fatal("a link that was free was not used")
 	}
