End a later attempt by no note that may be of one before it at its host

Need: notes name a request and a worker node, not an attempt. Where an attempt ended here by a reset, a time-out or a withdrawal after its last byte, it may run on, and a further one may go to the same worker node. 'returned', 'lost' and 'failed' of the first were then taken for the second: the module sent on what was running.

Change: such a note no longer ends the later attempt; 'done' does, whichever it is. So does its time.

Tests: TestNotesOfAnEarlierAttempt, also after a hand-over, fails without the change, and without the hand-over's part.

--- a/internal/ledger/estate.go
+++ b/internal/ledger/estate.go
@@ -148,6 +148,7 @@
 		a := &Attempt{Query: q, Number: i, Worker: x.Worker, From: x.From, Stage: x.Stage, sent: x.Sent, ended: x.Ended,
 			result: x.Outcome, withdrawing: x.Withdrawing, why: Withdrawn}
 		a.At = x.Until
+		a.clouded = q.mayHear(a)
 		q.attempts = append(q.attempts, a)
 		if a.ended {
 			continue
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -88,6 +88,7 @@
 	// withdrawing is set from the withdrawal of an accepted attempt until its worker node is told: it may run until then.
 	withdrawing bool
 	why         Reason // of that
+	clouded     bool   // an attempt before it at the same host may still tell notes, and these name no attempt
 }
 
 // Ended tells whether it has its outcome. A note may bring that about before a carrier has written all of it: one that
@@ -100,6 +101,12 @@
 	return a.ended && a.result != logic.TimedOut && a.result != logic.Cancelled
 }
 
+// mayTell holds of an attempt that has ended here without a word of its worker node, and may run there.
+func (a *Attempt) mayTell() bool {
+	return a.ended && a.Stage >= AllWritten &&
+		(a.result == logic.Reset || a.result == logic.TimedOut || a.result == logic.Cancelled)
+}
+
 // Over tells whether a query has its answer, or has lost its client.
 func (q *Query) Over() bool { return q.closed }
 
@@ -273,6 +280,11 @@
 	if a == nil {
 		return false, nil
 	}
+	if a.clouded && (n.State == "failed" || n.State == "returned" || n.State == "lost") {
+		// It may be told of the attempt before it at this host: taken for this one's, that would send another copy while
+		// this one runs. What is done is done, whichever it is.
+		return true, nil
+	}
 	switch n.State {
 	case "started":
 		l.events = append(l.events, logic.Started{Job: a.Query.ID, Attempt: a.Number, Worker: a.Worker})
@@ -542,6 +554,7 @@
 			q.Sent = now
 		}
 		a.sent = true
+		a.clouded = q.mayHear(a)
 		l.tell(News{What: NewsSent, Query: q, Attempt: a})
 		l.carrier.Carry(a)
 	}
@@ -576,3 +589,8 @@
 		l.End(a, nil, &Fault{Stage: a.Stage, Reason: a.why})
 	}
 }
+
+// mayHear tells whether what its host tells of an attempt may be meant for one before it.
+func (q *Query) mayHear(a *Attempt) bool {
+	return slices.ContainsFunc(q.attempts[:a.Number], func(o *Attempt) bool { return o.From == a.From && o.mayTell() })
+}
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -523,6 +523,35 @@
 	}
 }
 
+// Notes name no attempt. Where one before it at the same host may still run, only what is done ends the later one.
+func TestNotesOfAnEarlierAttempt(t *testing.T) {
+	result := "r"
+	for _, handed := range []bool{false, true} {
+		c := newCopies(t, 0)
+		c.l.End(c.first, nil, &Fault{Stage: Accepted, Reason: Cut})
+		c.act(2, logic.Send{Job: c.q.ID, Worker: hashID("s-0")})
+		if len(c.carried.out) != 2 {
+			t.Fatal("not sent again")
+		}
+		c.carried.out[1].Stage = AllWritten
+		if handed {
+			c.handOver(t)
+		}
+		for _, state := range []string{"started", "returned", "lost", "failed"} {
+			if known, err := c.l.Tell(Note{ID: "c", From: "s-0", State: state}); !known || err != nil {
+				t.Errorf("%s: known %v, %v", state, known, err)
+			}
+		}
+		if c.act(3); slices.Contains(c.outcomes(), logic.Full) || c.l.Attempt(c.q.ID, 1) == nil {
+			t.Errorf("handed over %v: ended by a note that may be of the attempt before, outcomes %v", handed, c.outcomes())
+		}
+		if _, err := c.l.Tell(Note{ID: "c", From: "s-0", State: "done", Result: &result}); err != nil || c.l.Attempt(c.q.ID, 1) != nil ||
+			c.l.Open() != 0 {
+			t.Errorf("handed over %v: what is done is not taken, %v", handed, err)
+		}
+	}
+}
+
 // handOver goes on in another process.
 func (c *copies) handOver(t *testing.T) {
 	t.Helper()
