Take a withdrawal as told once its DELETE is answered, not once it is written

A DELETE written on a link that is reset then never came, though its bytes were written.

Change: an attempt that is withdrawn ends with the DELETE's answer, or once its connection has stood for the second that an answer is waited for: a worker node that hangs has the bytes. A connection that breaks before that is tried again, as before. The lab's links do the same.

TestWithdrawalWaitsForItsConnection, TestWithdrawalIsHandedOver, TestOneAttemptAtOneWorkerNode and the lab's TestWithdrawnOnceWritten asked for an end with the bytes; they ask for none then and for one with the answer, which is stricter, and fail without this change.

--- a/internal/lab/virtual/links.go
+++ b/internal/lab/virtual/links.go
@@ -177,7 +177,7 @@
 	wanted := !a.Ended() || fault != nil && fault.Stage >= ledger.AllWritten
 	if !broke || !wanted || a.Told() || s.withdrawals[a] >= withdrawTimes {
 		delete(s.withdrawals, a)
-		s.p.ledger.Withdrawn(a, false) // means nothing once it is told
+		s.p.ledger.Withdrawn(a, !broke)
 		return
 	}
 	s.p.after(withdrawAgain, func() {
@@ -348,9 +348,6 @@
 		k.await(withdrawFor)
 	}
 	p.emit(o)
-	if k.errand.kind == withdrawing {
-		p.ledger.Withdrawn(a, true)
-	}
 }
 
 func (k *serverLink) reach(stage ledger.Stage) {
--- a/internal/lab/virtual/links_test.go
+++ b/internal/lab/virtual/links_test.go
@@ -424,14 +424,15 @@
 		far  func(b *bench)
 		want []logic.Result
 	}{
-		"comes up": {func(b *bench) { b.up() }, []logic.Result{logic.Cancelled}},
+		"comes up": {func(b *bench) { b.up() }, nil},
+		"answered": {func(b *bench) { b.answered() }, []logic.Result{logic.Cancelled}},
 		"late": {func(b *bench) {
 			b.now += 250*ms + withdrawAgain
 			b.step()
 		}, nil},
 		"late, then on another": {func(b *bench) {
 			b.until(b.now + 250*ms + withdrawAgain)
-			b.up()
+			b.answered()
 		}, []logic.Result{logic.Cancelled}},
 		"never":        {func(b *bench) { b.until(b.now + 4*sec) }, nil},
 		"till its end": {func(b *bench) { b.until(b.now + 10*sec) }, []logic.Result{logic.TimedOut}},
@@ -474,3 +475,12 @@
 		b.step(edge.In{Kind: edge.LinkUp, Conn: c.conn, Node: c.node})
 	}
 }
+
+// answered has a DELETE go out on the newest connection, and be answered.
+func (b *bench) answered() {
+	b.up()
+	c := b.order[len(b.order)-1]
+	c.asked, c.since = nil, b.now
+	b.resting[c.node] = append(b.resting[c.node], c.conn)
+	b.step(edge.In{Kind: edge.Answered, Conn: c.conn, Node: c.node, Status: 204})
+}
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -29,7 +29,7 @@
 type Carrier interface {
 	Carry(a *Attempt)    // starts it; its end is told by End or by a Note
 	GiveUp(a *Attempt)   // it has ended here, and the worker node should know
-	Withdraw(a *Attempt) // it was accepted, and ends once its worker node is told that it should; Withdrawn says so
+	Withdraw(a *Attempt) // it was accepted, and ends once its worker node is told; Withdrawn says so
 	Probe(worker uint64)
 	FreeLinks(worker uint64)
 	Watch(after int64) // follow the host group from this generation on
--- a/internal/link/attempts_test.go
+++ b/internal/link/attempts_test.go
@@ -134,7 +134,13 @@
 	return strings.HasPrefix(string(p.got), "DELETE /jobs/"+q.Call+" ")
 }
 
-// While the DELETE waits for a connection, the attempt that it withdraws is out: it has neither ended nor been given up, and the
+// answer has a far end answer a DELETE.
+func (w *attempts) answer(p *peer) {
+	p.write([]byte("HTTP/1.1 204 No Content\r\n\r\n"))
+	w.turn()
+}
+
+// While the DELETE waits for a connection, or for its answer, the attempt that it withdraws is out: it has neither ended nor been given up, and the
 // module is told of no end that would have it send another copy.
 func TestWithdrawalWaitsForItsConnection(t *testing.T) {
 	t.Run("comes up", func(t *testing.T) {
@@ -150,7 +156,9 @@
 		if w.turn(); !(*links)[0].deletes(q) {
 			t.Fatalf("the worker node got %q", (*links)[0].got)
 		}
-		w.expect("written", q, logic.Cancelled)
+		w.expect("not answered yet", q)
+		w.answer((*links)[0].peer)
+		w.expect("answered", q, logic.Cancelled)
 	})
 	t.Run("late, then on another", func(t *testing.T) {
 		w := newAttempts(t)
@@ -170,7 +178,9 @@
 		if w.turn(); (*links)[0].deletes(q) || !(*links)[1].deletes(q) {
 			t.Errorf("the worker node got %q and %q", (*links)[0].got, (*links)[1].got)
 		}
-		w.expect("written", q, logic.Cancelled)
+		w.expect("not answered yet", q)
+		w.answer((*links)[1].peer)
+		w.expect("answered", q, logic.Cancelled)
 	})
 	t.Run("refused, or reset on its way", func(t *testing.T) {
 		w := newAttempts(t)
@@ -184,7 +194,7 @@
 		w.turn()
 		(*links)[1].release()
 		w.turn()
-		w.expect("written", q, logic.Cancelled)
+		w.expect("written", q)
 		(*links)[1].read(1 << 12)
 		(*links)[1].close() // without an answer: it may not have come
 		w.turn()
@@ -197,8 +207,22 @@
 		if w.turn(); !(*links)[2].deletes(q) {
 			t.Errorf("the worker node got %q", (*links)[2].got)
 		}
+		w.expect("written again", q)
+		w.answer((*links)[2].peer)
 		w.expect("at the end", q, logic.Cancelled)
 	})
+	t.Run("hangs", func(t *testing.T) {
+		w := newAttempts(t)
+		q := w.accepted()
+		links := w.hold()
+		w.act(logic.Cancel{Job: q.ID})
+		(*links)[0].release()
+		w.turn()
+		w.expect("not answered yet", q)
+		w.now += withdrawFor
+		w.turn()
+		w.expect("it has the bytes", q, logic.Cancelled)
+	})
 	t.Run("never", func(t *testing.T) {
 		w := newAttempts(t)
 		q := w.accepted()
@@ -234,7 +258,9 @@
 		if w.turn(); !w.dialed[len(w.dialed)-1].deletes(q) {
 			t.Error("nothing is written once there is a descriptor")
 		}
-		w.expect("written", q, logic.Cancelled)
+		w.expect("not answered yet", q)
+		w.answer(w.dialed[len(w.dialed)-1])
+		w.expect("answered", q, logic.Cancelled)
 	})
 	t.Run("done meanwhile", func(t *testing.T) {
 		w := newAttempts(t)
@@ -276,7 +302,9 @@
 		if w.turn(); !(*links)[0].deletes(q) {
 			t.Errorf("the worker node got %q", (*links)[0].got)
 		}
-		w.expect("written", q, logic.Cancelled)
+		w.expect("not answered yet", q)
+		w.answer((*links)[0].peer)
+		w.expect("answered", q, logic.Cancelled)
 	})
 }
 
@@ -297,7 +325,8 @@
 	if p := next.dialed[len(next.dialed)-1]; !p.deletes(q) {
 		t.Errorf("the worker node got %q", p.got)
 	}
-	next.expect("written", q, logic.Cancelled)
+	next.answer(next.dialed[len(next.dialed)-1])
+	next.expect("answered", q, logic.Cancelled)
 }
 
 // An attempt that was given up before its connection was up, or before it was accepted, is given up by closing that: what comes
@@ -348,6 +377,10 @@
 	}
 	(*links)[0].release()
 	w.turn()
+	(*links)[0].read(1 << 12)
+	w.answer((*links)[0].peer)
+	(*links)[0].close()
+	w.turn()
 	w.act(again)
 	w.expect("once it is withdrawn", q, logic.NotSent, logic.NotSent, logic.NotSent, logic.Cancelled)
 	if len(*links) != 2 {
--- a/internal/link/servers.go
+++ b/internal/link/servers.go
@@ -100,13 +100,14 @@
 }
 
 // withdrew takes in how a DELETE ended. What broke is tried again, on another connection: the first may not have come up
-// in time, or may have been dropped unseen while it was idle.
+// in time, or may have been reset or dropped unseen, and the DELETE with it. Its worker node is told once it answers, or
+// once the connection has stood for as long as an answer is waited for: one that hangs has the bytes.
 func (s *serverLinks) withdrew(a *ledger.Attempt, fault *ledger.Fault) {
 	broke := fault != nil && fault.Reason == ledger.Cut
 	wanted := !a.Ended() || fault != nil && fault.Stage >= ledger.AllWritten
 	if !broke || !wanted || a.Told() || s.withdrawals[a] >= withdrawTimes {
 		delete(s.withdrawals, a)
-		s.loop.Ledger.Withdrawn(a, false) // means nothing once it is told
+		s.loop.Ledger.Withdrawn(a, !broke)
 		return
 	}
 	s.loop.after(withdrawAgain, s, func() {
@@ -334,12 +335,9 @@
 func (k *serverLink) written() {
 	if len(k.out) == 0 && k.stage < ledger.AllWritten {
 		k.reach(ledger.AllWritten)
-		switch a := k.errand.attempt; {
-		case k.errand.kind == carrying:
+		if a := k.errand.attempt; k.errand.kind == carrying {
 			k.await(a.At - k.loop.now + graceFor)
 			k.loop.Ledger.Written(a)
-		case k.errand.kind == withdrawing && a != nil:
-			k.loop.Ledger.Withdrawn(a, true)
 		}
 	}
 }
