--- a/internal/link/attempts_test.go
+++ b/internal/link/attempts_test.go
@@ -325,6 +325,7 @@
 	if p := next.dialed[len(next.dialed)-1]; !p.deletes(q) {
 		t.Errorf("the worker node got %q", p.got)
 	}
+	next.expect("not answered yet", q)
 	next.answer(next.dialed[len(next.dialed)-1])
 	next.expect("answered", q, logic.Cancelled)
 }
@@ -378,11 +379,13 @@
 	(*links)[0].release()
 	w.turn()
 	(*links)[0].read(1 << 12)
+	w.act(again)
+	w.expect("not answered yet", q, logic.NotSent, logic.NotSent, logic.NotSent, logic.NotSent)
 	w.answer((*links)[0].peer)
 	(*links)[0].close()
 	w.turn()
 	w.act(again)
-	w.expect("once it is withdrawn", q, logic.NotSent, logic.NotSent, logic.NotSent, logic.Cancelled)
+	w.expect("once it is withdrawn", q, logic.NotSent, logic.NotSent, logic.NotSent, logic.NotSent, logic.Cancelled)
 	if len(*links) != 2 {
 		t.Errorf("%d connections: it is not sent again", len(*links))
 	}
