--- a/internal/link/servers.go
+++ b/internal/link/servers.go
@@ -17,8 +17,15 @@
 	withdrawFor = time.Second
 	graceFor    = time.Second // a link outlasts its attempt by so long, in case the answer still comes
 	retireEvery = time.Second
+	settleFor   = 10 * time.Millisecond // before a link carries again: a second answer would be the next one's
 	trustLeast  = 20 * time.Millisecond // a link used as lately as that is as good as a new one
 	trustGrows  = 10 * time.Second      // the trust in idle links doubles when they have done well for so long
+
+	withdrawTimes = 4 // connections are tried for a DELETE before it is given up
+	withdrawAgain = 50 * time.Millisecond
+
+	mostAtOnce = 4 << 10                 // a request of that size goes into any socket's buffer whole
+	mostAnswer = 2 * (maxHead + maxBody) // with interim answers, and with what frames chunks
 )
 
 // serverLinks are the connections to worker nodes: the ledger's Carrier.
@@ -26,12 +33,14 @@
 	loop    *Loop
 	hosts   map[uint64]*hostLinks
 	carried map[*ledger.Attempt]*serverLink // until the worker node has accepted
-	open    int
-	most    int
-	dial    time.Duration // a connection comes up within this or not at all
-	idleFor time.Duration // and is not kept for longer when idle; 0: for ever
-	trust   time.Duration // nor for longer than has lately gone well; 0: as long as may be
-	doubted time.Duration // when that was set
+	// withdrawals are the attempts whose worker node is being told, and how many connections were tried for that.
+	withdrawals map[*ledger.Attempt]int
+	open        int
+	most        int
+	dial        time.Duration // a connection comes up within this or not at all
+	idleFor     time.Duration // and is not kept for longer when idle; 0: for ever
+	trust       time.Duration // nor for longer than has lately gone well; 0: as long as may be
+	doubted     time.Duration // when that was set
 }
 
 // hostLinks are the links to one worker node.
@@ -48,7 +57,7 @@
 	// The worker node closes an idle link at its limit, and a request that crosses the close is lost: keep well
 	// clear of it.
 	l.servers = &serverLinks{loop: l, hosts: map[uint64]*hostLinks{}, carried: map[*ledger.Attempt]*serverLink{},
-		most: most, dial: dial, idleFor: idleFor * 3 / 4}
+		withdrawals: map[*ledger.Attempt]int{}, most: most, dial: dial, idleFor: idleFor * 3 / 4}
 	l.servers.retire()
 }
 
@@ -78,10 +87,39 @@
 	if k := s.carried[a]; k != nil {
 		k.end(nil)
 	} else if a.Stage == ledger.Accepted {
+		s.Withdraw(a)
+	}
+}
+
+// Withdraw sends a DELETE, unless one is on its way.
+func (s *serverLinks) Withdraw(a *ledger.Attempt) {
+	if _, is := s.withdrawals[a]; !is {
+		s.withdrawals[a] = 1
 		s.start(a.Worker, errand{kind: withdrawing, attempt: a})
 	}
 }
 
+// withdrew takes in how a DELETE ended. What broke is tried again, on another connection: the first may not have come up
+// in time, or may have been reset or dropped unseen, and the DELETE with it. Its worker node is told once it answers, or
+// once the connection has stood for as long as an answer is waited for: one that hangs has the bytes.
+func (s *serverLinks) withdrew(a *ledger.Attempt, fault *ledger.Fault) {
+	broke := fault != nil && fault.Reason == ledger.Cut
+	wanted := !a.Ended() || fault != nil && fault.Stage >= ledger.AllWritten
+	if !broke || !wanted || a.Told() || s.withdrawals[a] >= withdrawTimes {
+		delete(s.withdrawals, a)
+		s.loop.Ledger.Withdrawn(a, !broke)
+		return
+	}
+	s.loop.after(withdrawAgain, s, func() {
+		if a.Told() || s.loop.ceded {
+			delete(s.withdrawals, a)
+			return
+		}
+		s.withdrawals[a]++
+		s.start(a.Worker, errand{kind: withdrawing, attempt: a})
+	})
+}
+
 func (s *serverLinks) Probe(worker uint64) { s.start(worker, errand{kind: probing}) }
 
 func (s *serverLinks) FreeLinks(worker uint64) {
@@ -127,13 +165,16 @@
 // start gives an errand to the link that was used last, or to a new one.
 func (s *serverLinks) start(worker uint64, e errand) {
 	h := s.host(worker)
-	for len(h.idle) > 0 {
-		k := h.idle[len(h.idle)-1]
+	for i := len(h.idle) - 1; i >= 0; i-- {
+		k := h.idle[i]
 		if s.stale(k) || !k.alive() {
 			k.end(nil)
 			continue
 		}
-		h.idle = h.idle[:len(h.idle)-1]
+		if e.kind == carrying && k.last == carrying && s.loop.now-k.idleAt < settleFor {
+			continue
+		}
+		h.idle = append(h.idle[:i], h.idle[i+1:]...)
 		k.rested = max(s.loop.now-k.idleAt, 1)
 		k.take(e)
 		s.loop.guard(k, k.write)
@@ -189,6 +230,7 @@
 	epoch  int
 	state  linkState
 	errand errand
+	last   errandKind // what it was used for
 	stage  ledger.Stage
 	timer  *timer
 	idleAt time.Duration
@@ -234,7 +276,7 @@
 
 // take gives the link its errand.
 func (k *serverLink) take(e errand) {
-	k.errand, k.stage = e, ledger.NotConnected
+	k.errand, k.last, k.stage = e, e.kind, ledger.NotConnected
 	if e.kind == carrying {
 		k.home.carried[e.attempt] = k
 	}
@@ -245,23 +287,33 @@
 	k.timer = k.home.loop.after(span, k, func() { k.end(errLate) })
 }
 
-// write sends the errand's request.
+// write sends the errand's request. What the worker node is told to have for an attempt is what is left now, however late the
+// connection came up. A large request may go in parts: that it takes the time for a connection at most is taken off.
 func (k *serverLink) write() {
 	l, a := k.loop, k.errand.attempt
+	var parts time.Duration
 	b, host := l.writing[:0], k.host.addr.String()
 	switch k.errand.kind {
 	case carrying:
+		left := a.At - l.clock()
+		if left < time.Millisecond { // the ledger gives it up in a moment, and the link ends with it
+			l.stop(k.timer)
+			return
+		}
 		p := &a.Query.Parcel
+		if parts = min(k.home.dial, left/2); len(p.Body) > mostAtOnce {
+			left -= parts
+		}
 		b = appendCall(b, p.Verb, p.Path, host)
 		b = appendField(b, "X-Call-Id", a.Query.Call)
 		b = appendField(b, "Idempotency-Key", p.Key)
 		b = append(b, "X-Budget-Ms: "...)
-		b = strconv.AppendInt(b, max(1, (a.At-l.now).Milliseconds()), 10)
+		b = strconv.AppendInt(b, max(1, left.Milliseconds()), 10)
 		b = append(b, "\r\nContent-Length: "...)
 		b = strconv.AppendInt(b, int64(len(p.Body)), 10)
 		b = append(b, "\r\n\r\n"...)
 		b = append(b, p.Body...)
-		k.await(a.At - l.now + graceFor)
+		k.await(parts)
 	case probing:
 		b = append(appendCall(b, "GET", "/alive", host), "\r\n"...)
 		k.await(probeFor)
@@ -282,8 +334,10 @@
 // written notes once the last byte has left: from there on it may run.
 func (k *serverLink) written() {
 	if len(k.out) == 0 && k.stage < ledger.AllWritten {
-		if k.reach(ledger.AllWritten); k.errand.kind == carrying {
-			k.loop.Ledger.Written(k.errand.attempt)
+		k.reach(ledger.AllWritten)
+		if a := k.errand.attempt; k.errand.kind == carrying {
+			k.await(a.At - k.loop.now + graceFor)
+			k.loop.Ledger.Written(a)
 		}
 	}
 }
@@ -295,9 +349,11 @@
 }
 
 // needless tells whether what it was to write has ended before its last byte was written, by a late note of an attempt
-// before: what is written on would be a send after the query was over, or one more than the module knows of.
+// before: what is written on would be a send after the query was over, or one more than the module knows of. Nor is a
+// DELETE of any use once the worker node has told how the attempt ended.
 func (k *serverLink) needless() bool {
-	return k.errand.kind == carrying && k.stage < ledger.AllWritten && k.errand.attempt.Ended()
+	a := k.errand.attempt
+	return k.stage < ledger.AllWritten && a != nil && (k.errand.kind == carrying && a.Ended() || a.Told())
 }
 
 func (k *serverLink) ready(events uint32) {
@@ -347,6 +403,10 @@
 	switch {
 	case err == nil:
 		keep := m.KeepAlive && !ended && n == len(k.in) && len(k.out) == 0
+		if k.stray(m.Status) {
+			k.end(errStray)
+			return
+		}
 		k.answered(m)
 		if k.closed {
 			return
@@ -360,14 +420,28 @@
 		k.end(errEnded)
 	case !errors.Is(err, errShort):
 		k.end(err)
+	case len(k.in) > mostAnswer:
+		k.end(errLarge)
 	}
 }
 
 var (
 	errEnded = errors.New("ended by the worker node")
 	errLate  = errors.New("no answer in time")
+	errLarge = errors.New("an answer without end")
+	errStray = errors.New("an answer to what the link was used for before")
+	errEarly = errors.New("an answer before the last byte was written")
 )
 
+// stray tells whether an answer that says yes is the second one to what the link was used for before: each kind of errand
+// has a word of its own for that. On a new link it is taken as it is meant.
+func (k *serverLink) stray(status int) bool {
+	if k.rested == 0 || status/100 != 2 {
+		return false
+	}
+	return k.errand.kind == carrying && status != 202 || k.errand.kind == probing && status != 200
+}
+
 // answered settles the errand by the answer's status.
 func (k *serverLink) answered(m *Message) {
 	fault := &ledger.Fault{Stage: k.stage, Reason: ledger.Errored, Cause: fmt.Errorf("status %d", m.Status)}
@@ -381,6 +455,10 @@
 	}
 	if k.errand.kind == carrying {
 		k.loop.Ledger.Answered(k.errand.attempt, m.Status)
+		if k.stage < ledger.AllWritten && (fault == nil || fault.Reason == ledger.Errored) {
+			// It never has all of it, as the link ends with this answer. So it can't run, whatever the answer says.
+			fault = &ledger.Fault{Stage: k.stage, Reason: ledger.Cut, Cause: errEarly}
+		}
 	}
 	if k.errand.kind == carrying && fault == nil {
 		k.reach(ledger.Accepted)
@@ -401,6 +479,10 @@
 		k.home.loop.Ledger.End(e.attempt, nil, fault)
 	case probing:
 		k.home.loop.Ledger.Probed(k.host.worker, fault)
+	case withdrawing:
+		if e.attempt != nil {
+			k.home.withdrew(e.attempt, fault)
+		}
 	}
 }
 
@@ -438,8 +520,11 @@
 			reason = ledger.Unsent // it says nothing of the worker node
 		}
 	}
-	if k.stage >= ledger.AllWritten && errors.Is(cause, errLate) {
+	switch {
+	case k.stage >= ledger.AllWritten && errors.Is(cause, errLate):
 		reason = ledger.Expired
+	case k.errand.kind == probing && errors.Is(cause, errStray):
+		reason = ledger.Unsent // it says nothing of the worker node
 	}
 	k.settle(&ledger.Fault{Stage: k.stage, Reason: reason, Cause: cause})
 }
