Keep the aperture's own changes from passing for discovery's word; from_schedulers

'sent to w-36 1.310764062s after scheduler 37 was told that it drains or is gone'; it had called discovery never. The deployed program watches by internal/freshness whatever the module believes, so only the lab broke.

Cause: Aperture.own told a delta before discovery had said anything, and while its list was lost; only between Subscribe and the answer it told the list as known. logic.list takes any list that is not cached for discovery's.

Change: it does so from the start, and from a lost list, until discovery speaks. Besides, a key from_schedulers: with fewer there is no aperture, and a hand-over takes the module's state along as without the section.

TestOwnChangesAreNoWordOfDiscoverys fails with either half of the change taken out.

--- a/cmd/valvecove/check.go
+++ b/cmd/valvecove/check.go
@@ -188,8 +188,11 @@
 	if f := ops.Aperture; f != nil {
 		what["aperture"] = fmt.Sprintf("%d worker nodes at least, each at %d schedulers at least, up to %s times as many under "+
 			"load; fleets under %d whole", f.Least, f.Cover, number(f.Most), f.OffBelow)
-		if c.Settings.Replicas < 2 {
+		switch {
+		case c.Settings.Replicas < 2:
 			what["aperture"] = "nothing to do, as there is one scheduler"
+		case !f.On(c.Settings.Replicas):
+			what["aperture"] = fmt.Sprintf("off, as there are %d schedulers, and it is from %d on", c.Settings.Replicas, f.From)
 		}
 	}
 	for _, name := range []string{"status", "capture", "figures", "addresses", "aperture"} {
--- a/internal/aperture/aperture.go
+++ b/internal/aperture/aperture.go
@@ -36,6 +36,7 @@
 	Least    int           // ready worker nodes that a scheduler looks at, at least; a tenth for each bound class
 	Cover    int           // schedulers that look at each worker node, on the mean, at least; 2 or more
 	OffBelow int           // a fleet of fewer worker nodes is looked at whole
+	From     int           // and so is any by fewer schedulers than this, without an aperture
 	Most     float64       // load widens the aperture to so many times its width at most
 	WidenAt  float64       // it does where this share of jobs finds no room in time
 	Dwell    time.Duration // what is not needed any more is let go after so long
@@ -43,7 +44,7 @@
 
 // Defaults are what holds where nothing else is said.
 func Defaults() Config {
-	return Config{Least: 20, Cover: 2, OffBelow: 60, Most: 8, WidenAt: 0.1, Dwell: 30 * time.Second}
+	return Config{Least: 20, Cover: 2, OffBelow: 60, From: 2, Most: 8, WidenAt: 0.1, Dwell: 30 * time.Second}
 }
 
 // Aperture is one scheduler's, round its module. It is used by one goroutine.
@@ -56,7 +57,7 @@
 	fleet
 	load
 
-	asking  bool          // the module has asked for the list and has not been answered
+	missing bool          // the list is not followed: it was lost, or asked for, and nothing has come since
 	armed   time.Duration // the timer that was asked for; 0: none
 	innerAt time.Duration // the module's own; 0: none
 	tickAt  time.Duration
@@ -68,9 +69,12 @@
 	said    Size
 }
 
+// On tells whether so many schedulers have an aperture at all. Where they have none, nothing stands before the module.
+func (c Config) On(schedulers int) bool { return schedulers >= max(2, c.From) }
+
 // Wrap puts an aperture before a module that knows nothing. The module is to be made of the same settings.
 func Wrap(inner Module, set logic.Settings, conf Config) *Aperture {
-	a := &Aperture{inner: inner, set: set, conf: conf}
+	a := &Aperture{inner: inner, set: set, conf: conf, missing: true}
 	a.conf.Cover = max(rings, conf.Cover)
 	a.number(set.Me, set.Replicas)
 	a.fleet = newFleet(set)
@@ -194,11 +198,11 @@
 	return a.arm(dst)
 }
 
-// own makes a list of what the aperture itself changes. While the module waits for an answer to its call, changes
-// would look like one, so it is told the whole list as it was known.
+// own makes a list of what the aperture itself changes. While the module waits for a list, changes would look like one
+// that discovery has told, so it is told the whole list as it was known.
 func (a *Aperture) own() logic.Event {
 	l := logic.WorkerList{Kind: logic.ListDelta, Workers: append([]logic.Worker(nil), a.news...)}
-	if a.news = a.news[:0]; a.asking {
+	if a.news = a.news[:0]; a.missing {
 		l = logic.WorkerList{Kind: logic.ListCached, Workers: a.all()}
 	}
 	return l
@@ -225,7 +229,7 @@
 				a.ask(n)
 			}
 		case logic.Subscribe:
-			a.asking = true
+			a.missing = true
 		}
 		kept = append(kept, x)
 	}
--- a/internal/aperture/aperture_test.go
+++ b/internal/aperture/aperture_test.go
@@ -53,7 +53,7 @@
 		v.asked, v.follows = false, false
 		return
 	}
-	if e.Kind != logic.ListCached && v.asked {
+	if e.Kind != logic.ListCached { // as the module: whoever watches has called
 		v.asked, v.follows = false, true
 	}
 	if e.Kind != logic.ListDelta {
@@ -490,3 +490,55 @@
 		}
 	}
 }
+
+// One scheduler never has an aperture, and as many as the key names or more do.
+func TestFromSchedulers(t *testing.T) {
+	conf := Defaults()
+	for n, on := range map[int]bool{0: false, 1: false, 2: true, 300: true} {
+		if conf.On(n) != on {
+			t.Errorf("by default, %d schedulers: %v", n, !on)
+		}
+	}
+	conf.From = 60
+	for n, on := range map[int]bool{1: false, 59: false, 60: true} {
+		if conf.On(n) != on {
+			t.Errorf("from 60 on, %d schedulers: %v", n, !on)
+		}
+	}
+}
+
+// What the aperture changes before discovery has said anything, and while its list is lost, is told as the list that was
+// known: taken for discovery's word, it would have the module believe that it follows the list, and call for none.
+func TestOwnChangesAreNoWordOfDiscoverys(t *testing.T) {
+	set := logic.Settings{Me: 0, Replicas: 4, MustSubscribe: true, AskEvery: 10 * time.Second}
+	v := newViewer(t)
+	a := Wrap(v, set, Config{Least: 2, Cover: 2, OffBelow: 1, Most: 8, WidenAt: 0.1, Dwell: time.Second})
+	list := func(kind logic.ListKind, silent uint64) logic.WorkerList {
+		l := logic.WorkerList{Kind: kind}
+		for id := uint64(1); id <= 12; id++ {
+			l.Workers = append(l.Workers, logic.Worker{ID: id, Ready: id != silent})
+		}
+		return l
+	}
+	now := time.Hour
+	pass := func() {
+		for range 40 {
+			now += 100 * time.Millisecond
+			a.Step(now, []logic.Event{logic.TimerFired{}}, nil)
+		}
+	}
+	a.Step(now, []logic.Event{list(logic.ListCached, 0)}, nil)
+	a.Members(1, 4) // it looks elsewhere
+	if pass(); v.follows {
+		t.Fatal("the module believes that it follows the list before discovery has said anything")
+	}
+	a.Step(now, []logic.Event{list(logic.ListFull, 0)}, nil)
+	if !v.follows {
+		t.Fatal("the list is not followed")
+	}
+	a.Step(now, []logic.Event{logic.WorkerList{Kind: logic.ListLost}}, nil)
+	a.Members(2, 4)
+	if pass(); v.follows {
+		t.Fatal("the module believes that it follows a list that is lost")
+	}
+}
--- a/internal/aperture/fleet.go
+++ b/internal/aperture/fleet.go
@@ -141,10 +141,10 @@
 // list takes discovery's word and gives what of it the module is told.
 func (a *Aperture) list(e logic.WorkerList) logic.WorkerList {
 	if e.Kind == logic.ListLost {
-		a.asking = false
+		a.missing = true
 		return e
 	}
-	a.asking = a.asking && e.Kind == logic.ListCached
+	a.missing = a.missing && e.Kind == logic.ListCached
 	if len(a.nodes) == 0 {
 		a.nodes = make(map[uint64]*node, len(e.Workers))
 	}
--- a/internal/config/ops.go
+++ b/internal/config/ops.go
@@ -157,6 +157,7 @@
 		d := aperture.Defaults()
 		o.Aperture = &aperture.Config{Least: t.whole("least", d.Least, 1, 1_000_000),
 			Cover: t.whole("cover", d.Cover, 2, 1000), OffBelow: t.whole("off_below", d.OffBelow, 0, 1_000_000),
+			From: t.whole("from_schedulers", d.From, 2, 1_000_000),
 			Most: t.number("most", d.Most, 1, 1000), WidenAt: t.number("widen_at", d.WidenAt, 0.01, 1),
 			Dwell: time.Duration(t.number("dwell_s", d.Dwell.Seconds(), 1, 3600) * float64(time.Second))}
 		t.end()
--- a/internal/config/ops_test.go
+++ b/internal/config/ops_test.go
@@ -40,6 +40,7 @@
 		"[addresses]\nallow = ['::ffff:0.0.0.0/95']":   `key "addresses.allow[0]": expected a range`,
 		"[addresses]\ntrusted_fronts = [1]":            `key "addresses.trusted_fronts[0]": expected a range such as "10.20.0.0/16" or "fd00:5a::/48", got 1`,
 		"[aperture]\ncover = 1":                        `key "aperture.cover": expected 2 to 1000, got 1`,
+		"[aperture]\nfrom_schedulers = 1":              `key "aperture.from_schedulers": expected 2 to 1000000, got 1`,
 		"[aperture]\nwiden_at = 0":                     `key "aperture.widen_at": expected 0.01 to 1, got 0`,
 		"[aperture]\nof_fleet = 0.1":                   `key "aperture.of_fleet": not known`,
 		"[replay]\nsetting = 1":                        `key "replay.setting": not known`,
--- a/internal/lab/experiment/run.go
+++ b/internal/lab/experiment/run.go
@@ -304,10 +304,14 @@
 	}
 	if inner := opt.Module; narrowed != nil {
 		opt.Module = func(set logic.Settings, seed uint64, o yardstick.Oracle) ledger.Module {
-			if inner == nil {
-				return aperture.Wrap(logic.New(set, seed), set, *narrowed)
+			m := ledger.Module(logic.New(set, seed))
+			if inner != nil {
+				m = inner(set, seed, o)
 			}
-			return aperture.Wrap(inner(set, seed, o), set, *narrowed)
+			if !narrowed.On(set.Replicas) {
+				return m
+			}
+			return aperture.Wrap(m, set, *narrowed)
 		}
 	}
 	return opt, nil
--- a/internal/link/start.go
+++ b/internal/link/start.go
@@ -51,7 +51,8 @@
 		}
 	}
 	seed := c.Seed
-	if ops.Aperture == nil { // else what stands round the module has a state of its own
+	narrowed := ops.Aperture != nil && ops.Aperture.On(c.Settings.Replicas)
+	if !narrowed { // else what stands round the module has a state of its own
 		l.wrap = func(d *logic.Dispatcher) ledger.Module {
 			if l.Capture != nil {
 				return l.Capture.Continue(d)
@@ -67,7 +68,7 @@
 		if l.Capture != nil {
 			m = l.Capture.Wrap(d)
 		}
-		if ops.Aperture != nil { // before the capture: that records what the module itself was told, and replays alone
+		if narrowed { // before the capture: that records what the module itself was told, and replays alone
 			m = aperture.Wrap(m, c.Settings.Settings, *ops.Aperture)
 		}
 		return m
