Hedge short jobs of many schedulers, and keep long ones back where workers are dealt

Change: of more than eight schedulers a short job that may run twice is copied once its start is late, and a copy costs by its work of those saved up; where workers are dealt to a few, long jobs wait while one of ours waits late; backedUp is for eight or fewer, whose decisions are as they were. alive and shrink moved to members.go as they are.

The two new tests fail without their lines.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -206,6 +206,11 @@
 		if j == nil {
 			break
 		}
+		if d.waiting > 0 && d.dealt() && !d.short(j) { // what room there is at its few workers is for short ones
+			d.unhold(j)
+			d.aside = append(d.aside, j)
+			continue
+		}
 		w, roomless := d.choose(j)
 		if w == nil && j.need > 1 && d.now > j.promote {
 			d.keep(j)
@@ -504,18 +509,12 @@
 	d.touch(w) // held jobs are looked at again then
 }
 
-func (d *Dispatcher) shrink(w *worker, a *attempt) {
-	if a.sent >= w.cut { // what is older is the same piece of news: one crash, one full queue
-		w.cut, w.room = d.now, max(1, math.Floor(w.room/2))
-		d.touch(w)
-	}
-}
-
-// backedUp is the room of the whole fleet: hundreds of dispatchers with a job here and there fill all queues
-// though no room is above one. Jobs waiting far longer than late starts do are lost, not queued. One goes all
-// the same, and the next when that has started, or is as late as others: a few sick workers are no fleet.
+// backedUp is the room of the whole fleet: several dispatchers with a job here and there fill all queues
+// though no room is above one (of many, see release). Jobs waiting far longer than late starts do are lost,
+// not queued. One goes all the same, and the next when that has started, or is as late as others: a few sick
+// workers are no fleet.
 func (d *Dispatcher) backedUp() bool {
-	return d.waiting > waitShare*(d.used-d.waiting) && d.now-d.scout < d.lateStart
+	return d.set.Replicas <= many && d.waiting > waitShare*(d.used-d.waiting) && d.now-d.scout < d.lateStart
 }
 
 // slots is what a worker of this kind can run at once: the most of ours that was seen to run on one, once a
@@ -542,7 +541,7 @@
 	if !d.suspect(w) {
 		return true
 	}
-	trial := j.class.Effect == Safe && math.Log(j.work) < d.cutLog
+	trial := j.class.Effect == Safe && d.short(j)
 	return trial && d.now >= max(w.badUntil, d.trialAt) && len(w.out) == 0
 }
 
@@ -558,18 +557,6 @@
 	d.do(Log{fmt.Sprintf("worker %d %s: set aside for about %v", w.ID, why, w.pause)})
 }
 
-func (d *Dispatcher) alive(w *worker) {
-	w.heard, w.breaks = d.now, 0
-	// A worker that was lost and answers again has most likely restarted, though no list has said so yet.
-	if w.lost {
-		w.lost, w.back = false, d.now
-	}
-	if w.streak == 0 && w.pause > 0 {
-		w.pause, w.badUntil, w.broken = 0, 0, false
-	}
-	d.touch(w)
-}
-
 // overdue looks at an attempt that has not started, or not ended, when it should have.
 func (d *Dispatcher) overdue(a *attempt) {
 	j, w := a.job, a.worker
@@ -594,7 +581,7 @@
 		d.outran(a, run)
 		d.learnSpeed(w, min(w.speed, math.Log(d.expectedWork(j)/run.Seconds())))
 	}
-	if d.stuck(a) {
+	if d.stuck(a) || d.hedges(a) {
 		d.rescue(j)
 	} else if a.started { // it is looked at again once it has been silent for too long
 		d.alarm(&a.due, a.told+d.set.Progress*3/2)
@@ -749,7 +736,7 @@
 		w.ledger = append(w.ledger, spend{d.now, d.coldCost(j)})
 	}
 	if d.copies = min(d.copies+copyShare, d.copiesSaved()); a.number > 0 {
-		d.copies--
+		d.copies -= d.copyCost(j)
 	}
 	if d.suspect(w) {
 		d.trialAt = d.now + firstPause
@@ -826,12 +813,18 @@
 	return d.now-a.told >= d.set.Progress*3/2
 }
 
+// hedges tells whether a short job of one of many dispatchers tries its luck elsewhere, though its worker
+// gets on with others: none knows what others have queued there, and its copy costs little.
+func (d *Dispatcher) hedges(a *attempt) bool {
+	return d.set.Replicas > many && !a.started && a.job.class.Effect == Safe && d.short(a.job)
+}
+
 // copiesSaved is how many copies may be saved up: those of all dispatchers together feed an overload too.
 func (d *Dispatcher) copiesSaved() float64 { return max(1, min(copyBurst, few*copyBurst*d.part())) }
 
 // rescue puts a job that is stuck on one worker back among the held, to be started elsewhere.
 func (d *Dispatcher) rescue(j *job) {
-	if j.closed || j.out > 1 || d.copies < 1 || j.class.Effect == Unsafe ||
+	if j.closed || j.out > 1 || d.copies < d.copyCost(j) || j.class.Effect == Unsafe ||
 		len(j.attempts) >= max(2, d.set.TryLimit-1) {
 		return
 	}
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -1077,6 +1077,67 @@
 	}
 }
 
+// Where each dispatcher has a few workers dealt to it, and a job of ours waits late at one, short jobs go to the others and
+// long ones are kept back: room is scarce. Where all share all workers, both go.
+func TestLongJobsWaitWhileOursWait(t *testing.T) {
+	for _, of := range []int{0, 2} {
+		set := testSettings()
+		set.Replicas = many + 1
+		s := newScene(t, set)
+		list := WorkerList{Kind: ListFull}
+		for id := uint64(1); id <= 6; id++ {
+			list.Workers = append(list.Workers, Worker{ID: id, Ready: true, Of: of})
+		}
+		s.step(list)
+		for id := uint64(1); id <= 3; id++ { // three run
+			s.step(s.job(id, 1, 100*ms))
+			s.after(ms, Started{Job: id, Worker: taken[Send](s)[0].Worker})
+		}
+		s.step(s.job(4, 1, 100*ms)) // and this one's worker has a queue
+		s.wait(250 * ms)
+		taken[Send](s)
+		s.step(s.job(5, 1, 2*time.Second), s.job(6, 1, 50*ms))
+		sent := map[uint64]bool{}
+		for _, a := range taken[Send](s) {
+			sent[a.Job] = true
+		}
+		if !sent[6] || sent[5] != (of == 0) {
+			t.Errorf("dealt to %d: sent %v", of, sent)
+		}
+	}
+}
+
+// Of many dispatchers, a short job that may run twice is copied when its start is late, also where its worker gets on with
+// others: nobody knows what others have queued there. A long one is not, and one that may not run twice never is.
+func TestShortJobsTryElsewhere(t *testing.T) {
+	for _, c := range []struct {
+		class  int
+		hint   time.Duration
+		copied bool
+	}{{0, 50 * ms, true}, {0, 3 * time.Second, false}, {1, 50 * ms, false}} {
+		set := testSettings()
+		set.Replicas, set.Report = many+1, nil
+		s := newScene(t, set)
+		s.workers(3)
+		s.step(s.job(1, c.class, c.hint))
+		w := taken[Send](s)[0].Worker
+		s.step(s.job(2, c.class, c.hint))
+		other := taken[Send](s)
+		for range 8 { // whoever has the first gets on with others
+			s.step(Progressed{Job: 2, Worker: other[0].Worker, Share: 0.1})
+			s.d.workers[w].worked = s.d.now
+			s.wait(50 * ms)
+		}
+		copied := false
+		for _, a := range taken[Send](s) {
+			copied = copied || a.Job == 1
+		}
+		if copied != c.copied {
+			t.Errorf("class %d, %v of work: copied %v", c.class, c.hint, copied)
+		}
+	}
+}
+
 // A job that waits at a worker which gets on with others is queued there, not lost: it is not copied, however late.
 // Only where the worker has given no sign of work since is it sent elsewhere.
 func TestQueuedJobIsNotCopied(t *testing.T) {
--- a/logic/members.go
+++ b/logic/members.go
@@ -501,3 +501,36 @@
 		d.touch(a.worker)
 	}
 }
+
+func (d *Dispatcher) alive(w *worker) {
+	w.heard, w.breaks = d.now, 0
+	// A worker that was lost and answers again has most likely restarted, though no list has said so yet.
+	if w.lost {
+		w.lost, w.back = false, d.now
+	}
+	if w.streak == 0 && w.pause > 0 {
+		w.pause, w.badUntil, w.broken = 0, 0, false
+	}
+	d.touch(w)
+}
+
+func (d *Dispatcher) shrink(w *worker, a *attempt) {
+	if a.sent >= w.cut { // what is older is the same piece of news: one crash, one full queue
+		w.cut, w.room = d.now, max(1, math.Floor(w.room/2))
+		d.touch(w)
+	}
+}
+
+// dealt tells whether workers are dealt to a few dispatchers each, so that how our own jobs fare there tells of their room.
+func (d *Dispatcher) dealt() bool { return len(d.order) > 0 && d.order[0].Of > 1 }
+
+// short tells whether a job is expected to run for less than the cut between short and long.
+func (d *Dispatcher) short(j *job) bool { return math.Log(j.work) < d.cutLog }
+
+// copyCost is what a copy takes of those saved up: of one of many dispatchers, by its work.
+func (d *Dispatcher) copyCost(j *job) float64 {
+	if d.set.Replicas <= many {
+		return 1
+	}
+	return min(1, d.coldCost(j)/(d.meanCost+1e-9))
+}
