Have queries of one of many new processes wait for the first news of the host group

Cause: State.Begin spreads the first calls of many over 2 s, so that they do not fall on discovery together, and meanwhile the process served by the list in its configuration, in which 45 worker nodes of a lost zone were up.

Ruled out: calling at once (TestManyCallApart: discovery turns callers away); less spread, for the same reason.

Change: where many call, the ledger keeps the module from hearing of queries until the first list, or the word that it can't be had, for 2.5 s and up to 100 ms before the first deadline at most; the time that they have waited is taken off. A hand-over ends it.

--- a/internal/freshness/freshness.go
+++ b/internal/freshness/freshness.go
@@ -78,6 +78,15 @@
 	}
 }
 
+// FirstWait is how long a process that knows a list had better wait for a newer one before it goes by what it knows. Few
+// callers, and those whose lists are pushed, call at once.
+func (s *State) FirstWait() time.Duration {
+	if s.rules.Pushed || s.rules.Callers <= few {
+		return 0
+	}
+	return s.most() + reserve/2
+}
+
 // Follow plans a call for now if none is planned or out and there is no watch.
 func (s *State) Follow(now time.Duration) {
 	if s.phase == off {
--- a/internal/freshness/freshness_test.go
+++ b/internal/freshness/freshness_test.go
@@ -370,3 +370,20 @@
 		}
 	}
 }
+
+// Where many call one after the other, each has its first list within its first wait: its call, put off as long as it may be,
+// and an answer that comes at once.
+func TestFirstWait(t *testing.T) {
+	for _, c := range []struct {
+		rules Rules
+		waits bool
+	}{{Rules{AskEvery: 10 * time.Second, Callers: 300}, true}, {Rules{AskEvery: 10 * time.Second, Callers: few}, false},
+		{Rules{AskEvery: 10 * time.Second, Callers: 300, Pushed: true}, false}} {
+		s := New(c.rules, func(n int64) int64 { return n - 1 }, firstStep)
+		s.Begin(firstStep, true)
+		at, _ := s.Next()
+		if wait := s.FirstWait(); (wait > 0) != c.waits || wait > 0 && firstStep+wait < at+200*time.Millisecond || wait > 3*time.Second {
+			t.Errorf("%+v: waits %v, calls after %v", c.rules, wait, at-firstStep)
+		}
+	}
+}
--- a/internal/ledger/estate.go
+++ b/internal/ledger/estate.go
@@ -84,6 +84,7 @@
 // query; module makes the module that goes on, and is called once the observers have heard of the queries. Where it gives
 // nil, the one that is there is told of the queries and what became of their attempts so far.
 func (l *Ledger) TakeOver(now time.Duration, e Estate, open []OpenQuery, askers map[uint64]Asker, module func() Module) {
+	l.await = 0
 	listed := map[string]bool{}
 	for _, id := range e.Listed {
 		listed[id] = true
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -137,6 +137,7 @@
 	expiries   due.Queue[*Attempt]
 	table      hostTable
 	generation int64
+	await      time.Duration           // queries wait for news of the host group until then; 0: they don't
 	ready      map[uint64]logic.Worker // the list as the module holds it
 	bans       map[uint64]bool         // hosts taken out by hand
 }
@@ -152,6 +153,13 @@
 	return l
 }
 
+// Await has queries wait for the first news of the host group, until then at most, or until it can't be had: what has
+// changed since it was last known counts as told, also for a process that has not asked yet. 0 ends that.
+func (l *Ledger) Await(until time.Duration) { l.await = until }
+
+// answerIn is what a query that waits must be left with to be answered in time.
+const answerIn = 100 * time.Millisecond
+
 // ---- What comes in ----
 
 // ErrRepeated refuses a query whose id belongs to one that is still open.
@@ -169,6 +177,9 @@
 	l.queries[q.ID], l.calls[q.Call] = q, q
 	l.bytes += len(q.Parcel.Body)
 	l.events = append(l.events, in.Job)
+	if l.await > 0 {
+		l.await = max(1, min(l.await, q.Deadline-answerIn))
+	}
 	l.tell(News{What: NewsTaken, Query: q})
 	return q, nil
 }
@@ -308,6 +319,7 @@
 
 // Hosts takes news of the host group.
 func (l *Ledger) Hosts(g HostGroup) {
+	l.await = 0
 	kind := logic.ListDelta
 	if g.Reset {
 		kind = logic.ListFull
@@ -352,7 +364,10 @@
 func (l *Ledger) Generation() int64 { return l.generation }
 
 // HostsLost tells that a call to discovery failed or the watch ended.
-func (l *Ledger) HostsLost() { l.events = append(l.events, logic.WorkerList{Kind: logic.ListLost}) }
+func (l *Ledger) HostsLost() {
+	l.await = 0
+	l.events = append(l.events, logic.WorkerList{Kind: logic.ListLost})
+}
 
 // Host gives a worker's entry in the host group as it was last seen.
 func (l *Ledger) Host(worker uint64) Host { return l.table.hosts[worker] }
@@ -385,6 +400,9 @@
 
 // Next tells when Step wants to run at the latest; not ok: only when something has come in.
 func (l *Ledger) Next() (at time.Duration, ok bool) {
+	if l.await > 0 {
+		return l.await, true
+	}
 	if len(l.events) > 0 {
 		return 0, true
 	}
@@ -401,6 +419,12 @@
 // Step hands the module all that was gathered and carries out what it wants, in order. What the actions bring
 // about at once (a refused connection, say) waits for the next Step.
 func (l *Ledger) Step(now time.Duration) {
+	if l.await > now {
+		return
+	}
+	if l.await = 0; len(l.events) > 0 {
+		l.catchUp(now)
+	}
 	if l.changes.any() {
 		l.tellChanges(now)
 	}
@@ -437,6 +461,18 @@
 	l.actions = actions[:0]
 }
 
+// catchUp takes off the time that queries have waited for this step.
+func (l *Ledger) catchUp(now time.Duration) {
+	for i, e := range l.events {
+		if j, ok := e.(logic.Job); ok {
+			if q := l.queries[j.ID]; q != nil && q.Came < now {
+				j.Left = q.Deadline - now
+				l.events[i] = j
+			}
+		}
+	}
+}
+
 // decide runs the module. Should it panic, what it knew can't be trusted any more: each open query gets its
 // final answer here, each attempt is given up, and a new module starts from the host group held.
 func (l *Ledger) decide(now time.Duration, events []logic.Event) (actions []logic.Action, ok bool) {
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -579,3 +579,48 @@
 		t.Errorf("outcomes %v", c.outcomes())
 	}
 }
+
+// Queries wait for the first news of the host group, and the module hears of all of them in one step then, with the time that
+// each has left; it hears of them in time for their deadlines, once the news can't be had, and once it has been waited for long
+// enough. Nothing is sent by a list that may be old until then.
+func TestQueriesAwaitTheFirstList(t *testing.T) {
+	group := HostGroup{Reset: true, Generation: 2, Hosts: []Host{{ID: "s-0", Addr: "127.0.0.1:1", State: "up"}}}
+	for name, c := range map[string]struct {
+		left time.Duration
+		news func(l *Ledger)
+		at   time.Duration // the module hears of it
+	}{
+		"a list":        {5 * time.Second, func(l *Ledger) { l.Hosts(group) }, 300 * time.Millisecond},
+		"no list":       {5 * time.Second, func(l *Ledger) { l.HostsLost() }, 300 * time.Millisecond},
+		"nothing":       {5 * time.Second, func(*Ledger) {}, time.Second},
+		"deadline":      {800 * time.Millisecond, func(*Ledger) {}, 700 * time.Millisecond},
+		"hardly a time": {50 * time.Millisecond, func(*Ledger) {}, 1},
+	} {
+		module := &steps.Script{}
+		l := New(4, Names{}, func() Module { return module }, group, &carrier{given: map[*Attempt]bool{}}, slog.New(slog.DiscardHandler))
+		l.Await(time.Second)
+		if _, err := l.Take(0, Arrival{Call: "c", Job: logic.Job{Left: c.left}, Asker: &ends{}}); err != nil {
+			t.Fatal(err)
+		}
+		heard := time.Duration(0)
+		for tick := time.Duration(0); tick <= 10 && heard == 0; tick++ {
+			now := max(1, tick*100*time.Millisecond)
+			if tick == 3 {
+				c.news(l)
+			}
+			if at, ok := l.Next(); ok && at <= now {
+				l.Step(now)
+			}
+			for _, e := range module.Heard {
+				if j, ok := e.(logic.Job); ok {
+					if heard = now; j.Left != c.left-now {
+						t.Errorf("%s: %v left at %v, of %v", name, j.Left, now, c.left)
+					}
+				}
+			}
+		}
+		if heard != c.at {
+			t.Errorf("%s: heard at %v, expected %v", name, heard, c.at)
+		}
+	}
+}
--- a/internal/link/elder.go
+++ b/internal/link/elder.go
@@ -202,6 +202,7 @@
 	if e == nil || e.heir == nil || !e.heir.greeted {
 		return ErrNoHeir
 	}
+	l.Ledger.Await(0) // what waits is the successor's, with all else
 	if !l.Ledger.Settle(l.now) || l.keeper != nil && l.keeper.writing {
 		return ErrBusy
 	}
--- a/internal/link/start.go
+++ b/internal/link/start.go
@@ -111,6 +111,9 @@
 		l.sendFigures(l.figures)
 	}
 	l.watch.begin(len(c.Known.Hosts) > 0)
+	if wait := l.watch.fresh.FirstWait(); wait > 0 && l.Ledger.CanServe() {
+		l.Ledger.Await(l.now + wait)
+	}
 	return l, nil
 }
 
