--- a/logic/logic.go
+++ b/logic/logic.go
@@ -206,7 +206,7 @@
 		if j == nil {
 			break
 		}
-		if d.waiting > 0 && d.dealt() && !d.short(j) { // what room there is at its few workers is for short ones
+		if d.waiting > 0 && d.dealt() && !d.short(j) { // its few workers have little room
 			d.unhold(j)
 			d.aside = append(d.aside, j)
 			continue
