Count an attempt as given up only once its DELETE is answered

What is written to one that is cut off has not arrived.

Change: only an answer tells. Without one the attempt is out as before, up to its query's deadline.

--- a/internal/link/attempts_test.go
+++ b/internal/link/attempts_test.go
@@ -221,7 +221,10 @@
 		w.expect("not answered yet", q)
 		w.now += withdrawFor
 		w.turn()
-		w.expect("it has the bytes", q, logic.Cancelled)
+		w.expect("it may be cut off, and run it", q)
+		w.now = q.Deadline
+		w.turn()
+		w.expect("at the deadline", q, logic.TimedOut)
 	})
 	t.Run("never", func(t *testing.T) {
 		w := newAttempts(t)
--- a/internal/link/servers.go
+++ b/internal/link/servers.go
@@ -100,14 +100,14 @@
 }
 
 // withdrew takes in how a DELETE ended. What broke is tried again, on another connection: the first may not have come up
-// in time, or may have been reset or dropped unseen, and the DELETE with it. Its worker node is told once it answers, or
-// once the connection has stood for as long as an answer is waited for: one that hangs has the bytes.
+// in time, or may have been reset or dropped unseen, and the DELETE with it. Its worker node is told once it answers. Where it
+// does not, it may be cut off, and run what it has: the attempt is out as before.
 func (s *serverLinks) withdrew(a *ledger.Attempt, fault *ledger.Fault) {
 	broke := fault != nil && fault.Reason == ledger.Cut
 	wanted := !a.Ended() || fault != nil && fault.Stage >= ledger.AllWritten
 	if !broke || !wanted || a.Told() || s.withdrawals[a] >= withdrawTimes {
 		delete(s.withdrawals, a)
-		s.loop.Ledger.Withdrawn(a, !broke)
+		s.loop.Ledger.Withdrawn(a, !broke && (fault == nil || fault.Reason != ledger.Expired))
 		return
 	}
 	s.loop.after(withdrawAgain, s, func() {
