Remove relinquished connections from the pool of workers, so that a replaced process ends

Seen: after a hot restart the predecessor could stay and use its core for ever. It answered no operator's call, and connections of clients that were lingering stayed open. No request was lost or run twice, the successor owned them.

Cause: Pool.Relinquish closed the connections that the successor owns and left the idle ones listed, of their worker and of the pool. closeExpired and CloseIdleConnections end the first listed connection until none is left that has to be closed; terminate does nothing with a closed one, so they never went on. The count of open connections stayed too.

Evidence: TestRelinquishedPoolListsNoIdleConnection failed each time (1 idle connection of the worker, 1 of the pool).

Fix: a connection leaves the idle ones and the count in the same two functions whether it is terminated or relinquished.

FuzzWorkerConnection compares the pool's collections after each step now, in addition to its checks at the end.

--- a/internal/worker/connection.go
+++ b/internal/worker/connection.go
@@ -223,20 +223,30 @@
 	if c.state == stateClosed {
 		return
 	}
+	c.leaveIdle()
+	wasDropped := c.wasDroppedWhileIdle(cause)
+	c.state = stateClosed
+	c.closeDescriptor()
+	if wasDropped {
+		c.pool.lowerReuseLimit(c.idleBefore)
+	}
+	c.finishExchange(&requests.AttemptError{Stage: c.stage, Reason: c.failureReason(cause, wasDropped), Cause: cause})
+}
+
+// leaveIdle removes the connection from the idle ones, if it is one of them.
+func (c *connection) leaveIdle() {
 	if c.state == stateIdle {
 		c.pool.removeIdle(c)
 	}
-	wasDropped := c.wasDroppedWhileIdle(cause)
-	c.state = stateClosed
+}
+
+// closeDescriptor closes the descriptor, if the connection has one, and stops the timer.
+func (c *connection) closeDescriptor() {
 	c.pool.loop.StopTimer(c.timer)
 	if c.IsOpen() {
 		c.Close()
 		c.pool.openCount--
 	}
-	if wasDropped {
-		c.pool.lowerReuseLimit(c.idleBefore)
-	}
-	c.finishExchange(&requests.AttemptError{Stage: c.stage, Reason: c.failureReason(cause, wasDropped), Cause: cause})
 }
 
 // wasDroppedWhileIdle reports whether a connection that ends by cause may have been dropped while it was idle: it was reused, and
--- a/internal/worker/fixture_test.go
+++ b/internal/worker/fixture_test.go
@@ -34,6 +34,8 @@
 	writeDelay func(attempt *requests.Attempt) time.Duration        // none, unless a test sets it
 	dialed     []*peer                                              // remote ends of connections, in the order of their opening
 	requests   []*requests.Request                                  // of sendAttempt, in order
+
+	hasRelinquished bool // a successor owns the request table and the connections that were transferred
 }
 
 // peer is the remote end of a connection.
@@ -65,7 +67,7 @@
 		Loop:              f.loop,
 		Dial:              func(address netip.AddrPort) (int, error) { return f.dial(address) },
 		WriteDelay:        func(attempt *requests.Attempt) time.Duration { return f.writeDelay(attempt) },
-		HasRelinquished:   func() bool { return false },
+		HasRelinquished:   func() bool { return f.hasRelinquished },
 		MaxConnections:    50,
 		ConnectTimeout:    250 * time.Millisecond,
 		WorkerIdleTimeout: time.Minute,
@@ -85,7 +87,7 @@
 		Clock: func() time.Duration { return f.clock() },
 		Log:   slog.New(slog.DiscardHandler),
 		Hooks: eventloop.Hooks{
-			NextStep: func() (time.Duration, bool) { return f.table.NextStep() },
+			NextStep: f.nextStep,
 			Step:     func(now time.Duration) { f.table.Step(now) },
 		},
 	})
@@ -96,6 +98,14 @@
 	f.loop = loop
 }
 
+// nextStep returns when the request table is to step next, which it does not once a successor owns it.
+func (f *fixture) nextStep() (at time.Duration, ok bool) {
+	if f.hasRelinquished {
+		return 0, false
+	}
+	return f.table.NextStep()
+}
+
 // injectFaults applies rules to the system calls of the loop from now on.
 func (f *fixture) injectFaults(rules ...faultinjection.Rule) *faultinjection.Injector {
 	injector := faultinjection.New(1, func() time.Duration { return f.now })
--- a/internal/worker/model_test.go
+++ b/internal/worker/model_test.go
@@ -54,14 +54,26 @@
 	healthChecks int
 }
 
-func runWorkerConnection(s *modeltest.Steps) {
+func newWorkerModel(s *modeltest.Steps) *workerModel {
 	f := newFixture(s.T)
 	m := &workerModel{Steps: s, fixture: f, attempts: map[string]*sentAttempt{}}
 	f.dial = m.dial
+	return m
+}
+
+// step lets the policy or the worker act once.
+func (w *workerModel) step() {
+	if w.act(w.Pick(10)) {
+		w.runIterations()
+		w.checkCollections()
+	}
+}
+
+func runWorkerConnection(s *modeltest.Steps) {
+	m := newWorkerModel(s)
+	f := m.fixture
 	for s.More() {
-		if m.act(s.Pick(10)) {
-			f.runIterations()
-		}
+		m.step()
 	}
 	for range 2 + 2*maxCancelAttempts { // past all timeouts, and then past those of the DELETEs that follow
 		f.now += 10 * time.Second
--- a/internal/worker/transfer.go
+++ b/internal/worker/transfer.go
@@ -24,17 +24,22 @@
 	return snapshots
 }
 
-// Relinquish closes this process's descriptors of the connections that Snapshot returned, once a successor owns them. It is called
-// in the same iteration as Snapshot. The attempts do not end.
+// Relinquish closes this process's descriptors of the connections that Snapshot returned, once a successor owns them, and removes
+// these connections from the pool. It is called in the same iteration as Snapshot. The attempts do not end.
 func (p *Pool) Relinquish() {
 	for _, conn := range p.transferable() {
-		p.loop.StopTimer(conn.timer)
-		conn.state = stateClosed
-		conn.Close()
+		conn.relinquish()
 	}
 	clear(p.byAttempt)
 }
 
+// relinquish closes the connection without an end of its exchange, which a successor continues.
+func (c *connection) relinquish() {
+	c.leaveIdle()
+	c.state = stateClosed
+	c.closeDescriptor()
+}
+
 // transferable returns the connections that are transferred to a successor.
 func (p *Pool) transferable() []*connection {
 	var connections []*connection
