Keep a reload from opening a watch in a process that is replaced

Seen: a SIGHUP with another discovery address, in the 0.5 s between the transfer of a hot restart and the end of the predecessor, had the predecessor open a watch on the new server: one caller more for discovery, for a list that nobody uses. Requests were not touched.

Cause: Scheduler.Reload changed the server of the watch whoever owned the endpoint list, and ChangeServer opens a stopped watch.

Evidence: TestReloadOfReplacedProcessOpensNoWatch without the fix: "watched true, 1 connections opened".

Fix: a process that has relinquished changes no server. Found while looking for what else a replaced process keeps.

--- a/internal/scheduler/lifecycle.go
+++ b/internal/scheduler/lifecycle.go
@@ -24,10 +24,10 @@
 func (s *Scheduler) Addr() netip.AddrPort { return s.clients.Addr() }
 
 // Reload applies another configuration: its limits and its discovery address. Connections, requests and the state of the dispatcher
-// are kept.
+// are kept. A process whose successor owns the endpoint list watches no server.
 func (s *Scheduler) Reload(conf config.Config) {
 	s.budget.SetLimits(conf.Limits)
-	if conf.Discovery != s.watch.Server() {
+	if conf.Discovery != s.watch.Server() && !s.hasRelinquished() {
 		s.watch.ChangeServer(conf.Discovery)
 	}
 }
--- a/internal/scheduler/replaced_test.go
+++ b/internal/scheduler/replaced_test.go
@@ -1,10 +1,12 @@
 package scheduler
 
 import (
+	"net/netip"
 	"testing"
 	"time"
 
 	"valvecove/dispatch"
+	"valvecove/internal/config"
 	"valvecove/internal/modeltest"
 )
 
@@ -37,3 +39,19 @@
 		t.Errorf("quiet %v, watched %v", process.IsQuiet(), process.watch.IsOpen())
 	}
 }
+
+// A reload of a process that is replaced opens no watch: discovery would have one caller more, for a list that nobody uses.
+func TestReloadOfReplacedProcessOpensNoWatch(t *testing.T) {
+	dir := t.TempDir()
+	predecessor, address := newPredecessorHarness(&modeltest.Steps{T: t}, dir)
+	if err := predecessor.handOverTo(predecessor.startSuccessor(dir, address)); err != nil {
+		t.Fatal(err)
+	}
+	opened := len(predecessor.dialed)
+	conf := config.Config{Discovery: netip.MustParseAddrPort("127.0.0.1:8"), Limits: config.Limits{Sockets: 512, MemoryMB: 64}}
+	predecessor.scheduler.Reload(conf)
+	predecessor.runIterations()
+	if watch := predecessor.scheduler.watch; watch.IsOpen() || len(predecessor.dialed) != opened {
+		t.Errorf("watched %v, %d connections opened", watch.IsOpen(), len(predecessor.dialed)-opened)
+	}
+}
