Place a request only once the request table has confirmed the attempts of the step

Seen: a planner that was offered a request after another planner had transferred or lost it was told of an attempt in flight, possibly executed, that was never sent. One that decides before it reads the next message would fail a payout that it could have sent to another worker.

Cause: a planner's commands to send a request again to the worker that returned it, and to transfer it, are handled in one step. The validator lets the send pass and lists the attempt as in flight. The request table executes the actions after the step, and starts no attempt at an endpoint whose callback has ended one, nor at a cordoned one. The offer had left by then.

Fix: a request of which an attempt was sent in a step waits for the next step before it is placed, on each way in which it comes to wait (transfer, loss, reset or shutdown of its planner, panic of the local policy).

--- a/internal/control/forwarder/assignments.go
+++ b/internal/control/forwarder/assignments.go
@@ -40,9 +40,14 @@
 // beginStep reuses the memory of the last step's offers.
 func (a *assignments) beginStep() { a.offers.reset() }
 
-// enqueue puts a request that is assigned to nobody among those that wait for a planner.
+// enqueue puts a request that is assigned to nobody among those that wait for a planner. If an attempt of it was sent in this
+// step, it is not placed before the next one: the request table has not confirmed the attempt, and may not send it.
 func (a *assignments) enqueue(request *openRequest) {
-	a.queues.enqueue(request)
+	if request.sentInStep == a.step.number {
+		a.queues.unconfirmed.add(request)
+	} else {
+		a.queues.enqueue(request)
+	}
 	a.checks.schedule(request)
 }
 
--- a/internal/control/forwarder/forwarder.go
+++ b/internal/control/forwarder/forwarder.go
@@ -106,6 +106,7 @@
 	for _, event := range events {
 		f.observe(event)
 	}
+	f.queues.releaseUnconfirmed()
 	f.processInputs()
 	f.sessions.check()
 	f.mode.update()
@@ -250,6 +251,7 @@
 		next.consider(f.heartbeats.nextCheck(session))
 	}
 	next.consider(f.placer.nextRetry())
+	next.consider(f.queues.nextRelease(f.step.now()))
 	next.consider(f.planners.nextOrderChange(f.step.now()))
 	next.consider(f.mode.nextCheck())
 	next.consider(f.workers.nextSubscription())
--- a/internal/control/forwarder/request.go
+++ b/internal/control/forwarder/request.go
@@ -42,6 +42,7 @@
 	transferTarget string          // the planner that it was transferred to
 	transfers      int             // transfer commands executed
 	notBefore      time.Duration   // when it may be offered again after a transfer
+	sentInStep     uint64          // number of the last step in which an attempt was sent; 0: none was
 	failures       int             // sessions that ended, or policies that panicked, perhaps because of it
 }
 
--- a/internal/control/forwarder/response.go
+++ b/internal/control/forwarder/response.go
@@ -42,6 +42,7 @@
 		timeout = 0
 	}
 	r.execute(dispatch.Send{Job: request.job.ID, Worker: worker, AttemptTimeout: timeout})
+	request.sentInStep = r.step.number
 	r.stats.Sent++
 	r.checks.schedule(request)
 }
--- a/internal/control/forwarder/step.go
+++ b/internal/control/forwarder/step.go
@@ -15,6 +15,7 @@
 
 // step is the instant of the present step and its output: actions for the request table, and messages for planners.
 type step struct {
+	number  uint64 // counts steps from 1
 	instant time.Duration
 	actions []dispatch.Action
 	outbox  []Outgoing
@@ -23,6 +24,7 @@
 // begin starts a step, whose actions are appended to dst. The clock never runs backwards: an earlier instant than that of
 // the last step is replaced by the latter.
 func (s *step) begin(now time.Duration, dst []dispatch.Action) {
+	s.number++
 	s.instant = max(now, s.instant)
 	s.actions = dst
 	clear(s.outbox)
