Cancel a late attempt only if its request may have another one

Seen: where the settings allow one attempt and cancellation, and no hedging, a client of an idempotent class got a rejection for a request that a worker was executing, late or silent, which was cancelled to be sent elsewhere.

Cause: retryElsewhere took a job with one attempt for one with attempts left, whatever the limit: fewer than max(2, AttemptLimit-1). With a limit of 1 the cancelled job was at its limit and was finished.

Evidence: of TestRealPlannersWithFaults, request 99: in flight at a worker without faults, cancelled at 1.7049 s, rejected at 1.7059 s, 2.3 s before its deadline.

Fix: a job at its limit has no attempts left. With a limit of 2 or more no decision changes: fewer than max(2, AttemptLimit-1) attempts are fewer than the limit.

--- a/dispatch/hedging.go
+++ b/dispatch/hedging.go
@@ -64,7 +64,7 @@
 
 // retryElsewhere hedges a job that is stuck on one worker or, where hedging is off, cancels its attempt.
 func (d *Dispatcher) retryElsewhere(job *jobInfo) {
-	hasAttemptsLeft := len(job.attempts) < max(2, d.settings.AttemptLimit-1)
+	hasAttemptsLeft := !d.isAtLimit(job) && len(job.attempts) < max(2, d.settings.AttemptLimit-1)
 	if job.closed || job.inFlight > 1 || !hasAttemptsLeft || job.class.Idempotency == NonIdempotent {
 		return
 	}
