Dispatch the job that a worker is reserved for as soon as it can start there

Cause: if the priority of the job with the reservation is lowered while it waits, later jobs of the same demand leave the queue before it. They may not use the reserved worker, fit no other one, and block their demand class for the cycle, so that the job itself is not tried.

Fix: a dispatch cycle begins with the job of the reservation, if its worker can start it.

The library passes.

--- a/dispatch/queue.go
+++ b/dispatch/queue.go
@@ -73,6 +73,9 @@
 // dispatchQueued is a dispatch cycle: it sends queued jobs, in order, while some worker can start them now.
 func (d *Dispatcher) dispatchQueued() {
 	d.prepareDispatch()
+	if !d.isBackedUp() {
+		d.dispatchReserved()
+	}
 	for len(d.queue.skipped) < maxSkippedPerCycle && !d.isBackedUp() {
 		job := d.queue.next(d.now)
 		if job == nil {
@@ -83,6 +86,15 @@
 	d.requeueSkipped()
 }
 
+// dispatchReserved dispatches the job for which a worker is reserved once it can start there, whatever leaves before it: other
+// jobs of its demand class can't be sent there and, if they fit no other worker, would block the class.
+func (d *Dispatcher) dispatchReserved() {
+	job, worker := d.reservation.job, d.reservation.worker
+	if d.reservation.isActive() && job.heapIndex >= 0 && worker.mayHaveCapacity(d.now) && d.hasCapacity(job, worker) {
+		d.dispatchJob(job)
+	}
+}
+
 // requeueSkipped queues the jobs that fitted no worker again. If they ended the cycle, the next one tries
 // other jobs first, as these may fit.
 func (d *Dispatcher) requeueSkipped() {
