End a process that is told to while its start is retried

Seen: a process that could not open a socket at its start tried again for 3 s (address in use) or 9 s (no memory) and did not end on SIGTERM. SIGKILL ended it, or it ended with an error.

Cause: signals were received from the first line on, but only the event loop handled them, which runs after the start; the retries slept.

Fix: one goroutine receives signals from the start on. The first one to end the process interrupts the wait between two tries, and the process ends with 0. Other signals are kept for the event loop. A retry after the start, as at a take-over, is not interrupted: that process owns requests.

--- a/internal/scheduler/open.go
+++ b/internal/scheduler/open.go
@@ -21,17 +21,20 @@
 const watchSeed = 0x66726573
 
 // Open returns a scheduler that listens and is ready to run, with the features that are on. metricTargets are targets of metrics
-// besides a collector. An error names the key of the configuration that is at fault.
-func Open(conf config.Config, ops config.Ops, log *logging.Factory, metricTargets ...metrics.Target) (*Scheduler, error) {
-	return open(eventloop.Syscalls{}, conf, ops, log, metricTargets...)
+// besides a collector. An error names the key of the configuration that is at fault. What fails for a moment is tried again until
+// stop is closed; then the error is ErrStopped.
+func Open(
+	stop <-chan struct{}, conf config.Config, ops config.Ops, log *logging.Factory, metricTargets ...metrics.Target,
+) (*Scheduler, error) {
+	return open(stop, eventloop.Syscalls{}, conf, ops, log, metricTargets...)
 }
 
 // open is Open with the given system calls.
 func open(
-	syscalls eventloop.Syscalls, conf config.Config, ops config.Ops, log *logging.Factory, metricTargets ...metrics.Target,
+	stop <-chan struct{}, syscalls eventloop.Syscalls, conf config.Config, ops config.Ops, log *logging.Factory, metricTargets ...metrics.Target,
 ) (*Scheduler, error) {
 	monotonic := clock.SinceEpoch(clock.Now)
-	start := newStartup(monotonic)
+	start := newStartup(monotonic, stop)
 	var scheduler *Scheduler
 	err := start.retry(func() (err error) {
 		scheduler, err = newScheduler(log.NewLogger(), log.NewLogger(), monotonic, conf.Limits.Sockets, syscalls)
@@ -46,6 +49,7 @@
 		scheduler.CloseDescriptors()
 		return nil, err
 	}
+	scheduler.startup.stop = nil // from here on the event loop handles an order to end
 	return scheduler, nil
 }
 
--- a/internal/scheduler/peers_test.go
+++ b/internal/scheduler/peers_test.go
@@ -192,7 +192,7 @@
 		ops  config.Ops
 		want bool
 	}{{config.Ops{}, false}, {config.Ops{Gossip: &config.Gossip{Budget: 0.02}}, true}} {
-		loop, err := Open(conf, test.ops, logging.NewFactory(config.Log{}, "n0", io.Discard))
+		loop, err := Open(nil, conf, test.ops, logging.NewFactory(config.Log{}, "n0", io.Discard))
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -81,7 +81,7 @@
 	scheduler := &Scheduler{
 		log:           log,
 		connectionLog: connectionLog,
-		startup:       newStartup(readClock),
+		startup:       newStartup(readClock, nil),
 		monotonic:     clock.Monotonic,
 		files:         filesystem.Disk,
 	}
--- a/internal/scheduler/startup_test.go
+++ b/internal/scheduler/startup_test.go
@@ -41,7 +41,7 @@
 	for _, rule := range rules {
 		injector.Add(rule)
 	}
-	return open(injector.Syscalls(), conf, config.Ops{}, logging.NewFactory(config.Log{}, "n0", io.Discard))
+	return open(nil, injector.Syscalls(), conf, config.Ops{}, logging.NewFactory(config.Log{}, "n0", io.Discard))
 }
 
 // A start goes through 2 s in which any of its calls fails, or all of them do.
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -5,6 +5,7 @@
 
 import (
 	"cmp"
+	"errors"
 	"io"
 	"log/slog"
 	"os"
@@ -83,11 +84,13 @@
 		return err
 	}
 	defer targets.close()
-	if err := instance.open(ops, targets); err != nil {
-		return err
+	receiver := receiveSignals(signals)
+	defer receiver.close()
+	if err := instance.open(receiver.stop, ops, targets); err != nil {
+		return instance.startFailure(err)
 	}
 	defer instance.close()
-	defer instance.forwardSignals(signals)()
+	instance.handleSignals(receiver)
 	err = instance.scheduler.Run(instance.hasEnded)
 	return cmp.Or(err, instance.failure)
 }
@@ -112,11 +115,11 @@
 	})
 }
 
-// open opens the scheduler.
-func (s *server) open(ops config.Ops, targets metricTargets) error {
+// open opens the scheduler, unless stop is closed while the start is retried.
+func (s *server) open(stop <-chan struct{}, ops config.Ops, targets metricTargets) error {
 	loggers := logging.NewFactory(ops.Log, s.conf.Name, s.logWriter)
 	s.logger = loggers.NewLogger()
-	opened, err := scheduler.Open(s.conf, ops, loggers, targets.targets...)
+	opened, err := scheduler.Open(stop, s.conf, ops, loggers, targets.targets...)
 	if err != nil {
 		return err
 	}
@@ -136,6 +139,15 @@
 	return nil
 }
 
+// startFailure returns the error of a start that failed; nil if a signal has ended the process, which is not one.
+func (s *server) startFailure(err error) error {
+	if !errors.Is(err, scheduler.ErrStopped) {
+		return err
+	}
+	s.logger.Info("ended by a signal during the start")
+	return nil
+}
+
 // close writes pending metrics and the capture.
 func (s *server) close() {
 	s.scheduler.FlushMetrics()
--- a/internal/server/signals.go
+++ b/internal/server/signals.go
@@ -5,6 +5,8 @@
 	"strings"
 	"sync/atomic"
 	"syscall"
+
+	"valvecove/internal/scheduler"
 )
 
 // signalKinds contains the handled signals, in the order in which pending ones are handled: a reloaded configuration applies to
@@ -34,27 +36,55 @@
 	return received
 }
 
-// forwardSignals has signals handled on the event loop until stop is called.
-func (s *server) forwardSignals(signals <-chan os.Signal) (stop func()) {
-	var pending pendingSignals
-	stopped := make(chan struct{})
-	s.scheduler.OnWake(func() {
-		for _, received := range pending.take() {
-			s.handleSignal(received)
-		}
-	})
+// signalReceiver receives the signals of a process: during its start, and for its event loop.
+type signalReceiver struct {
+	pending   pendingSignals
+	woken     atomic.Pointer[scheduler.Scheduler] // at each signal; nil during the start
+	stop      chan struct{}                       // closed by the first signal to end the process
+	isStopped bool                                // stop is closed
+	closed    chan struct{}
+}
+
+// receiveSignals receives signals until close is called.
+func receiveSignals(signals <-chan os.Signal) *signalReceiver {
+	receiver := &signalReceiver{stop: make(chan struct{}), closed: make(chan struct{})}
 	go func() {
 		for {
 			select {
 			case received := <-signals:
-				pending.add(received)
-				s.scheduler.Wake()
-			case <-stopped:
+				receiver.receive(received)
+			case <-receiver.closed:
 				return
 			}
 		}
 	}()
-	return func() { close(stopped) }
+	return receiver
+}
+
+// receive is called on the goroutine of the receiver alone.
+func (r *signalReceiver) receive(received os.Signal) {
+	r.pending.add(received)
+	if isStop := received == syscall.SIGTERM || received == syscall.SIGINT; isStop && !r.isStopped {
+		r.isStopped = true
+		close(r.stop)
+	}
+	if woken := r.woken.Load(); woken != nil {
+		woken.Wake()
+	}
+}
+
+// close ends the receiver.
+func (r *signalReceiver) close() { close(r.closed) }
+
+// handleSignals has signals handled on the event loop, those that were received during the start among them.
+func (s *server) handleSignals(receiver *signalReceiver) {
+	s.scheduler.OnWake(func() {
+		for _, received := range receiver.pending.take() {
+			s.handleSignal(received)
+		}
+	})
+	receiver.woken.Store(s.scheduler)
+	s.scheduler.Wake()
 }
 
 // handleSignal handles a signal.
