Test that no repeat of a callback ends a later attempt after a hot restart

The request table starts no further attempt at an endpoint whose callback has ended one (TestCallbackRepeatedEndsNoLaterAttempt), and ignores callbacks that may be about an earlier attempt (TestCallbackOfEarlierAttemptEndsLaterOnlyIfDone, also taken over). That the first holds after a hot restart too is tested now; it passes, and fails if the successor does not restore the endpoints.

--- a/internal/requests/callback_test.go
+++ b/internal/requests/callback_test.go
@@ -75,3 +75,23 @@
 		})
 	}
 }
+
+// After a hot restart an endpoint whose callback ended an attempt gets no further one either: the repeat of that callback may reach
+// the successor, and would end the new attempt while it runs.
+func TestCallbackRepeatedAfterTakeOverEndsNoLaterAttempt(t *testing.T) {
+	for _, state := range []string{CallbackReturned, CallbackFailed, CallbackLost} {
+		t.Run(state, func(t *testing.T) {
+			f := newAttemptFixture(t, 0)
+			f.callBack(t, state)
+			f.step(2)
+			f.takeOver(t)
+			f.step(3, dispatch.Send{Job: f.request.ID, Worker: hashID("s-0")})
+			if last := f.results()[len(f.results())-1]; last != dispatch.NotSent {
+				t.Errorf("the endpoint got an attempt, which ended as %v", last)
+			}
+			if f.callBack(t, state) {
+				t.Error("the repeat is about an attempt in flight")
+			}
+		})
+	}
+}
