List that three coordinators pass the budget of a warming worker together

A coordinator leases a quarter of the rule's budget at most, as two may lease at once after a partition, and 0.4 of it goes without leases. TestWarmUpBudgetOverThreeCoordinators is the test for two with one more: 1.020 leased and 0.564 without leases, of 1.410. The test for two is unchanged. Not mended: a smaller part would slow every start down where there is one coordinator, and its cost to the first site is not measured.

--- a/dispatch/leasecoordinator_test.go
+++ b/dispatch/leasecoordinator_test.go
@@ -169,11 +169,23 @@
 // within the budget of the rule in sum.
 func TestWarmUpBudgetOverLeases(t *testing.T) {
 	t.Parallel()
+	testWarmUpBudget(t, 2)
+}
+
+// The same of three coordinators, as after two partitions.
+func TestWarmUpBudgetOverThreeCoordinators(t *testing.T) {
+	t.Parallel()
+	testWarmUpBudget(t, 3)
+}
+
+// testWarmUpBudget has coordinators lease what they may of a warming worker.
+func testWarmUpBudget(t *testing.T, coordinators int) {
+	t.Helper()
 	const work, kindSlots = 0.02, 1.0
 	boot := time.Hour
 	leased := 0.0
 	var s *harness
-	for range 2 {
+	for range coordinators {
 		s = coordinatorHarness(t, 0, func(settings *Settings) {
 			settings.WarmUp, settings.WarmUpCapacity = 20*time.Second, 0.1
 			settings.OverloadFactor, settings.OverloadWindow = 3, 2*time.Second
