Split files of the testbed's drivers at their dividers

simulation/process.go, levels.go and process/driver.go, socket.go, clients.go, misbehaving.go, run.go and workers.go had sections under comment lines; each is a file of its own now, named by its concern. Moves alone: the lines of both packages, sorted, are the same but for package clauses, imports and dividers.

--- /dev/null
+++ b/internal/testbed/process/misbehaving_actions.go
@@ -0,0 +1,229 @@
+package process
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+
+	"valvecove/internal/http1"
+	"valvecove/internal/testbed/scenario"
+	"valvecove/internal/testbed/simapi"
+)
+
+// misbehavingRequest is a request of a misbehaving client, whose parts it may spoil.
+type misbehavingRequest struct {
+	endpoint                             string // that it is sent to
+	class, path, id, caller, budget, key string
+	length                               string // Content-Length; empty: none
+	extraFields                          string // further lines of the head
+	body                                 string
+}
+
+func (o *misbehavingClient) newRequest(n int) misbehavingRequest {
+	spec := o.driver.spec
+	class := &spec.Classes[o.rng.IntN(len(spec.Classes))]
+	name := misbehavingPrefix + strconv.FormatUint(uint64(o.id), 36) + "-" + strconv.Itoa(n)
+	request := misbehavingRequest{
+		endpoint: o.driver.addresses.scheduler(o.scheduler).String(),
+		class:    class.Name, path: "/" + class.Name + "/" + name, id: name,
+		budget: strconv.FormatInt(class.Deadline.Std().Milliseconds(), 10), body: strings.Repeat("x", 1+o.rng.IntN(200)),
+	}
+	if len(spec.Tenants) > 0 {
+		request.caller = spec.Tenants[o.rng.IntN(len(spec.Tenants))].Name
+	}
+	if class.Idempotency == "keyed" {
+		request.key = name
+	}
+	request.length = strconv.Itoa(len(request.body))
+	return request
+}
+
+// setClass sets the class, also in the path.
+func (q *misbehavingRequest) setClass(name string) {
+	q.class, q.path = name, "/"+name+"/"+q.id
+}
+
+// bytes is the request as it goes over the wire.
+func (q *misbehavingRequest) bytes() []byte {
+	b := http1.AppendRequestStart(nil, "POST", q.path, q.endpoint)
+	for _, f := range [][2]string{
+		{"X-Call-Id", q.id},
+		{"X-Call-Class", q.class},
+		{"X-Caller", q.caller},
+		{"X-Budget-Ms", q.budget},
+		{"Idempotency-Key", q.key},
+		{"Content-Length", q.length},
+	} {
+		b = http1.AppendField(b, f[0], f[1])
+	}
+	b = append(b, q.extraFields...)
+	b = append(b, "\r\n"...)
+	return append(b, q.body...)
+}
+
+// misbehaviors is what clients of each kind do, with a request that is in order so far. Each has an answer or a close
+// coming, but for those that leave by themselves.
+var misbehaviors = map[string]func(o *misbehavingClient, request misbehavingRequest, spec *simapi.ClientMisbehaves){
+	"garbage":         (*misbehavingClient).sendGarbage,
+	"endless_head":    (*misbehavingClient).sendEndlessHeader,
+	"wrong_length":    (*misbehavingClient).sendWrongLength,
+	"negative_length": (*misbehavingClient).sendNegativeLength,
+	"huge_length":     (*misbehavingClient).sendHugeLength,
+	"huge_body":       (*misbehavingClient).sendHugeBody,
+	"unknown_class":   (*misbehavingClient).sendUnknownClass,
+	"bad_deadline":    (*misbehavingClient).sendBadDeadline,
+	"no_id":           (*misbehavingClient).sendNoID,
+	"stolen_id":       (*misbehavingClient).sendStolenID,
+	"half_then_close": (*misbehavingClient).sendHalfThenClose,
+	"flood":           (*misbehavingClient).sendFlood,
+	"insist":          (*misbehavingClient).sendInsistently,
+	"silent":          (*misbehavingClient).sendNothing,
+	"smuggle":         (*misbehavingClient).sendSmuggled,
+	"slow_head":       (*misbehavingClient).sendHeaderSlowly,
+	"slow_reader":     (*misbehavingClient).readSlowly,
+}
+
+// start does what the client's kind does.
+func (o *misbehavingClient) start(spec *simapi.ClientMisbehaves) {
+	misbehave := misbehaviors[spec.Kind]
+	if misbehave == nil {
+		o.driver.fail(fmt.Errorf("misbehaving clients of kind %q are not known here, only %s", spec.Kind,
+			strings.Join(scenario.MisbehaviorKinds, ", ")))
+		return
+	}
+	misbehave(o, o.newRequest(0), spec)
+}
+
+func (o *misbehavingClient) sendGarbage(_ misbehavingRequest, _ *simapi.ClientMisbehaves) {
+	b := make([]byte, 1+o.rng.IntN(8<<10))
+	for i := range b {
+		b[i] = byte(o.rng.Uint32())
+	}
+	o.connect(append(b, "\r\n\r\n"...))
+}
+
+func (o *misbehavingClient) sendEndlessHeader(request misbehavingRequest, _ *simapi.ClientMisbehaves) {
+	line := []byte(strings.Repeat("X-More: "+strings.Repeat("m", 100)+"\r\n", 40))
+	o.connect(http1.AppendRequestStart(nil, "POST", request.path, request.endpoint)).feed = func() []byte { return line }
+}
+
+// sendWrongLength says a length that is too long, so that the request is never whole, or too short, so that the rest is
+// no request.
+func (o *misbehavingClient) sendWrongLength(request misbehavingRequest, spec *simapi.ClientMisbehaves) {
+	off := 1 + o.rng.IntN(len(request.body))
+	if spec.Number%2 == 0 {
+		off = -off
+	}
+	request.length = strconv.Itoa(len(request.body) + off)
+	o.connect(request.bytes())
+}
+
+func (o *misbehavingClient) sendNegativeLength(request misbehavingRequest, _ *simapi.ClientMisbehaves) {
+	request.length = strconv.Itoa(-1 - o.rng.IntN(1000))
+	o.connect(request.bytes())
+}
+
+func (o *misbehavingClient) sendHugeLength(request misbehavingRequest, _ *simapi.ClientMisbehaves) {
+	request.length = "9" + strings.Repeat("0", 8+o.rng.IntN(20))
+	o.connect(request.bytes())
+}
+
+func (o *misbehavingClient) sendHugeBody(request misbehavingRequest, _ *simapi.ClientMisbehaves) {
+	request.length, request.body = strconv.Itoa(hugeBody), ""
+	part, remaining := make([]byte, 64<<10), hugeBody
+	o.connect(request.bytes()).feed = func() []byte {
+		n := min(remaining, len(part))
+		remaining -= n
+		if n == 0 {
+			return nil
+		}
+		return part[:n]
+	}
+}
+
+func (o *misbehavingClient) sendUnknownClass(request misbehavingRequest, _ *simapi.ClientMisbehaves) {
+	request.setClass(unknownClass)
+	o.connect(request.bytes())
+}
+
+func (o *misbehavingClient) sendBadDeadline(request misbehavingRequest, _ *simapi.ClientMisbehaves) {
+	request.budget = []string{"soon", "-1", "1e3", "12ms", "99999999999999999999", "0x10"}[o.rng.IntN(6)]
+	o.connect(request.bytes())
+}
+
+func (o *misbehavingClient) sendNoID(request misbehavingRequest, _ *simapi.ClientMisbehaves) {
+	request.id = ""
+	o.connect(request.bytes())
+}
+
+// sendStolenID sends a request under the id of another client's.
+func (o *misbehavingClient) sendStolenID(request misbehavingRequest, spec *simapi.ClientMisbehaves) {
+	if spec.RequestID != "" {
+		request.id = spec.RequestID
+	}
+	o.connect(request.bytes())
+}
+
+func (o *misbehavingClient) sendHalfThenClose(request misbehavingRequest, _ *simapi.ClientMisbehaves) {
+	b := request.bytes()
+	o.connect(b[:1+o.rng.IntN(len(b)-1)]).closeWhenFlushed = true
+}
+
+// sendFlood sends hundreds of requests at once.
+func (o *misbehavingClient) sendFlood(_ misbehavingRequest, _ *simapi.ClientMisbehaves) {
+	var b []byte
+	for i := range 200 + o.rng.IntN(300) {
+		request := o.newRequest(i)
+		b = append(b, request.bytes()...)
+	}
+	o.connect(b)
+}
+
+// sendInsistently sends the same request again and again, until it is served.
+func (o *misbehavingClient) sendInsistently(request misbehavingRequest, _ *simapi.ClientMisbehaves) {
+	o.insistRequest = request.bytes()
+	o.connect(o.insistRequest)
+}
+
+func (o *misbehavingClient) sendNothing(_ misbehavingRequest, _ *simapi.ClientMisbehaves) {
+	o.connect(nil)
+}
+
+// sendSmuggled hides a request in another's body: by chunks the body ends before the hidden one, by length after it.
+func (o *misbehavingClient) sendSmuggled(request misbehavingRequest, _ *simapi.ClientMisbehaves) {
+	hidden := o.newRequest(1)
+	hidden.id = hiddenPrefix + hidden.id
+	hidden.setClass(hidden.class)
+	request.extraFields = "Transfer-Encoding: chunked\r\n"
+	request.body = "0\r\n\r\n" + string(hidden.bytes())
+	request.length = strconv.Itoa(len(request.body))
+	o.connect(request.bytes())
+}
+
+// sendHeaderSlowly sends a request byte by byte.
+func (o *misbehavingClient) sendHeaderSlowly(request misbehavingRequest, _ *simapi.ClientMisbehaves) {
+	b := request.bytes()
+	conn, sent := o.connect(b[:1]), 1
+	conn.repeatSlowly(func() {
+		if sent < len(b) {
+			conn.write(b[sent : sent+1])
+			sent++
+		}
+	})
+}
+
+// readSlowly sends a megabyte of requests and reads the answers a few bytes at a time.
+func (o *misbehavingClient) readSlowly(request misbehavingRequest, _ *simapi.ClientMisbehaves) {
+	request.setClass(unknownClass)
+	var b []byte
+	for one := request.bytes(); len(b) < 1<<20; {
+		b = append(b, one...)
+	}
+	conn := o.connect(b)
+	conn.setReading(false)
+	conn.repeatSlowly(func() {
+		if conn.connected {
+			conn.read(slowReadBytes)
+		}
+	})
+}
--- /dev/null
+++ b/internal/testbed/simulation/process_discovery.go
@@ -0,0 +1,28 @@
+package simulation
+
+import (
+	"time"
+
+	"valvecove/internal/testbed/simapi"
+)
+
+// watch subscribes to the endpoint list, and replaces the watch before.
+func (p *process) watch(after int64) {
+	p.watching = true
+	p.expectWatch(readyCheckTimeout)
+	p.emit(simapi.WatchRequested{Revision: after})
+}
+
+// expectWatch sets the time within which the watch has to send something.
+func (p *process) expectWatch(within time.Duration) {
+	p.stop(&p.watchTimer)
+	p.start(&p.watchTimer, within)
+}
+
+func (p *process) watchLost() {
+	if p.watching {
+		p.watching = false
+		p.stop(&p.watchTimer)
+		p.requests.DiscoveryFailed()
+	}
+}
