--- a/dispatch/queue.go
+++ b/dispatch/queue.go
@@ -86,11 +86,15 @@
 	d.requeueSkipped()
 }
 
-// dispatchReserved dispatches the job for which a worker is reserved once it can start there, whatever leaves before it: other
-// jobs of its demand class can't be sent there and, if they fit no other worker, would block the class.
+// dispatchReserved dispatches the job for which a worker is reserved once it can start there, whatever
+// leaves before it: other jobs of its demand class can't be sent there and, if they fit no other worker,
+// would block the class.
 func (d *Dispatcher) dispatchReserved() {
 	job, worker := d.reservation.job, d.reservation.worker
-	if d.reservation.isActive() && job.heapIndex >= 0 && worker.mayHaveCapacity(d.now) && d.hasCapacity(job, worker) {
+	if !d.reservation.isActive() || job.heapIndex < 0 {
+		return
+	}
+	if worker.mayHaveCapacity(d.now) && d.hasCapacity(job, worker) {
 		d.dispatchJob(job)
 	}
 }
