Say of known failures only what their traces show

Read again: draw 990001_199 has four schedulers with limits of 1 and 2, no late notification, and is listed with the others of that kind; comments no longer name a cause where there is no trace.

--- a/internal/testbed/starvation/draws_test.go
+++ b/internal/testbed/starvation/draws_test.go
@@ -15,18 +15,19 @@
 // the search and the number of the draw.
 const drawsFolder = "testdata/draws"
 
-// Schedulers that share workers hold jobs back while late starts show that the fleet is backed up. It may be no more.
+// Four schedulers share the workers, and each has a few of their slots. In draw 777001_253 the dispatcher takes the fleet for backed
+// up; the others are not traced to a cause.
 func TestNoStarvationOfSeveralSchedulers(t *testing.T) {
-	testDraws(t, "777001_182", "777001_253", "1_395")
+	testDraws(t, "777001_182", "777001_253", "1_395", "990001_199")
 }
 
 // A start whose notification is late lowers the concurrency limit of a worker with free slots.
-func TestNoStarvationAfterLateNotifications(t *testing.T) { testDraws(t, "990001_70", "990001_199") }
+func TestNoStarvationAfterLateNotifications(t *testing.T) { testDraws(t, "990001_70") }
 
-// Some workers notify of no starts, and the queue is long.
+// Some workers notify of no starts, and the queue is long. The cause is not known.
 func TestNoStarvationWithoutStartNotifications(t *testing.T) { testDraws(t, "990001_35", "990001_309") }
 
-// Hints are wrong by a factor of eight, so that a slow worker seems too slow for the objective.
+// Hints are eight times the work, so that the idle worker may seem too slow for the objective.
 func TestNoStarvationWithWrongHints(t *testing.T) { testDraws(t, "1_323") }
 
 // testDraws simulates draws, and fails for each that has starvation.
