--- a/internal/testbed/checker/explanation.go
+++ b/internal/testbed/checker/explanation.go
@@ -293,6 +293,9 @@
 	case trace.CallbackLost:
 		return fmt.Sprintf("callback %q of %s abandoned%s", text, worker, which)
 	}
+	if event, ok := schedulerEvents[entry.kind]; ok {
+		return fmt.Sprintf("scheduler %d %s", entry.scheduler, event)
+	}
 	return fmt.Sprintf("trace event %d", entry.kind)
 }
 
@@ -343,6 +346,18 @@
 	return fmt.Sprintf("has run at %s: %d%s", worker, entry.status, result)
 }
 
+// schedulerEvents describes the events of a scheduler's process that have no details.
+var schedulerEvents = map[trace.Kind]string{
+	trace.SchedulerStarted:    "starts",
+	trace.SchedulerReady:      "is ready",
+	trace.SchedulerTerminated: "gets SIGTERM",
+	trace.SchedulerKilled:     "gets SIGKILL",
+	trace.SchedulerFrozen:     "is frozen",
+	trace.SchedulerResumed:    "goes on",
+	trace.SchedulerReloaded:   "gets SIGHUP",
+	trace.SchedulerReplaced:   "is to be replaced by a second process",
+}
+
 // describeFleet describes an entry of the fleet, of a process or of a fault.
 func (c *Checker) describeFleet(entry *logEntry, worker, text string) string {
 	switch entry.kind {
@@ -364,12 +379,6 @@
 		return fmt.Sprintf("scheduler %d is notified of the start of %s (process %d)", entry.scheduler, worker, entry.duration)
 	case trace.SchedulerExited:
 		return fmt.Sprintf("scheduler %d ends by itself with %d", entry.scheduler, entry.status)
-	case trace.SchedulerStarted, trace.SchedulerReady, trace.SchedulerTerminated, trace.SchedulerKilled,
-		trace.SchedulerFrozen, trace.SchedulerResumed, trace.SchedulerReloaded, trace.SchedulerReplaced:
-		return fmt.Sprintf("scheduler %d %s", entry.scheduler, [...]string{
-			"starts", "is ready", "gets SIGTERM", "gets SIGKILL",
-			"is frozen", "goes on", "gets SIGHUP",
-		}[entry.kind-trace.SchedulerStarted])
 	case trace.FaultStarted:
 		return "fault: " + text
 	case trace.FaultEnded:
@@ -377,6 +386,9 @@
 	case trace.ResourceUsage:
 		return fmt.Sprintf("scheduler %d holds %s", entry.scheduler, text)
 	}
+	if event, ok := schedulerEvents[entry.kind]; ok {
+		return fmt.Sprintf("scheduler %d %s", entry.scheduler, event)
+	}
 	return fmt.Sprintf("trace event %d", entry.kind)
 }
 
--- a/internal/testbed/checker/explanation_test.go
+++ b/internal/testbed/checker/explanation_test.go
@@ -22,3 +22,14 @@
 	checker := &Checker{}
 	return checker.describeFleet(&logEntry{kind: kind}, "", ""), nil
 }
+
+// An event of any kind that a job's log or the fleet's log can hold has a description, whatever its other fields are.
+func TestAllEventsAreDescribed(t *testing.T) {
+	checker := &Checker{texts: textTable{texts: []string{""}}}
+	described := &job{class: &class{}, tenant: -1, requests: []request{{}}}
+	for kind := trace.JobDue; kind <= trace.TestbedLate; kind++ {
+		if text := checker.describe(&logEntry{kind: kind}, described); text == "" {
+			t.Errorf("event of kind %d has no description", kind)
+		}
+	}
+}
