--- a/dispatch/concurrency.go
+++ b/dispatch/concurrency.go
@@ -152,7 +152,19 @@
 
 // isBackedUp reports whether no further job may be sent in this cycle; startMonitor.isBackedUp says when a
 // single job is sent nevertheless. With many dispatchers, which have little work each, there is no such
-// bound.
+// bound. Few late attempts keep jobs from their own workers, but show nothing about the others.
 func (d *Dispatcher) isBackedUp() bool {
-	return d.settings.Replicas <= manyReplicas && d.starts.isBackedUp(d.now)
+	late := d.starts.lateCount
+	if d.settings.Replicas > manyReplicas || late < minLateAttempts || !d.starts.isBackedUp(d.now) {
+		return false
+	}
+	return late >= minLateAmidProgress || !d.hasRecentProgress()
+}
+
+// hasRecentProgress reports whether any worker has made progress in the time for which a late attempt counts.
+func (d *Dispatcher) hasRecentProgress() bool {
+	since := max(0, d.now-d.starts.lostAfter())
+	return slices.ContainsFunc(d.fleet.workers, func(worker *workerInfo) bool {
+		return worker.activity.progressAt > since
+	})
 }
--- a/dispatch/startmonitor.go
+++ b/dispatch/startmonitor.go
@@ -11,6 +11,8 @@
 	lostAfterMeanLateDelays = 3   // an unstarted attempt counts as lost after this many mean late delays
 	lateDelayWindow         = 10  // late starts that the mean late delay averages over
 	maxLateFraction         = 0.5 // late attempts, as a fraction of the other slots in use
+	minLateAttempts         = 2   // that show a backlog of the whole fleet
+	minLateAmidProgress     = 3   // the same while workers make progress
 	manyReplicas            = 8   // with more dispatchers than this, most have little work each
 )
 
