--- a/dispatch/capacity_test.go
+++ b/dispatch/capacity_test.go
@@ -261,3 +261,30 @@
 	s.step(s.job(2, 1, 100*ms))
 	expectJobs(t, taken[Send](s), 2)
 }
+
+// Found by randomised search: a worker that was full for a moment, and rejected a job of two slots while it had no other of this
+// dispatcher, was never sent a job of two slots again.
+func TestRejectionWhileIdleIsForgotten(t *testing.T) {
+	s := newHarness(t, testSettings())
+	s.workers(1)
+	sendLarge := func(id uint64) []Send {
+		large := s.job(id, 1, 100*ms)
+		large.Slots = 2
+		s.step(large)
+		sends := taken[Send](s)
+		s.step(ClientDisconnected{Job: id})
+		return sends
+	}
+	rejectLarge := func(id uint64) {
+		expectJobs(t, sendLarge(id), id)
+		s.step(s.done(id, 0, 1, WorkerFull))
+		s.wait(maxBackoff)
+	}
+	rejectLarge(1)
+	expectJobs(t, sendLarge(2))
+	s.wait(rejectedDemandExpiry)
+	rejectLarge(3)
+	expectJobs(t, sendLarge(4))
+	s.d.workload.machineKind(0).observeSlots(2)
+	expectJobs(t, sendLarge(5), 5)
+}
--- a/dispatch/concurrency.go
+++ b/dispatch/concurrency.go
@@ -13,6 +13,8 @@
 const (
 	minBackoff = 500 * time.Millisecond // after a rejection
 	maxBackoff = 8 * time.Second
+
+	rejectedDemandExpiry = 30 * time.Second // after the worker's limit was last lowered
 )
 
 // slotLimit counts the slots in use at a worker against a concurrency limit that adapts to the outcomes of
@@ -72,14 +74,18 @@
 	return w.Ready && now >= w.backoff.until && hasSlot
 }
 
-// hasRejected reports whether the worker has rejected this demand, or a smaller one, while idle.
-func (w *workerInfo) hasRejected(demand float64) bool {
-	return w.rejectedDemand > 0 && demand >= w.rejectedDemand
+// hasRejected reports whether the worker may be too small for a demand, as it has rejected this demand, or a
+// smaller one, while idle. If workers of its kind have run as much at once, it was full for another reason:
+// a fault, or jobs of other dispatchers. These pass, so that a demand is tried again in any case.
+func (w *workerInfo) hasRejected(demand float64, now time.Duration) bool {
+	isRejected := w.rejectedDemand > 0 && demand >= w.rejectedDemand
+	isExpired := now-w.slots.decreasedAt > rejectedDemandExpiry
+	return isRejected && !isExpired && demand > w.machine.maxSlots
 }
 
 // hasCapacity reports whether a worker can start a job now, as far as this dispatcher knows.
 func (d *Dispatcher) hasCapacity(job *jobInfo, worker *workerInfo) bool {
-	if worker.hasRejected(job.demand) || d.reservation.excludes(job, worker) {
+	if worker.hasRejected(job.demand, d.now) || d.reservation.excludes(job, worker) {
 		return false
 	}
 	isIdle := worker.slots.used <= 0 // an idle worker may be sent a job of any demand
