--- a/dispatch/events.go
+++ b/dispatch/events.go
@@ -15,10 +15,11 @@
 	Cell    int           `json:"Cell"`
 	Zone    int           `json:"Zone"`
 	BootAt  time.Duration `json:"BootAt"` // latest start of its process; 0: long ago
-	// Assignees is the number of dispatchers that may send the worker jobs while it warms up, and
+	// Assignees is the number of dispatchers that divide the worker's budget while it warms up, and
 	// AssigneeRank the rank of this one among them, from 0. If jobs are large, only those with the lowest
-	// ranks may. A dispatcher whose rank is Assignees or more may not. If Assignees is 0, all dispatchers
-	// may, ranked by the worker's ID.
+	// ranks have a part. A dispatcher whose rank is Assignees or more has none. If Assignees is 0, all
+	// dispatchers divide it, ranked by the worker's ID. If it is 1, the others send the worker nothing in
+	// that time; else all may send it the few jobs that draw its lottery tickets.
 	AssigneeRank int `json:"Rank"`
 	Assignees    int `json:"Of"`
 }
--- a/dispatch/slowstart.go
+++ b/dispatch/slowstart.go
@@ -12,9 +12,10 @@
 )
 
 const (
-	warmUpBudgetFraction = 0.4  // of the allowed work, as the sizes of jobs are heavy-tailed
-	meanJobsPerAssignee  = 2.0  // jobs of mean cost that one assignee's part of a budget holds
-	minWarmUpShare       = 0.01 // of its full capacity: a worker is never assumed to have less
+	warmUpBudgetFraction  = 0.4 // of the allowed work, as the sizes of jobs are heavy-tailed
+	lotteryBudgetFraction = 1 - warmUpBudgetFraction // of the allowed work: what assignees do not use
+	meanJobsPerAssignee   = 2.0  // jobs of mean cost that one assignee's part of a budget holds
+	minWarmUpShare        = 0.01 // of its full capacity: a worker is never assumed to have less
 )
 
 // slowStart bounds and distributes what warming workers are sent. It reads the settings and the estimates of
@@ -105,38 +106,41 @@
 
 // assignTickets gives each warming worker its lottery tickets: an interval of the numbers from 0 to 1. A job
 // whose random draw lies in the interval goes to the worker. The width is the worker's part of an even
-// distribution of jobs, or less if its budget allows less. Only jobs that could be sent to another worker
+// distribution of jobs, or less if the allowed work is less. Only jobs that could be sent to another worker
 // draw, so that the total over dispatchers, which do not see each other, is proportional to what the rest of
-// the fleet is sent.
+// the fleet is sent. That holds too where each dispatcher uses a subset of the workers, and each worker has
+// few assignees: these alone have too few jobs for it. A single assignee has the worker to itself.
 func (s *slowStart) assignTickets(fleet *workerFleet, now time.Duration) {
 	start, ready := 0.0, fleet.countReady()
 	for _, worker := range fleet.workers {
 		worker.slowStart.ticketStart = start
 		worker.slowStart.ticketWidth = 0
 		share := worker.warmUpShare(s.settings, now)
-		if worker.Ready && share < 1 && worker.Assignees == 0 && s.settings.Replicas > 1 {
-			fraction := min(1, warmUpBudgetFraction*s.settings.OverloadFactor)
-			worker.slowStart.ticketWidth = fraction * share / float64(ready)
+		isShared := worker.Assignees != 1 && s.settings.Replicas > 1
+		if worker.Ready && share < 1 && isShared {
+			fraction := min(1, lotteryBudgetFraction*s.settings.OverloadFactor*share)
+			worker.slowStart.ticketWidth = fraction / float64(ready)
 		}
 		start += worker.slowStart.ticketWidth
 	}
 }
 
 // drawsTicketOf reports whether a job has drawn a ticket of a warming worker. The greater the job's cost,
-// the fewer of the tickets count; a job that costs more than the worker's whole budget never wins. A job
-// draws only once.
+// the fewer of the tickets count; a job that may plausibly exceed the lottery's part of the allowed work
+// never wins. A job draws only once.
 func (s *slowStart) drawsTicketOf(worker *workerInfo, job *jobInfo, now time.Duration) bool {
-	cost := s.workload.warmUpCost(job)
 	tickets := &worker.slowStart
 	takesPart := tickets.ticketWidth != 0 && !job.wasSentTo(worker) && len(tickets.sent) == 0
-	if !takesPart || cost > s.budget(worker, now) {
+	maxCost := lotteryBudgetFraction * s.allowedWork(worker, now)
+	if !takesPart || s.workload.plausibleCost(job) > maxCost {
 		return false
 	}
 	if job.lotteryDraw == 0 {
 		job.lotteryDraw = 1 - s.rng.Float64()
 	}
 	distance := job.lotteryDraw - tickets.ticketStart
-	return distance > 0 && distance*max(1, s.arrivals.relativeCost(cost)) <= tickets.ticketWidth
+	relativeCost := s.arrivals.relativeCost(s.workload.warmUpCost(job))
+	return distance > 0 && distance*max(1, relativeCost) <= tickets.ticketWidth
 }
 
 // handleSent adds an attempt to the work that its worker has been sent, if that is warming up.
@@ -163,20 +167,33 @@
 	return max(minWarmUpShare, share)
 }
 
-// budget returns the work that all dispatchers may send a warming worker within a window, in
-// seconds on a standard core times slots. The worker's full capacity is estimated from the greatest
-// number of slots seen on its kind.
-func (s *slowStart) budget(worker *workerInfo, now time.Duration) float64 {
+// allowedWork returns the least work within a window by which the platform's rule lets a warming worker be
+// overloaded, in seconds on a standard core times slots. The worker's full capacity is estimated from the
+// greatest number of slots seen on its kind.
+func (s *slowStart) allowedWork(worker *workerInfo, now time.Duration) float64 {
 	kind := s.workload.machineKind(worker.Kind)
 	capacity := max(1, kind.maxSlots) * math.Exp(kind.logSpeed) * worker.warmUpShare(s.settings, now)
-	return warmUpBudgetFraction * s.settings.OverloadFactor * capacity * s.settings.OverloadWindow.Seconds()
+	return s.settings.OverloadFactor * capacity * s.settings.OverloadWindow.Seconds()
 }
 
-// warmUpCost returns the cost of a job against the budget of a warming worker.
+// budget returns the part of the allowed work that the dispatchers divide among themselves.
+func (s *slowStart) budget(worker *workerInfo, now time.Duration) float64 {
+	return warmUpBudgetFraction * s.allowedWork(worker, now)
+}
+
+// warmUpCost returns the cost of a job against this dispatcher's part of the budget of a warming worker.
 func (m *workloadModel) warmUpCost(job *jobInfo) float64 {
 	return job.work * job.Slots * m.overrunRatio[job.Class]
 }
 
+// plausibleCost returns the work times slots that a job may plausibly take: beyond its expected work no more
+// than any of its class has, and no more than the prediction error explains. The greatest overrun of a class
+// alone says little, as it may be that of a job of which next to nothing was expected.
+func (m *workloadModel) plausibleCost(job *jobInfo) float64 {
+	plausibleRatio := math.Exp(overrunDeviations * m.meanAbsoluteLogError)
+	return job.work * job.Slots * min(m.overrunRatio[job.Class], plausibleRatio)
+}
+
 // assigneeRank returns the rank, from 0, of a dispatcher among those that may send jobs to a warming worker,
 // and their number. All dispatchers compute the same order.
 func (r replicaGroup) assigneeRank(worker *workerInfo) (rank, assignees int) {
--- a/dispatch/slowstart_test.go
+++ b/dispatch/slowstart_test.go
@@ -448,3 +448,30 @@
 		}
 	}
 }
+
+// With an aperture a worker has two assignees, and all others that have it in their subsets sent it nothing while it warmed up.
+// Those draw its lottery tickets too. A single assignee, as with planners, has the worker to itself.
+func TestOtherDispatchersDrawTicketsUnlessOneIsAssigned(t *testing.T) {
+	for assignees, want := range []bool{true, false, true} {
+		set := testSettings()
+		set.Replicas, set.WarmUp, set.WarmUpCapacity, set.OverloadFactor, set.OverloadWindow = 300, 20*time.Second, 0.2, 3, 2*time.Second
+		s := newHarness(t, set)
+		list := WorkerList{Kind: ListFull, Workers: []Worker{{ID: 1, Ready: true}, {ID: 2, Ready: true, BootAt: s.now}}}
+		list.Workers[1].Assignees = assignees
+		list.Workers[1].AssigneeRank = assignees
+		s.step(list)
+		s.wait(10 * time.Second)
+		sent := false
+		for id := range uint64(60) {
+			s.step(s.job(id, 0, 100*ms))
+			for _, send := range taken[Send](s) {
+				sent = sent || send.Worker == 2
+				s.step(s.done(send.Job, 0, send.Worker, OK))
+			}
+			s.wait(100 * ms)
+		}
+		if sent != want {
+			t.Errorf("with %d assignees, jobs were sent to the warming worker: %t, expected %t", assignees, sent, want)
+		}
+	}
+}
