--- a/dispatch/leaseslots.go
+++ b/dispatch/leaseslots.go
@@ -7,10 +7,12 @@
 // starts promptly and halves on 'full' or failure"): a limit starts at 1 slot, grows by one with each
 // prompt start of a lease that was granted at the limit, and halves on a rejection or failure.
 const (
+	// maxCoordinators is how many coordinators a shard may have at once: three after two network partitions.
+	maxCoordinators = 3
 	// warmUpLeaseFraction is the fraction that one coordinator may lease of the work that would overload a
-	// warming worker. Two coordinators may do so at the same time, and jobs without a lease may use
+	// warming worker. Other coordinators may lease as much, and jobs without a lease may use
 	// warmUpBudgetFraction in addition.
-	warmUpLeaseFraction = 0.25
+	warmUpLeaseFraction = (1 - warmUpBudgetFraction) / maxCoordinators
 
 	minSuspension     = 500 * time.Millisecond // doubles with each further failure
 	maxSuspension     = 8 * time.Second
