--- a/dispatch/capacity_test.go
+++ b/dispatch/capacity_test.go
@@ -288,3 +288,24 @@
 	s.d.workload.machineKind(0).observeSlots(2)
 	expectJobs(t, sendLarge(5), 5)
 }
+
+// Found by an ablation: the loss of a start notification lowered a worker's limit, although the job had ended as soon as one that
+// starts promptly does. With many notifications lost, the limits stayed at one slot.
+func TestEndWithoutStartNotificationRaisesLimit(t *testing.T) {
+	for _, run := range []time.Duration{280 * ms, 900 * ms} {
+		s := newHarness(t, testSettings())
+		s.workers(1)
+		worker := s.d.fleet.byID[1]
+		worker.slots.limit = 2
+		s.startOnWorker1(1)
+		s.step(s.job(2, 1, 300*ms)) // sent at the limit; its start is not notified
+		s.wait(run)
+		if worker.slots.limit != 1 {
+			t.Fatalf("the limit is %v after a start that seems late, expected 1", worker.slots.limit)
+		}
+		s.step(s.done(2, 0, 1, OK))
+		if isRaised := worker.slots.limit > 1; isRaised != (run < 300*ms) {
+			t.Errorf("the limit is %v after an end within %v without a start notification", worker.slots.limit, run)
+		}
+	}
+}
--- a/dispatch/concurrency.go
+++ b/dispatch/concurrency.go
@@ -139,6 +139,15 @@
 	worker.slots.decrease(d.now)
 }
 
+// inferPromptStart adjusts the limit as after a prompt start if an attempt has succeeded within its expected
+// run time and no notification of its start has arrived: it has not waited at the worker, and the
+// notification is late or lost.
+func (d *Dispatcher) inferPromptStart(attempt *attemptInfo) {
+	if !attempt.started && d.now-attempt.sentAt <= attempt.expectedRun {
+		d.adjustLimit(attempt, true)
+	}
+}
+
 // halveLimit halves a worker's limit after a rejection or failure of an attempt there.
 func (d *Dispatcher) halveLimit(attempt *attemptInfo) {
 	worker := attempt.worker
--- a/dispatch/results.go
+++ b/dispatch/results.go
@@ -37,6 +37,7 @@
 	d.markAlive(worker)
 	d.learnFromRun(attempt, d.now-attempt.startedAt)
 	if d.settings.StartNotifications {
+		d.inferPromptStart(attempt)
 		return
 	}
 	// Without start notifications, an end within the objective counts as a prompt start. The objective uses
