--- a/dispatch/results.go
+++ b/dispatch/results.go
@@ -4,6 +4,8 @@
 // accepted) or failure (error, timeout or reset), and without start notifications it grows when a job ends
 // within its class's objective.
 
+import "math"
+
 // handleResult updates the state of a worker from the result of an attempt there.
 func (d *Dispatcher) handleResult(attempt *attemptInfo) {
 	worker := attempt.worker
@@ -41,8 +43,10 @@
 		return
 	}
 	// Without start notifications, an end within the objective counts as a prompt start. The objective uses
-	// the present estimate of the work: with hints that are too low, all attempts would look late.
-	stretch := seconds(job.class.ObjectiveStretch * d.workload.expectedWork(job) / worker.speed.factor)
+	// the present estimates of the work and of the fastest worker: with hints that are too low, all attempts
+	// would look late. The speed of this worker would not do, as it falls with the queue there.
+	fastest := math.Exp(d.workload.maxLogSpeed)
+	stretch := seconds(job.class.ObjectiveStretch * d.workload.expectedWork(job) / fastest)
 	d.adjustLimit(attempt, d.now-attempt.sentAt <= job.class.LatencyObjective+stretch)
 }
 
