--- a/internal/testbed/checker/explanation.go
+++ b/internal/testbed/checker/explanation.go
@@ -293,9 +293,6 @@
 	case trace.CallbackLost:
 		return fmt.Sprintf("callback %q of %s abandoned%s", text, worker, which)
 	}
-	if event, ok := schedulerEvents[entry.kind]; ok {
-		return fmt.Sprintf("scheduler %d %s", entry.scheduler, event)
-	}
 	return fmt.Sprintf("trace event %d", entry.kind)
 }
 
