--- a/dispatch/concurrency.go
+++ b/dispatch/concurrency.go
@@ -79,17 +79,20 @@
 }
 
 // hasRejected reports whether the worker may be too small for a demand, as it has rejected this demand, or a
-// smaller one, while idle. If workers of its kind have run as much at once, it was full for another reason:
-// a fault, or jobs of other dispatchers. These pass, so that a demand is tried again in any case.
-func (w *workerInfo) hasRejected(demand float64, now time.Duration) bool {
-	isRejected := w.rejectedDemand > 0 && demand >= w.rejectedDemand
-	isExpired := now-w.slots.decreasedAt > rejectedDemandExpiry
-	return isRejected && !isExpired && demand > w.machine.maxSlots
+// smaller one, while idle. It was full for another reason, as a fault, if workers of its kind have run as much
+// at once. Where many dispatchers share the workers it may be full of their jobs, and stay so for long.
+func (d *Dispatcher) hasRejected(worker *workerInfo, demand float64) bool {
+	if worker.rejectedDemand <= 0 || demand < worker.rejectedDemand {
+		return false
+	}
+	isExpired := d.now-worker.slots.decreasedAt > rejectedDemandExpiry
+	fitsKind := demand <= worker.machine.maxSlots && d.settings.Replicas <= manyReplicas
+	return !isExpired && !fitsKind
 }
 
 // hasCapacity reports whether a worker can start a job now, as far as this dispatcher knows.
 func (d *Dispatcher) hasCapacity(job *jobInfo, worker *workerInfo) bool {
-	if worker.hasRejected(job.demand, d.now) || d.reservation.excludes(job, worker) {
+	if d.hasRejected(worker, job.demand) || d.reservation.excludes(job, worker) {
 		return false
 	}
 	isIdle := worker.slots.used <= 0 // an idle worker may be sent a job of any demand
--- a/dispatch/leasegrants.go
+++ b/dispatch/leasegrants.go
@@ -125,7 +125,7 @@
 func (l *leaseAdapter) canSend(job *jobInfo, worker *workerInfo) bool {
 	dispatcher := l.dispatcher
 	promptStart := dispatcher.starts.promptStart(job.class)
-	isFull := worker.hasRejected(job.demand, dispatcher.now) ||
+	isFull := dispatcher.hasRejected(worker, job.demand) ||
 		worker.hasLateStart(promptStart, dispatcher.now)
 	if isFull || job.wasSentTo(worker) || !job.class.allows(worker.Kind, worker.Zone) {
 		return false
--- a/dispatch/reservation.go
+++ b/dispatch/reservation.go
@@ -52,7 +52,7 @@
 
 // mayReserve reports whether a worker could run a job in time once enough slots are free.
 func (d *Dispatcher) mayReserve(job *jobInfo, worker *workerInfo) bool {
-	isUsable := worker.Ready && !worker.hasRejected(job.demand, d.now) && !d.outliers.isEjected(worker)
+	isUsable := worker.Ready && !d.hasRejected(worker, job.demand) && !d.outliers.isEjected(worker)
 	if !isUsable || !job.class.allows(worker.Kind, worker.Zone) || !d.mayAttempt(job, worker) {
 		return false
 	}
