--- a/dispatch/concurrency.go
+++ b/dispatch/concurrency.go
@@ -79,8 +79,8 @@
 }
 
 // hasRejected reports whether the worker may be too small for a demand, as it has rejected this demand, or a
-// smaller one, while idle. It was full for another reason, as a fault, if workers of its kind have run as much
-// at once. Where many dispatchers share the workers it may be full of their jobs, and stay so for long.
+// smaller one, while idle. It was full for another reason, as a fault, if workers of its kind have run as
+// much at once. Where many dispatchers share the workers it may be full of their jobs, and stay so for long.
 func (d *Dispatcher) hasRejected(worker *workerInfo, demand float64) bool {
 	if worker.rejectedDemand <= 0 || demand < worker.rejectedDemand {
 		return false
