--- a/dispatch/slowstart.go
+++ b/dispatch/slowstart.go
@@ -12,10 +12,12 @@
 )
 
 const (
-	warmUpBudgetFraction  = 0.4                      // of the allowed work, as the sizes of jobs are heavy-tailed
-	lotteryBudgetFraction = 1 - warmUpBudgetFraction // of the allowed work: what assignees do not use
-	meanJobsPerAssignee   = 2.0                      // jobs of mean cost that one assignee's part of a budget holds
-	minWarmUpShare        = 0.01                     // of its full capacity: a worker is never assumed to have less
+	warmUpBudgetFraction = 0.4  // of the allowed work, as the sizes of jobs are heavy-tailed
+	meanJobsPerAssignee  = 2.0  // jobs of mean cost that one assignee's part of a budget holds
+	minWarmUpShare       = 0.01 // of its full capacity: a worker is never assumed to have less
+
+	// lotteryBudgetFraction is the fraction of the allowed work that is left beside warmUpBudgetFraction.
+	lotteryBudgetFraction = 1 - warmUpBudgetFraction
 )
 
 // slowStart bounds and distributes what warming workers are sent. It reads the settings and the estimates of
