--- a/dispatch/concurrency.go
+++ b/dispatch/concurrency.go
@@ -11,9 +11,8 @@
 )
 
 const (
-	minBackoff          = 500 * time.Millisecond // after a rejection
-	maxBackoff          = 8 * time.Second
-	maxLateStartBackoff = 500 * time.Millisecond // the queue there may be gone long before it is seen
+	minBackoff = 500 * time.Millisecond // after a rejection
+	maxBackoff = 8 * time.Second
 
 	rejectedDemandExpiry = 30 * time.Second // after the worker's limit was last lowered
 )
@@ -58,7 +57,7 @@
 // backoffState is how long a worker is sent nothing after a rejection, or after a late start at a limit of
 // one.
 type backoffState struct {
-	delay time.Duration // doubles with each rejection; 0: the latest attempt started promptly
+	delay time.Duration // doubles each time; 0: the latest attempt started promptly
 	until time.Duration
 }
 
@@ -68,9 +67,6 @@
 	b.until = now + b.delay
 }
 
-// pause begins a backoff of a delay, unless a longer one is in progress. It does not affect later ones.
-func (b *backoffState) pause(delay, now time.Duration) { b.until = max(b.until, now+delay) }
-
 // mayHaveCapacity reports whether the worker belongs in the index of available workers: it is ready, not
 // in backoff, and either idle or at least one slot below its limit.
 func (w *workerInfo) mayHaveCapacity(now time.Duration) bool {
@@ -139,9 +135,9 @@
 	}
 	d.workload.machineKind(worker.Kind).observeLateStart(worker.slots.running)
 	// With one slot for each of several dispatchers the worker can still have a queue: back off for as long
-	// as this attempt waited, but not for long.
+	// as this attempt waited.
 	if worker.slots.limit <= 1 && d.settings.Replicas > 1 {
-		worker.backoff.pause(min(d.now-attempt.sentAt, maxLateStartBackoff), d.now)
+		worker.backoff.extend(d.now-attempt.sentAt, d.now)
 	}
 	worker.slots.decrease(d.now)
 }
