--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -41,6 +41,7 @@
 
 var plays = map[string]play{
 	"split": playSplit,
+	"mixed": playMixed,
 }
 
 func main() {
