--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -40,8 +40,9 @@
 type play func(d *deployment, with trouble) (breaks int, err error)
 
 var plays = map[string]play{
-	"split": playSplit,
-	"mixed": playMixed,
+	"split":  playSplit,
+	"mixed":  playMixed,
+	"memory": playMemory,
 }
 
 func main() {
