--- a/review/standin/mixed.go
+++ b/review/standin/mixed.go
@@ -57,10 +57,11 @@
 			go c.sendAll(calls, with.manyAtOnce)
 		}
 	}
+	begun := d.record.now()
 	burst(1)
-	time.Sleep(600 * time.Millisecond)
+	time.Sleep(300 * time.Millisecond)
 	if with.upgrade {
-		if _, err := d.upgrade(first, "second"); err != nil {
+		if _, err := d.upgrade(first, "second", begun+600*time.Millisecond); err != nil {
 			return 0, err
 		}
 	}
--- a/review/standin/scheduler.go
+++ b/review/standin/scheduler.go
@@ -230,8 +230,8 @@
 }
 
 // upgrade replaces a scheduler as the operators do: the new process starts beside the old one, and the old one is told to end once the
-// new one says yes. SIGKILL follows 3.7 s later.
-func (d *deployment) upgrade(old *scheduler, name string) (*scheduler, error) {
+// new one says yes, though not before an instant. SIGKILL follows 3.7 s later.
+func (d *deployment) upgrade(old *scheduler, name string, notBefore time.Duration) (*scheduler, error) {
 	next, err := d.start(name)
 	if err != nil {
 		return nil, err
@@ -239,7 +239,9 @@
 	if err := awaitOK(next.management, "/v1/readyz"); err != nil {
 		return nil, err
 	}
-	d.record.log("platform: %s says yes, SIGTERM to %s", next.name, old.name)
+	d.record.log("platform: %s says yes", next.name)
+	time.Sleep(notBefore - d.record.now())
+	d.record.log("platform: SIGTERM to %s", old.name)
 	old.signal(syscall.SIGTERM)
 	time.AfterFunc(3700*time.Millisecond, func() {
 		if !old.hasEnded() {
--- a/review/standin/split.go
+++ b/review/standin/split.go
@@ -41,7 +41,7 @@
 	go d.sendApart("p", newCalls(80, "9b1f0000", "cash-payout", 7500*time.Millisecond, func(int) string { return "pay" }), 50*time.Millisecond, payouts)
 	time.Sleep(time.Second)
 	if with.upgrade {
-		next, err := d.upgrade(first, "second")
+		next, err := d.upgrade(first, "second", 0)
 		if err != nil {
 			return 0, err
 		}
