--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -1,5 +1,6 @@
 #!/bin/bash
-# Case 1. Exit codes: 0 the rule held, 1 it was broken, 2 the case couldn't run. TROUBLE=0 leaves out the disruptions; many or upgrade leaves in that one.
+# Case 1. Exit codes: 0 the rule held, 1 it was broken, 2 the case couldn't run. TROUBLE=0 leaves out the disruptions;
+# many or upgrade leaves in that one. TROUBLE=history replaces the process after 7,000 removals instead, past has these removals alone.
 set -u
 here=$(cd "$(dirname "$0")" && pwd)
 root=$(cd "$here/../.." && pwd)
--- a/review/standin/discovery.go
+++ b/review/standin/discovery.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -27,20 +28,33 @@
 	Instances  []entry `json:"instances"`
 }
 
-// discovery serves a list that does not change.
+// discovery serves a list that does not change while it runs.
 type discovery struct {
 	address string
-	list    list
+	list    list // the whole list
 }
 
-func startDiscovery(workers []*worker) (*discovery, error) {
+// startDiscovery starts a discovery that lists workers. Before, it has listed and removed a number of others: if there are any, the first
+// object of a watch holds what changed, else the whole list.
+func startDiscovery(workers []*worker, removed int) (*discovery, error) {
 	d := &discovery{list: list{Generation: 41, Reset: true}}
 	for _, w := range workers {
 		d.list.Instances = append(d.list.Instances, entry{
 			ID: w.id, Address: w.address, Zone: "dc1", MachineType: "std-4c", Cell: w.cell, Lifecycle: "up", Weight: 1,
 		})
 	}
-	text, err := json.Marshal(d.list)
+	first := d.list
+	if removed > 0 {
+		first.Reset = false
+		first.Generation += removed
+	}
+	for n := range removed {
+		first.Instances = append(first.Instances, entry{
+			ID: fmt.Sprintf("s-%08x", n), Address: fmt.Sprintf("127.%d.%d.1:9000", 1+n%200, n/200), Zone: "dc1", MachineType: "std-4c",
+			Cell: n / 4, Lifecycle: "removed", Weight: 1, StartedAtMs: 1_764_826_291_123 + int64(n),
+		})
+	}
+	text, err := json.Marshal(first)
 	if err != nil {
 		return nil, err
 	}
@@ -54,7 +68,7 @@
 	return d, nil
 }
 
-// serve answers with the whole list and, on a watch, an empty line every 2 s from then on.
+// serve answers with the first object and, on a watch, an empty line every 2 s from then on.
 func (d *discovery) serve(w http.ResponseWriter, r *http.Request, text []byte) {
 	_, _ = w.Write(append(text, '\n'))
 	if r.URL.Query().Get("stream") == "" {
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -19,9 +19,11 @@
 type trouble struct {
 	manyAtOnce bool // clients send many commands at once on a connection
 	upgrade    bool // the process is replaced
+	history    bool // discovery has removed many workers since the list that the configuration names as known
 }
 
-// troubleOf reads the environment's TROUBLE: 0 leaves out all disruptions, and a name leaves in that one alone.
+// troubleOf reads the environment's TROUBLE: 0 leaves out all disruptions, 1 has the process replaced while clients send many commands at
+// once, many and upgrade have one of these alone. history has the process replaced after many removals, past has those alone.
 func troubleOf(text string) (trouble, error) {
 	switch text {
 	case "", "1":
@@ -32,8 +34,12 @@
 		return trouble{manyAtOnce: true}, nil
 	case "upgrade":
 		return trouble{upgrade: true}, nil
+	case "history":
+		return trouble{upgrade: true, history: true}, nil
+	case "past":
+		return trouble{history: true}, nil
 	}
-	return trouble{}, fmt.Errorf("TROUBLE=%s: expected 0, 1, many or upgrade", text)
+	return trouble{}, fmt.Errorf("TROUBLE=%s: expected 0, 1, many, upgrade, history or past", text)
 }
 
 // play is what a case does. It returns the number of breaks of its rule.
@@ -91,7 +97,7 @@
 	if breaks > 0 {
 		verdict, code = fmt.Sprintf("the rule was broken %d times", breaks), broken
 	}
-	record.log("verdict: %s; many at once: %v, upgrade: %v", verdict, with.manyAtOnce, with.upgrade)
+	record.log("verdict: %s; many at once: %v, upgrade: %v, history: %v", verdict, with.manyAtOnce, with.upgrade, with.history)
 	fmt.Println(verdict)
 	return code, nil
 }
@@ -115,7 +121,7 @@
 		d.workers = append(d.workers, w)
 	}
 	var err error
-	if d.discovery, err = startDiscovery(d.workers); err != nil {
+	if d.discovery, err = startDiscovery(d.workers, d.removed); err != nil {
 		return nil, err
 	}
 	d.limits = limits
--- a/review/standin/scheduler.go
+++ b/review/standin/scheduler.go
@@ -39,6 +39,7 @@
 	temp      string
 	listen    string
 	discovery *discovery
+	removed   int // workers that discovery has removed since the known list
 	limits    limits
 	record    *recorder
 	workers   []*worker
--- a/review/standin/split.go
+++ b/review/standin/split.go
@@ -9,7 +9,8 @@
 const paid = "paid "
 
 // playSplit replaces the process while one client, which sent 16 commands at once, still waits for the answer to the first of them, and
-// other clients send payouts one at a time. A payout whose worker has told that it is done, and was answered, is served.
+// other clients send payouts one at a time. With history no client sends many at once, but discovery has removed 7,000 workers. A payout
+// whose worker has told that it is done, and was answered, is served.
 func playSplit(d *deployment, with trouble) (breaks int, err error) {
 	const commands, resultSize = 16, 64_000
 	plan := func(j *job) (time.Duration, string) {
@@ -21,6 +22,9 @@
 		}
 		return 150 * time.Millisecond, filler(j.id, resultSize)
 	}
+	if with.history {
+		d.removed = 7000
+	}
 	first, err := d.deploy(12, limits{Cores: 1, MemoryMB: 192, Sockets: 1024}, plan, func(*worker, *job) {})
 	if err != nil {
 		return 0, err
