Let a successor serve alone only once its predecessor has ended

Cause: Successor counted lost sessions and served after the third, or after 3 s without an answer, with no evidence that the predecessor had ended. The case's logs show it: "predecessor lost, serving without its state" 11 ms after SIGTERM, with the predecessor draining for 3.7 s.

Now a lost session is followed by another connection, with exponential backoff, until no process listens at the predecessor's socket, which the kernel closes with the process. A predecessor gives up after two failed transfers and keeps the session, so that a successor of an earlier build, which serves after its third lost session, does so at the predecessor's end. On related paths: a handshake that can't be sent and a shortage during a reconnection no longer count as the predecessor's end, and a cordon call without a session is kept for the next one.

TestSuccessorDisconnect and FuzzSuccessor held a successor to serve alone while joining and after three sessions, which is the fault. They now demand a reconnection from every state before ownership, however many sessions are lost, and serving alone only after the predecessor's end.

--- a/internal/hotrestart/successor.go
+++ b/internal/hotrestart/successor.go
@@ -44,20 +44,15 @@
 	ActionApply               // execute the message
 
 	ActionTakeOver   // the state is complete: send TakenOver, call TookOver, and serve with the state
-	ActionServeAlone // the predecessor has ended: discard the received state, and serve without it
+	ActionServeAlone // the predecessor has ended: serve without its state
 	ActionGiveUp     // the predecessor has rejected this process: exit
-	ActionReconnect  // the connection is lost: discard the received state, and reconnect; if that fails, call HandleDisconnect
+	ActionReconnect  // the session is lost: discard the received state, and reconnect; if none listens, call HandlePredecessorEnded
 
 	ActionAccept     // send Accept
 	ActionReject     // send Reject with the error's text, and close the connection
 	ActionRelinquish // the successor owns everything: release the requests and the connections
 )
 
-// maxSessions is the maximum number of connections that a successor makes to its predecessor. A successor that loses its
-// connection reconnects because the predecessor may still run and own the state: if both processes served, one would receive
-// callbacks for attempts of the other.
-const maxSessions = 3
-
 // MaxSnapshotSize is the maximum size in bytes of a dispatch policy's snapshot that a successor accepts.
 const MaxSnapshotSize = 64 << 20
 
@@ -99,10 +94,11 @@
 // handshake was sent.
 //
 // It decides whether this process owns the state. Until the transfer is complete, the successor owns nothing: an incomplete
-// transfer is discarded, as the predecessor still owns the state, or has ended.
+// transfer is discarded, as the predecessor still owns the state, or has ended. However many sessions are lost, a successor serves
+// without the state only once its predecessor has ended: if both processes served, one would receive callbacks for attempts of the
+// other.
 type Successor struct {
 	state          SuccessorState
-	sessionsLost   int
 	framesReceived int // since TransferBegin
 	snapshotSize   int // bytes received since TransferBegin
 }
@@ -127,13 +123,22 @@
 // TookOver makes this process the owner. It is called after TakenOver was sent because of ActionTakeOver.
 func (s *Successor) TookOver() { s.transition(successorTookOver) }
 
-// HandleDisconnect handles the end of the connection, or a failed attempt to reconnect.
+// HandleDisconnect handles the end of the connection. The predecessor may still run, and own the state.
 func (s *Successor) HandleDisconnect() Action {
-	s.sessionsLost++
 	action, _ := s.transition(successorDisconnected)
 	return action
 }
 
+// HandlePredecessorEnded is called when no process listens at the predecessor's address any more. It does nothing unless the
+// connection has ended.
+func (s *Successor) HandlePredecessorEnded() Action {
+	action, ok := s.transition(successorPredecessorEnded)
+	if !ok {
+		return ActionNone
+	}
+	return action
+}
+
 // check returns an error if the content of a message contradicts the protocol or the previous messages.
 func (s *Successor) check(message Message) error {
 	switch message := message.(type) {
@@ -173,6 +178,7 @@
 const (
 	successorTookOver successorEvent = successorEvent(kindLimit) + iota
 	successorDisconnected
+	successorPredecessorEnded
 )
 
 // transition applies an event to the state. ok is false, and the state unchanged, if the event is not allowed in it.
@@ -195,6 +201,8 @@
 			return SuccessorStandby, ActionApply, true
 		case successorEvent(KindReject):
 			return SuccessorRejected, ActionGiveUp, true
+		case successorPredecessorEnded:
+			return SuccessorServing, ActionServeAlone, true
 		}
 		return s.state, ActionNone, false
 	case SuccessorStandby:
@@ -227,10 +235,7 @@
 	switch s.state {
 	case SuccessorServing, SuccessorRejected:
 		return s.state, ActionNone
-	case SuccessorStandby, SuccessorReceiving:
-		if s.sessionsLost < maxSessions {
-			return SuccessorJoining, ActionReconnect
-		}
+	default:
+		return SuccessorJoining, ActionReconnect
 	}
-	return SuccessorServing, ActionServeAlone
 }
--- a/internal/hotrestart/successor_test.go
+++ b/internal/hotrestart/successor_test.go
@@ -7,14 +7,14 @@
 	"valvecove/internal/modeltest"
 )
 
-// With any events in any order, a successor owns the state only after it has received all announced frames, or after the
-// predecessor has ended, in which case it discards an incomplete transfer.
+// With any events in any order, a successor owns the state only after it has received all announced frames, or once the
+// predecessor has ended, in which case it discards an incomplete transfer. However many sessions it loses, it reconnects until then.
 func FuzzSuccessor(f *testing.F) {
 	modeltest.Fuzz(f, func(choices *modeltest.Steps) {
 		model := successorModel{Steps: choices}
 		for continues := true; continues && choices.More(); {
 			if choices.Pick(20) == 0 {
-				continues = model.disconnect()
+				continues = model.disconnect() && (choices.Pick(4) > 0 || model.continuesAlone())
 			}
 			if continues {
 				continues = model.receive(pickMessage(choices, model.framesReceived))
@@ -30,23 +30,29 @@
 	accepted, begun bool
 	owner           bool
 	framesReceived  int // received since TransferBegin
-	sessionsLost    int // number of lost connections
 }
 
-// disconnect ends the connection. It returns false if the successor does not reconnect.
+// disconnect ends the connection. It returns false if the successor does not reconnect, as it owns the state.
 func (s *successorModel) disconnect() bool {
 	action := s.successor.HandleDisconnect()
-	s.Check((action == ActionNone) == s.owner, "disconnected as the owner %v: action %d", s.owner, action)
-	s.sessionsLost++
-	if action != ActionReconnect {
-		s.Check(s.owner || !s.accepted || s.sessionsLost == maxSessions, "the successor does not reconnect")
+	s.Record("disconnect")
+	if s.owner {
+		s.Check(action == ActionNone, "disconnected as the owner: action %d", action)
 		return false
 	}
-	s.Check(s.accepted && s.sessionsLost < maxSessions, "the successor reconnects too often")
+	s.Check(action == ActionReconnect, "disconnected before it was the owner: action %d", action)
+	s.Check(s.successor.State() == SuccessorJoining, "state %v without a session", s.successor.State())
 	s.accepted, s.begun, s.framesReceived = false, false, 0 // an incomplete transfer is discarded
 	return true
 }
 
+// continuesAlone ends the predecessor after the connection has ended. It returns false: no session follows.
+func (s *successorModel) continuesAlone() bool {
+	action := s.successor.HandlePredecessorEnded()
+	s.Check(action == ActionServeAlone && s.successor.State() == SuccessorServing, "without a predecessor: action %d", action)
+	return false
+}
+
 // receive passes a message to the successor. It returns false if the successor ends the session.
 func (s *successorModel) receive(message Message) bool {
 	action, err := s.successor.HandleMessage(message)
@@ -165,15 +171,33 @@
 		state, next SuccessorState
 		action      Action
 	}{
-		{SuccessorJoining, SuccessorServing, ActionServeAlone},
+		{SuccessorJoining, SuccessorJoining, ActionReconnect},
 		{SuccessorStandby, SuccessorJoining, ActionReconnect},
 		{SuccessorReceiving, SuccessorJoining, ActionReconnect},
 		{SuccessorServing, SuccessorServing, ActionNone},
 		{SuccessorRejected, SuccessorRejected, ActionNone},
 	} {
 		successor := successorIn(t, test.state)
-		if action := successor.HandleDisconnect(); action != test.action || successor.State() != test.next {
-			t.Errorf("disconnected in %v: action %d, then in %v", test.state, action, successor.State())
+		for range 10 {
+			if action := successor.HandleDisconnect(); action != test.action || successor.State() != test.next {
+				t.Errorf("disconnected in %v: action %d, then in %v", test.state, action, successor.State())
+			}
+		}
+	}
+}
+
+// A successor serves alone if its predecessor has ended, unless it is connected to one, owns the state or was rejected.
+func TestSuccessorServesAloneWithoutPredecessor(t *testing.T) {
+	for state, want := range map[SuccessorState]Action{
+		SuccessorJoining:   ActionServeAlone,
+		SuccessorStandby:   ActionNone,
+		SuccessorReceiving: ActionNone,
+		SuccessorServing:   ActionNone,
+		SuccessorRejected:  ActionNone,
+	} {
+		successor := successorIn(t, state)
+		if action := successor.HandlePredecessorEnded(); action != want || (successor.State() != state) != (want == ActionServeAlone) {
+			t.Errorf("without a predecessor in %v: action %d, then in %v", state, action, successor.State())
 		}
 	}
 }
--- a/internal/hotrestart/transport/channel.go
+++ b/internal/hotrestart/transport/channel.go
@@ -220,8 +220,13 @@
 	}
 }
 
-// sendCordon asks the peer to cordon or uncordon a worker. respond is called with its result.
+// sendCordon asks the peer to cordon or uncordon a worker. respond is called with its result. On a closed channel the call only
+// becomes a pending one.
 func (c *channel) sendCordon(workerID string, cordoned bool, respond func(statusCode int, message string)) error {
 	call := hotrestart.CordonCall{WorkerID: workerID, Cordoned: cordoned, Respond: respond}
-	return c.sendMessage(c.pendingCalls.Add(call))
+	message := c.pendingCalls.Add(call)
+	if !c.IsOpen() {
+		return nil
+	}
+	return c.sendMessage(message)
 }
--- a/internal/hotrestart/transport/predecessor.go
+++ b/internal/hotrestart/transport/predecessor.go
@@ -17,6 +17,10 @@
 	handshakeTimeout = 3 * time.Second        // for the first message of the peer
 	transferTimeout  = 600 * time.Millisecond // no client is served during a transfer
 	durationRounding = 10 * time.Microsecond  // rounding of a transfer's duration in the log
+
+	// maxFailedTransfers is the maximum number of transfers that fail. Each may block this process for transferTimeout. Earlier
+	// builds of a successor serve alone after the third session that they lose, so the third is kept open.
+	maxFailedTransfers = 2
 )
 
 // Retries of AwaitSuccessor. An abstract socket name becomes free some time after its last owner has closed the socket.
@@ -32,6 +36,8 @@
 	acceptor   *eventloop.Acceptor // of the Unix socket
 	protocol   hotrestart.Predecessor
 	connection *successorConnection // nil: no successor is connected
+
+	failedTransfers int
 }
 
 // successorConnection is a predecessor's connection to its successor.
@@ -204,13 +210,17 @@
 // state once it has sent TakenOver; until then nothing changes in this process. Relinquish blocks because state with two owners
 // would be acted on twice.
 //
-// It returns ErrNoSuccessor if none is in standby, and ErrNotSettled if the policy has not received all events, an attempt has no
-// connection yet or the file of cordoned workers is being written. After any other error this process still owns the state.
+// It returns ErrNoSuccessor if none is in standby, ErrNotSettled if the policy has not received all events, an attempt has no
+// connection yet or the file of cordoned workers is being written, and ErrTransferGivenUp if maxFailedTransfers have failed. After
+// any error this process still owns the state.
 func (r *Roles) Relinquish() error {
 	role := r.predecessor
 	if role == nil || role.protocol.State() != hotrestart.PredecessorPaired {
 		return ErrNoSuccessor
 	}
+	if role.failedTransfers >= maxFailedTransfers {
+		return ErrTransferGivenUp
+	}
 	if !r.config.State.Settle() || !r.cordons.Fence() {
 		return ErrNotSettled
 	}
@@ -219,6 +229,7 @@
 	transfer := &transfer{roles: r, connection: role.connection, deadline: startedAt + transferTimeout}
 	err := transfer.run()
 	if err != nil && !role.connection.takenOverBeforeShutdown() {
+		role.failedTransfers++
 		role.connection.disconnect(err)
 		r.cordons.Unfence()
 		return fmt.Errorf("transfer to the successor: %w", err)
--- a/internal/hotrestart/transport/roles.go
+++ b/internal/hotrestart/transport/roles.go
@@ -22,8 +22,9 @@
 
 // Errors of Relinquish.
 var (
-	ErrNoSuccessor = errors.New("no successor in standby")
-	ErrNotSettled  = errors.New("state not settled yet") // a retry after a short delay may succeed
+	ErrNoSuccessor     = errors.New("no successor in standby")
+	ErrNotSettled      = errors.New("state not settled yet") // a retry after a short delay may succeed
+	ErrTransferGivenUp = errors.New("earlier transfers have failed")
 )
 
 // Snapshot is the state of a scheduler in the form in which it is transferred. It does not own the descriptors in it.
@@ -216,7 +217,7 @@
 		}
 	}
 	if r.successor != nil {
-		r.successor.closeWithDescriptors()
+		r.successor.close()
 	}
 }
 
--- a/internal/hotrestart/transport/successor.go
+++ b/internal/hotrestart/transport/successor.go
@@ -16,6 +16,12 @@
 // endpointListTimeout is how long a successor waits for an endpoint list of its own before it reports that it is ready.
 const endpointListTimeout = 2 * time.Second
 
+// Delays before the predecessor is connected to again, after the first session that is lost. They double.
+const (
+	minReconnectBackoff = 5 * time.Millisecond
+	maxReconnectBackoff = 400 * time.Millisecond
+)
+
 // Retries of opening the client listener's socket after a take-over.
 const (
 	listenTimeout          = 9 * time.Second
@@ -23,7 +29,10 @@
 	maxClientListenBackoff = 200 * time.Millisecond
 )
 
-var errListenerUnusable = errors.New("the predecessor's listening socket can't be used")
+var (
+	errListenerUnusable = errors.New("the predecessor's listening socket can't be used")
+	errNoPredecessor    = errors.New("no process listens for a successor")
+)
 
 // successor is the role of a process that replaces another one: it enters standby, and then takes over.
 type successor struct {
@@ -35,7 +44,9 @@
 	received        hotrestart.ReceivedState
 	cordonsNotified bool // the predecessor has sent CordonedWorkers in this session
 	handshakeTimer  *eventloop.Timer
-	startedAt       time.Duration // on the loop's clock
+	reconnectTimer  *eventloop.Timer // while there is no session; nil: none is lost
+	backoff         time.Duration    // before the next connection after a lost one; 0: at once
+	startedAt       time.Duration    // on the loop's clock
 }
 
 // Join connects to the process that serves at a listen address with a state directory, if there is one, to enter standby. It
@@ -66,8 +77,7 @@
 		return false
 	}
 	role := r.successor
-	r.loop.StopTimer(role.handshakeTimer)
-	role.closeWithDescriptors()
+	role.close()
 	role.discardReceived()
 	role.closeListener()
 	r.successor = nil
@@ -76,32 +86,50 @@
 
 func (r *Roles) unixSockets() unixSockets { return unixSockets{r.loop.Syscalls()} }
 
-// connect opens a session with the predecessor.
+// close closes the connection to the predecessor, and makes no further one.
+func (s *successor) close() {
+	s.roles.loop.StopTimer(s.handshakeTimer)
+	s.roles.loop.StopTimer(s.reconnectTimer)
+	s.closeWithDescriptors()
+}
+
+// connect opens a session with the predecessor. The error is errNoPredecessor if there is no process to be the successor of. After
+// any other error there may be one.
 func (s *successor) connect() error {
 	loop := s.roles.loop
-	sockets := s.roles.unixSockets()
-	socket, err := sockets.dial(hotrestart.SocketAddresses(s.stateDir, s.listenAddress))
+	socket, err := s.dial()
 	if err != nil {
 		return err
 	}
-	if !sockets.isPeerOwnUser(socket) {
-		_ = loop.Syscalls().Close(socket)
-		s.roles.config.Log.Warn("predecessor ignored, it runs as another user")
-		return unix.EPERM
-	}
 	if s.Stream, err = loop.OpenStream(socket, eventloop.StreamEvents, s); err != nil {
 		s.Stream = eventloop.Stream{}
 		_ = loop.Syscalls().Close(socket)
 		return err
 	}
-	if err := s.sendMessage(hotrestart.Handshake{Version: hotrestart.ProtocolVersion}); err != nil {
-		s.closeWithDescriptors()
-		return err
-	}
+	// If this fails, the predecessor has closed the connection already, which is an event that ends the session.
+	_ = s.sendMessage(hotrestart.Handshake{Version: hotrestart.ProtocolVersion})
 	s.handshakeTimer = loop.StartTimer(handshakeTimeout, s, func() { s.handleDisconnect(errHandshakeTimeout) })
 	return nil
 }
 
+// dial connects to the predecessor. The error is errNoPredecessor unless it is temporary.
+func (s *successor) dial() (socket int, err error) {
+	sockets := s.roles.unixSockets()
+	socket, err = sockets.dial(hotrestart.SocketAddresses(s.stateDir, s.listenAddress))
+	if err != nil {
+		if isMomentary(err) {
+			return hotrestart.NoDescriptor, err
+		}
+		return hotrestart.NoDescriptor, fmt.Errorf("%w: %w", errNoPredecessor, err)
+	}
+	if !sockets.isPeerOwnUser(socket) {
+		_ = s.roles.loop.Syscalls().Close(socket)
+		s.roles.config.Log.Warn("predecessor ignored, it runs as another user")
+		return hotrestart.NoDescriptor, fmt.Errorf("%w: %w", errNoPredecessor, unix.EPERM)
+	}
+	return socket, nil
+}
+
 // isServing reports whether this process owns the state.
 func (s *successor) isServing() bool { return s.protocol.State() == hotrestart.SuccessorServing }
 
@@ -268,8 +296,8 @@
 	return nil
 }
 
-// handleDisconnect ends the session after the predecessor has closed it, has violated the protocol or can't be reached. reason
-// is nil if the predecessor has closed the session.
+// handleDisconnect ends the session after the predecessor has closed it, has violated the protocol or does not answer. reason is
+// nil if the predecessor has closed the session.
 func (s *successor) handleDisconnect(reason error) {
 	if !s.IsOpen() {
 		return
@@ -280,22 +308,42 @@
 	s.discardReceived()
 	s.closeWithDescriptors()
 	if action == hotrestart.ActionReconnect {
-		if s.connect() == nil {
-			roles.config.Log.Warn("predecessor session lost, reconnecting", "error", reason)
-			return
-		}
-		action = s.protocol.HandleDisconnect()
-	}
-	roles.successor = nil
-	if action == hotrestart.ActionServeAlone {
-		s.serveAlone(reason)
+		s.reconnectAfterBackoff(reason)
 		return
 	}
+	roles.successor = nil
 	if !s.isServing() { // a serving process uses the listening socket, or is about to
 		s.closeListener()
 	}
 }
 
+// reconnectAfterBackoff connects to the predecessor again: at once after the first session that was lost, and after a delay from
+// then on. A predecessor that fails to transfer its state would otherwise do nothing else.
+func (s *successor) reconnectAfterBackoff(reason error) {
+	backoff := s.backoff
+	s.backoff = min(max(2*backoff, minReconnectBackoff), maxReconnectBackoff)
+	if backoff == 0 {
+		s.reconnect(reason)
+		return
+	}
+	s.reconnectTimer = s.roles.loop.After(backoff, func() { s.reconnect(reason) })
+}
+
+// reconnect connects to the predecessor again. Only if no process listens there has it ended: one that can be connected to, or may
+// be once a resource is available again, still owns the state.
+func (s *successor) reconnect(reason error) {
+	err := s.connect()
+	switch {
+	case err == nil:
+		s.roles.config.Log.Warn("predecessor session lost, reconnecting", "error", reason)
+	case !errors.Is(err, errNoPredecessor):
+		s.reconnectAfterBackoff(reason)
+	case s.protocol.HandlePredecessorEnded() == hotrestart.ActionServeAlone:
+		s.roles.successor = nil
+		s.serveAlone(reason)
+	}
+}
+
 // serveAlone starts serving without a predecessor's state, except for the cordoned workers.
 func (s *successor) serveAlone(reason error) {
 	// After a notification the file is not used: it may lack the last change, if the predecessor has failed to store that.
@@ -319,7 +367,7 @@
 	s.listener = hotrestart.NoDescriptor
 }
 
-// forwardCordon forwards a cordon call to the predecessor, which owns the state.
+// forwardCordon forwards a cordon call to the predecessor, which owns the state. Without a session it is forwarded in the next one.
 func (s *successor) forwardCordon(workerID string, cordoned bool, respond func(statusCode int, message string)) {
 	if s.sendCordon(workerID, cordoned, respond) != nil {
 		s.handleDisconnect(errSendFailed)
