Transfer messages larger than a frame in several frames

Callers saw every request that outlasts the drain answered 500 at a hot restart while one client had pipelined 16 requests and 15 results of 64,000 bytes waited for the first, or after 7,000 workers had been removed: each transfer failed.

Cause: a message was one frame, whose body has 1 MiB at most. The size of a client connection with results in its response slots, and of the request table with its removed workers, is bounded by other limits and may be larger. The log of the case says "invalid frame (client connection): body of 1281342 bytes, at most 1048576 allowed".

Now the body of a larger message is sent in BodyPart frames before the message's own frame, and joined by the receiver, so that no frame's bound limits the state. A successor announces in its handshake that it reads parts; others get the frames that they got, and golden frames are unchanged (two are new).

--- a/internal/hotrestart/frame.go
+++ b/internal/hotrestart/frame.go
@@ -11,9 +11,14 @@
 
 // Limits of frames.
 const (
-	// MaxBodySize is the maximum size of a frame's body, in bytes. The JSON of a client connection with full buffers is smaller.
+	// MaxBodySize is the maximum size of a frame's body, in bytes. A message with a larger body is sent in several frames; see
+	// AppendMessageInParts.
 	MaxBodySize = 1 << 20
 
+	// MaxMessageSize is the maximum size of a message's body in all its frames, in bytes. It only keeps a faulty process from
+	// using up the memory of the other one.
+	MaxMessageSize = 64 << 20
+
 	// SnapshotChunkSize is the maximum number of bytes of the policy's snapshot in one frame.
 	SnapshotChunkSize = 256 << 10
 )
@@ -45,6 +50,7 @@
 	KindWorkerConnection
 	KindTransferEnd
 	KindTakenOver
+	KindBodyPart
 	kindLimit // one more than the last kind
 )
 
@@ -64,6 +70,7 @@
 	KindWorkerConnection: "worker connection",
 	KindTransferEnd:      "transfer end",
 	KindTakenOver:        "taken over",
+	KindBodyPart:         "body part",
 }
 
 // String returns the name of the kind, for logs and errors.
@@ -123,6 +130,45 @@
 	return frame, size, nil
 }
 
+// ReadMessageFrame returns the last frame of the message at the start of buffer, and the size in bytes of all its frames. The bodies
+// of BodyPart frames before the last frame are joined with its body. The error is ErrIncomplete or a *FrameError.
+func ReadMessageFrame(buffer []byte) (last Frame, size int, err error) {
+	bodySize := 0
+	for {
+		frame, frameSize, err := ReadFrame(buffer[size:])
+		if err != nil {
+			return Frame{}, 0, err
+		}
+		size += frameSize
+		bodySize += len(frame.Body)
+		if bodySize > MaxMessageSize {
+			return Frame{}, 0, messageSizeError(frame.Kind, bodySize)
+		}
+		if frame.Kind != KindBodyPart {
+			last = frame
+			break
+		}
+	}
+	if bodySize > len(last.Body) {
+		last.Body = joinBodies(buffer[:size], bodySize)
+	}
+	return last, size, nil
+}
+
+// joinBodies returns the bodies of all frames in a buffer, which have the given size together. The frames are known to be valid.
+func joinBodies(buffer []byte, bodySize int) []byte {
+	joined := make([]byte, 0, bodySize)
+	for len(buffer) > 0 {
+		frame, size, err := ReadFrame(buffer)
+		if err != nil {
+			break
+		}
+		joined = append(joined, frame.Body...)
+		buffer = buffer[size:]
+	}
+	return joined
+}
+
 // checkHeader returns a *FrameError unless the header is valid.
 func (f Frame) checkHeader(bodySize uint32) error {
 	switch {
@@ -158,3 +204,8 @@
 func bodySizeError(kind FrameKind, size int) error {
 	return &FrameError{kind, fmt.Sprintf("body of %d bytes, at most %d allowed", size, MaxBodySize)}
 }
+
+// messageSizeError returns the error of a message whose body is too large in all its frames.
+func messageSizeError(kind FrameKind, size int) error {
+	return &FrameError{kind, fmt.Sprintf("message of %d bytes, at most %d allowed", size, MaxMessageSize)}
+}
--- a/internal/hotrestart/frame_test.go
+++ b/internal/hotrestart/frame_test.go
@@ -23,7 +23,7 @@
 func FuzzReadFrame(f *testing.F) {
 	var all []byte
 	for _, message := range []Message{
-		Handshake{ProtocolVersion},
+		Handshake{Version: ProtocolVersion},
 		Accept{ProtocolVersion, []string{"s-0"}},
 		SetCordon{1, "s-0", true},
 		TransferBegin{},
@@ -111,7 +111,7 @@
 		}
 		seen[kind.String()] = true
 	}
-	if got := kindLimit.String(); got != "kind 15" {
+	if got := kindLimit.String(); got != "kind 16" {
 		t.Errorf("an unknown kind has the name %q", got)
 	}
 }
@@ -146,3 +146,50 @@
 	}
 	return message
 }
+
+// A message of any size is read as it was written, and no frame of it is over MaxBodySize. Each proper prefix of it is incomplete.
+func TestMessageInParts(t *testing.T) {
+	for _, size := range []int{0, 1, MaxBodySize, MaxBodySize + 1, 2 * MaxBodySize, 3*MaxBodySize + 1} {
+		sent := make(SnapshotChunk, size)
+		for i := range sent {
+			sent[i] = byte(i * i >> 8)
+		}
+		encoded, err := AppendMessageInParts([]byte("before"), sent)
+		if err != nil {
+			t.Fatal(err)
+		}
+		encoded = encoded[len("before"):]
+		for _, length := range []int{0, headerSize - 1, len(encoded) / 2, len(encoded) - 1} {
+			if _, _, err := ReadMessageFrame(encoded[:length]); !errors.Is(err, ErrIncomplete) {
+				t.Errorf("%d of %d bytes: %v, expected ErrIncomplete", length, len(encoded), err)
+			}
+		}
+		frame, read, err := ReadMessageFrame(append(encoded, encode(t, TakenOver{})...))
+		if err != nil || read != len(encoded) || frame.Kind != KindSnapshotChunk || !bytes.Equal(frame.Body, sent) {
+			t.Errorf("%d bytes: %v of %d bytes in %d of %d, %v", size, frame.Kind, len(frame.Body), read, len(encoded), err)
+		}
+		if size <= MaxBodySize && !bytes.Equal(encoded, encode(t, sent)) {
+			t.Errorf("a message of %d bytes, which fits into one frame, is encoded in another form", size)
+		}
+	}
+}
+
+// A message over MaxMessageSize is neither sent nor received.
+func TestMessageSizeIsLimited(t *testing.T) {
+	buffer := []byte("before")
+	var tooLarge *FrameError
+	got, err := AppendMessageInParts(buffer, SnapshotChunk(make([]byte, MaxMessageSize+1)))
+	if !errors.As(err, &tooLarge) || tooLarge.Kind != KindSnapshotChunk || !bytes.Equal(got, buffer) {
+		t.Errorf("%d bytes, %v, expected the unchanged buffer and a FrameError", len(got), err)
+	}
+	var received []byte
+	part := make([]byte, MaxBodySize)
+	for range MaxMessageSize/MaxBodySize + 1 {
+		if received, err = appendFrame(received, KindBodyPart, part); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if _, _, err := ReadMessageFrame(received); !errors.As(err, &tooLarge) {
+		t.Errorf("parts of %d bytes: %v, expected a FrameError", len(received), err)
+	}
+}
--- a/internal/hotrestart/golden_test.go
+++ b/internal/hotrestart/golden_test.go
@@ -32,13 +32,15 @@
 		"end.frame":     TransferEnd{FrameCount: 5},
 		"taken.frame":   TakenOver{},
 
+		"part.frame":          BodyPart{0, 1, 2, 0x80, 0xff},
+		"hello-parts.frame":   Handshake{Version: 1, AcceptsParts: true},
 		"estate-starts.frame": goldenRequestTableWithStarts(),
 		"begin-clocks.frame":  TransferBegin{Clock: goldenTime, Monotonic: 86_400*time.Second + 987_654_321},
 	}
 }
 
 // earlierForms contains the golden files of earlier builds, which lack fields that another file of the same kind has.
-var earlierForms = map[string]bool{"begin.frame": true, "estate.frame": true}
+var earlierForms = map[string]bool{"hello.frame": true, "begin.frame": true, "estate.frame": true}
 
 func goldenRequestTable() RequestTable {
 	endpoint := requests.Endpoint{
@@ -163,7 +165,8 @@
 	if err != nil || size != len(golden) || frame.Kind != want.Kind() {
 		t.Fatalf("%s: %v of %d bytes, %v", name, frame.Kind, size, err)
 	}
-	if _, ok := want.(SnapshotChunk); !ok && !hasFields(want) && len(frame.Body) > 0 {
+	isUnencoded := want.Kind() == KindSnapshotChunk || want.Kind() == KindBodyPart
+	if !isUnencoded && !hasFields(want) && len(frame.Body) > 0 {
 		t.Errorf("%s: unexpected body %q", name, frame.Body)
 	}
 	if got, err := frame.Message(); err != nil || !reflect.DeepEqual(got, want) {
--- a/internal/hotrestart/message.go
+++ b/internal/hotrestart/message.go
@@ -10,7 +10,7 @@
 )
 
 // The other process may run another build: the names in the tags, and the order of the fields, are part of the protocol. Bodies
-// are JSON, except that SnapshotChunk is sent unencoded, and that TakenOver has no body. Builds without clock readings send
+// are JSON, except that SnapshotChunk and BodyPart are sent unencoded, and that TakenOver has no body. Builds without clock readings send
 // TransferBegin without a body, and ignore its body when they receive it.
 
 // Message is the content of one frame. It is implemented by the types of this file.
@@ -22,6 +22,9 @@
 // Handshake is the successor's first message.
 type Handshake struct {
 	Version int `json:"Form"` // ProtocolVersion of the successor
+
+	// AcceptsParts reports that the successor reads messages whose bodies are sent in several frames. Earlier builds do not.
+	AcceptsParts bool `json:"Parts,omitempty"`
 }
 
 // Accept is the predecessor's positive response to a Handshake. The listening socket for clients is passed along with it.
@@ -124,6 +127,9 @@
 // TakenOver is the successor's response to TransferEnd. The successor owns everything from then on.
 type TakenOver struct{}
 
+// BodyPart is a part of the body of the message that follows, before the part in that message's own frame.
+type BodyPart []byte
+
 // Kind implements Message.
 func (Handshake) Kind() FrameKind { return KindHandshake }
 
@@ -166,6 +172,9 @@
 // Kind implements Message.
 func (TakenOver) Kind() FrameKind { return KindTakenOver }
 
+// Kind implements Message.
+func (BodyPart) Kind() FrameKind { return KindBodyPart }
+
 var json = jsoniter.ConfigCompatibleWithStandardLibrary
 
 // AppendMessage appends a frame with the message to buffer. On an error it returns buffer unchanged. A body over MaxBodySize is a
@@ -178,6 +187,26 @@
 	return appendFrame(buffer, message.Kind(), body)
 }
 
+// AppendMessageInParts is AppendMessage for a process that accepts parts: a body over MaxBodySize is sent in BodyPart frames before
+// the message's own frame. A body over MaxMessageSize is a *FrameError.
+func AppendMessageInParts(buffer []byte, message Message) ([]byte, error) {
+	body, err := encodeBody(message)
+	if err != nil {
+		return buffer, fmt.Errorf("encode %v: %w", message.Kind(), err)
+	}
+	if len(body) > MaxMessageSize {
+		return buffer, messageSizeError(message.Kind(), len(body))
+	}
+	complete := buffer
+	for len(body) > MaxBodySize {
+		if complete, err = appendFrame(complete, KindBodyPart, body[:MaxBodySize]); err != nil {
+			return buffer, err
+		}
+		body = body[MaxBodySize:]
+	}
+	return appendFrame(complete, message.Kind(), body)
+}
+
 // encodeBody returns the body of the frame with a message.
 func encodeBody(message Message) ([]byte, error) {
 	switch message := message.(type) {
@@ -190,6 +219,8 @@
 		return json.Marshal(message)
 	case SnapshotChunk:
 		return message, nil
+	case BodyPart:
+		return message, nil
 	default:
 		return json.Marshal(message)
 	}
@@ -211,9 +242,10 @@
 	KindWorkerConnection: decodeJSON[WorkerConnection],
 	KindTransferEnd:      decodeJSON[TransferEnd],
 	KindTakenOver:        func([]byte) (Message, error) { return TakenOver{}, nil },
+	KindBodyPart:         func(body []byte) (Message, error) { return BodyPart(body), nil },
 }
 
-// Message decodes the frame's body. Only a SnapshotChunk references the frame's buffer afterwards.
+// Message decodes the frame's body. Only a SnapshotChunk and a BodyPart reference the frame's buffer afterwards.
 func (f Frame) Message() (Message, error) {
 	if !f.Kind.isValid() {
 		return nil, &FrameError{f.Kind, "unknown kind"}
--- a/internal/hotrestart/transport/channel.go
+++ b/internal/hotrestart/transport/channel.go
@@ -35,6 +35,7 @@
 	roles        *Roles
 	descriptors  []int                   // received descriptors of frames that are not handled yet
 	pendingCalls hotrestart.PendingCalls // cordon calls that were forwarded to the peer
+	sendsParts   bool                    // the peer accepts messages in several frames
 }
 
 // receive reads input and descriptors, at most one read buffer of input. ended reports that nothing more will be received. After
@@ -118,11 +119,11 @@
 	}
 }
 
-// nextMessage decodes the message at an offset of the input. size is the size of its frame. The caller owns the descriptor,
+// nextMessage decodes the message at an offset of the input. size is the size of its frames. The caller owns the descriptor,
 // which is NoDescriptor if the message carries none. The error is hotrestart.ErrIncomplete if the message was not received
 // completely yet.
 func (c *channel) nextMessage(offset int) (message hotrestart.Message, descriptor, size int, err error) {
-	frame, size, err := hotrestart.ReadFrame(c.Input()[offset:])
+	frame, size, err := hotrestart.ReadMessageFrame(c.Input()[offset:])
 	if err != nil {
 		return nil, hotrestart.NoDescriptor, 0, err
 	}
@@ -141,9 +142,17 @@
 	return message, descriptor, size, nil
 }
 
+// encode returns the frames of a message.
+func (c *channel) encode(message hotrestart.Message) ([]byte, error) {
+	if c.sendsParts {
+		return hotrestart.AppendMessageInParts(nil, message)
+	}
+	return hotrestart.AppendMessage(nil, message)
+}
+
 // sendMessage sends a message that carries no descriptor. Bytes that do not fit into the socket's buffer are sent later.
 func (c *channel) sendMessage(message hotrestart.Message) error {
-	encoded, err := hotrestart.AppendMessage(nil, message)
+	encoded, err := c.encode(message)
 	if err != nil {
 		return err
 	}
@@ -153,7 +162,7 @@
 // sendMessageBefore sends a message, with a descriptor unless that is NoDescriptor. It blocks until the socket has accepted the
 // complete message, or the deadline on the loop's clock has passed. It is called only while the process must do nothing else.
 func (c *channel) sendMessageBefore(deadline time.Duration, message hotrestart.Message, descriptor int) error {
-	encoded, err := hotrestart.AppendMessage(nil, message)
+	encoded, err := c.encode(message)
 	if err != nil {
 		return err
 	}
--- a/internal/hotrestart/transport/predecessor.go
+++ b/internal/hotrestart/transport/predecessor.go
@@ -160,6 +160,8 @@
 	case hotrestart.ActionReject:
 		_ = s.sendMessage(hotrestart.Reject{Reason: err.Error()})
 	case hotrestart.ActionAccept:
+		handshake, _ := message.(hotrestart.Handshake)
+		s.sendsParts = handshake.AcceptsParts
 		return s.accept()
 	case hotrestart.ActionApply:
 		s.apply(message)
--- a/internal/hotrestart/transport/successor.go
+++ b/internal/hotrestart/transport/successor.go
@@ -107,7 +107,7 @@
 		return err
 	}
 	// If this fails, the predecessor has closed the connection already, which is an event that ends the session.
-	_ = s.sendMessage(hotrestart.Handshake{Version: hotrestart.ProtocolVersion})
+	_ = s.sendMessage(hotrestart.Handshake{Version: hotrestart.ProtocolVersion, AcceptsParts: true})
 	s.handshakeTimer = loop.StartTimer(handshakeTimeout, s, func() { s.handleDisconnect(errHandshakeTimeout) })
 	return nil
 }
