Transfer that a client connection discards further input

Cause: such a connection discards input and rejects the request that it kept in part, but the transfer left inputOverrun out. The successor, unless the buffered input was still over the limit, read on behind the gap.

Now InputOverrun is transferred, without the part of a request. Builds beside it: the input ends with a mark that is no request, so that a successor of an earlier build rejects and ends; Accept.MarksOverrun tells a successor whether its predecessor writes the field, and from one that does not it rejects a part of a request behind others that wait for their responses.

--- a/internal/client/transfer.go
+++ b/internal/client/transfer.go
@@ -1,12 +1,15 @@
 package client
 
 import (
+	"bytes"
+	"errors"
 	"net/netip"
 
 	"golang.org/x/sys/unix"
 
 	"valvecove/internal/eventloop"
 	"valvecove/internal/hotrestart"
+	"valvecove/internal/http1"
 	"valvecove/internal/requests"
 )
 
@@ -47,7 +50,7 @@
 
 func (c *connection) transferRecord() hotrestart.ClientConnection {
 	record := hotrestart.ClientConnection{
-		Input:             c.Input(),
+		Input:             c.transferredInput(),
 		Output:            c.Output(),
 		LastRequestRead:   !c.isReading(),
 		InputConsumed:     c.inputEnded,
@@ -58,6 +61,7 @@
 		ProxyHeaderDone:   c.proxyHeaderDone,
 		LastActivity:      c.lastActivity,
 		ClientAddress:     c.clientAddress.String(),
+		InputOverrun:      c.inputOverrun,
 	}
 	if c.proxyAddress.IsValid() {
 		record.ProxyAddress = c.proxyAddress.String()
@@ -68,6 +72,48 @@
 	return record
 }
 
+// transferredInput returns the input in the form in which it is transferred. After an overrun it lacks a last request that is not
+// complete, which will be rejected.
+func (c *connection) transferredInput() []byte {
+	if !c.inputOverrun {
+		return c.Input()
+	}
+	complete := completeRequests(c.Input())
+	input := make([]byte, 0, len(complete)+len(hotrestart.InputOverrunMark))
+	input = append(input, complete...)
+	return append(input, hotrestart.InputOverrunMark...)
+}
+
+// completeRequests returns input without a last request that is not complete.
+func completeRequests(input []byte) []byte {
+	var request http1.Request
+	for size := 0; ; {
+		n, err := request.Parse(input[size:])
+		if errors.Is(err, http1.ErrIncomplete) {
+			return input[:size]
+		}
+		if err != nil { // it is rejected for what it is
+			return input
+		}
+		size += n
+	}
+}
+
+// mayLackInput reports whether a connection of an earlier build, which does not set InputOverrun, may have discarded input after the
+// part of a request at the end of its input. That happens only behind requests that wait for their responses. The request is rejected
+// then, which is harmless: nothing of it was sent to a worker.
+func mayLackInput(record hotrestart.ClientConnection) bool {
+	return len(record.ResponseSlots) > 0 && len(completeRequests(record.Input)) < len(record.Input)
+}
+
+// restoredInput returns the input of a connection that was transferred.
+func restoredInput(record hotrestart.ClientConnection) []byte {
+	if !record.InputOverrun {
+		return record.Input
+	}
+	return bytes.TrimSuffix(record.Input, []byte(hotrestart.InputOverrunMark))
+}
+
 func (s *responseSlot) transferRecord() hotrestart.ResponseSlot {
 	record := hotrestart.ResponseSlot{
 		KeepAlive:  s.keepAlive,
@@ -97,10 +143,13 @@
 }
 
 // Restore opens the connections that a predecessor has transferred, and owns their descriptors. A connection that can't be opened
-// is closed, and its open requests have no responder.
-func (l *Listener) Restore(received []hotrestart.ReceivedClientConnection) *RestoredConnections {
+// is closed, and its open requests have no responder. marksOverrun reports that the predecessor's build sets InputOverrun.
+func (l *Listener) Restore(received []hotrestart.ReceivedClientConnection, marksOverrun bool) *RestoredConnections {
 	restored := &RestoredConnections{loop: l.loop}
 	for _, record := range received {
+		if !marksOverrun && mayLackInput(record.ClientConnection) {
+			record.InputOverrun = true
+		}
 		conn, waiting := l.restore(record)
 		restored.connections = append(restored.connections, conn)
 		restored.waiting = append(restored.waiting, waiting...)
@@ -144,6 +193,7 @@
 		continueSent:    received.ContinueSent,
 		proxyHeaderDone: received.ProxyHeaderDone,
 		lastActivity:    received.LastActivity,
+		inputOverrun:    received.InputOverrun,
 	}
 	if received.LastRequestRead {
 		conn.advancePhase(phaseFinishing)
@@ -161,7 +211,7 @@
 		_ = l.loop.Syscalls().Close(received.Descriptor)
 		return conn, nil
 	}
-	conn.SetBuffers(received.Input, received.Output)
+	conn.SetBuffers(restoredInput(received.ClientConnection), received.Output)
 	conn.UpdateEvents()
 	l.connections[conn] = struct{}{}
 	waiting := conn.restoreSlots(received.ResponseSlots)
--- a/internal/hotrestart/frame_test.go
+++ b/internal/hotrestart/frame_test.go
@@ -24,7 +24,7 @@
 	var all []byte
 	for _, message := range []Message{
 		Handshake{Version: ProtocolVersion},
-		Accept{ProtocolVersion, []string{"s-0"}},
+		Accept{Version: ProtocolVersion, CordonedWorkers: []string{"s-0"}},
 		SetCordon{1, "s-0", true},
 		TransferBegin{},
 		SnapshotChunk{0, 1, 2},
--- a/internal/hotrestart/golden_test.go
+++ b/internal/hotrestart/golden_test.go
@@ -32,15 +32,17 @@
 		"end.frame":     TransferEnd{FrameCount: 5},
 		"taken.frame":   TakenOver{},
 
-		"part.frame":          BodyPart{0, 1, 2, 0x80, 0xff},
-		"hello-parts.frame":   Handshake{Version: 1, AcceptsParts: true},
-		"estate-starts.frame": goldenRequestTableWithStarts(),
-		"begin-clocks.frame":  TransferBegin{Clock: goldenTime, Monotonic: 86_400*time.Second + 987_654_321},
+		"client-overrun.frame":   goldenOverrunConnection(),
+		"welcome-overruns.frame": Accept{Version: 1, CordonedWorkers: []string{"s-3", "s-4"}, MarksOverrun: true},
+		"part.frame":             BodyPart{0, 1, 2, 0x80, 0xff},
+		"hello-parts.frame":      Handshake{Version: 1, AcceptsParts: true},
+		"estate-starts.frame":    goldenRequestTableWithStarts(),
+		"begin-clocks.frame":     TransferBegin{Clock: goldenTime, Monotonic: 86_400*time.Second + 987_654_321},
 	}
 }
 
 // earlierForms contains the golden files of earlier builds, which lack fields that another file of the same kind has.
-var earlierForms = map[string]bool{"hello.frame": true, "begin.frame": true, "estate.frame": true}
+var earlierForms = map[string]bool{"hello.frame": true, "begin.frame": true, "estate.frame": true, "client.frame": true, "welcome.frame": true}
 
 func goldenRequestTable() RequestTable {
 	endpoint := requests.Endpoint{
@@ -114,6 +116,13 @@
 	}
 }
 
+// goldenOverrunConnection returns a connection of builds that transfer that input was discarded.
+func goldenOverrunConnection() ClientConnection {
+	connection := goldenClientConnection()
+	connection.InputOverrun = true
+	return connection
+}
+
 func goldenWorkerConnection() WorkerConnection {
 	return WorkerConnection{
 		WorkerID:   "s-0",
--- a/internal/hotrestart/message.go
+++ b/internal/hotrestart/message.go
@@ -31,6 +31,9 @@
 type Accept struct {
 	Version         int      `json:"Form"` // ProtocolVersion of the predecessor
 	CordonedWorkers []string `json:"Out"`  // IDs
+
+	// MarksOverrun reports that the predecessor sets ClientConnection.InputOverrun. Earlier builds do not.
+	MarksOverrun bool `json:"Overruns,omitempty"`
 }
 
 // Reject is the predecessor's negative response to a connection or a Handshake.
@@ -84,8 +87,18 @@
 	LastActivity      time.Duration  `json:"Since"`      // since the Unix epoch
 	ClientAddress     string         `json:"Client"`     // address and port; empty: none
 	ProxyAddress      string         `json:"Via"`        // address and port of the load balancer; empty: none
+
+	// Earlier builds neither write nor read the following field.
+
+	// InputOverrun reports that input after the last complete request in Input was discarded, and that further input must be. Input
+	// ends with InputOverrunMark then.
+	InputOverrun bool `json:"Overrun,omitempty"`
 }
 
+// InputOverrunMark is the end of the input of a connection with InputOverrun. It is not a request: earlier builds, which do not know
+// InputOverrun and would take what the client sends next for the rest of a request, reject it with 400 and read no further.
+const InputOverrunMark = "input discarded\r\n\r\n"
+
 // ResponseSlot is the place of a pipelined request's response in the order of responses on its connection.
 type ResponseSlot struct {
 	RequestID  uint64        `json:"Query"` // 0: no open request
--- a/internal/hotrestart/received.go
+++ b/internal/hotrestart/received.go
@@ -15,7 +15,9 @@
 type ReceivedState struct {
 	// ClockAhead is how far this process's clock is ahead of the predecessor's; see SetClocks. The instants in PolicySnapshot are
 	// on the predecessor's clock; Finish converts all others to this process's clock.
-	ClockAhead        time.Duration
+	ClockAhead time.Duration
+	// MarksOverrun reports that the predecessor's build sets ClientConnection.InputOverrun.
+	MarksOverrun      bool
 	PolicySnapshot    []byte
 	RequestTable      requests.State
 	OpenRequests      []requests.OpenRequest
--- a/internal/hotrestart/transport/predecessor.go
+++ b/internal/hotrestart/transport/predecessor.go
@@ -173,7 +173,11 @@
 func (s *successorConnection) accept() error {
 	config := &s.roles.config
 	s.roles.loop.StopTimer(s.handshakeTimer)
-	accept := hotrestart.Accept{Version: hotrestart.ProtocolVersion, CordonedWorkers: config.Cordoned.Cordoned()}
+	accept := hotrestart.Accept{
+		Version:         hotrestart.ProtocolVersion,
+		CordonedWorkers: config.Cordoned.Cordoned(),
+		MarksOverrun:    true,
+	}
 	if err := s.sendMessageBefore(s.roles.loop.Clock()+transferTimeout, accept, config.Clients.Socket()); err != nil {
 		return err
 	}
--- a/internal/hotrestart/transport/successor.go
+++ b/internal/hotrestart/transport/successor.go
@@ -221,6 +221,7 @@
 func (s *successor) handleAccept(accept hotrestart.Accept, listener int) error {
 	s.roles.loop.StopTimer(s.handshakeTimer)
 	s.discardReceived()
+	s.received.MarksOverrun = accept.MarksOverrun
 	s.roles.closeDescriptor(s.listener) // of an earlier session
 	s.listener = listener
 	s.roles.config.Cordoned.SetCordoned(accept.CordonedWorkers)
--- a/internal/scheduler/hotrestart.go
+++ b/internal/scheduler/hotrestart.go
@@ -92,7 +92,7 @@
 // requests.
 func (t transferState) Restore(received hotrestart.ReceivedState) {
 	scheduler := t.scheduler
-	clients := scheduler.clients.Restore(received.ClientConnections)
+	clients := scheduler.clients.Restore(received.ClientConnections, received.MarksOverrun)
 	scheduler.Requests.TakeOver(scheduler.Now(), received.RequestTable, received.OpenRequests, clients.Responders(),
 		func() requests.Policy { return scheduler.restorePolicy(received.PolicySnapshot, received.ClockAhead) })
 	clients.AttachRequests(scheduler.Requests.Request)
