Transfer when input arrived on a client connection

Now the arrivals are transferred and moved to the successor's clock. Builds without the field neither write nor read it. X-Budget-Ms, the objective and the end of a request are what they would be without the replacement.

Before the fix TestTimeoutCountsFromArrivalAfterHotRestart finds 4 s left where 2 s are, and 4 s where 3 s are.

--- a/internal/client/arrivaltime.go
+++ b/internal/client/arrivaltime.go
@@ -1,6 +1,10 @@
 package client
 
-import "time"
+import (
+	"time"
+
+	"valvecove/internal/hotrestart"
+)
 
 // inputArrivalResolution is the minimum time between two recorded arrivals. It limits their number for a client that sends its
 // input byte by byte.
@@ -46,7 +50,7 @@
 	if arrivedAt := c.InputArrivedAt(); arrivedAt > 0 {
 		return arrivedAt
 	}
-	return c.loop().Now() // the input was read by a predecessor
+	return c.loop().Now() // the input was read by a predecessor of a build that does not transfer when
 }
 
 // Consume drops the first n bytes of the input, and their arrivals.
@@ -62,3 +66,23 @@
 	}
 	c.inputArrivals[0].bytes -= n
 }
+
+// transferredArrivals returns when the first size bytes of the input arrived, in the form in which it is transferred.
+func (c *connection) transferredArrivals(size int) (arrivals []hotrestart.InputArrival) {
+	for _, arrival := range c.inputArrivals {
+		count := min(arrival.bytes, size)
+		if count <= 0 {
+			break
+		}
+		arrivals = append(arrivals, hotrestart.InputArrival{Bytes: count, At: arrival.at})
+		size -= count
+	}
+	return arrivals
+}
+
+// restoreInputArrivals records when the input that a predecessor has read arrived there.
+func (c *connection) restoreInputArrivals(arrivals []hotrestart.InputArrival) {
+	for _, arrival := range arrivals {
+		c.inputArrivals = append(c.inputArrivals, inputArrival{bytes: arrival.Bytes, at: arrival.At})
+	}
+}
--- a/internal/client/transfer.go
+++ b/internal/client/transfer.go
@@ -49,8 +49,11 @@
 }
 
 func (c *connection) transferRecord() hotrestart.ClientConnection {
+	input := c.transferredInput()
 	record := hotrestart.ClientConnection{
-		Input:             c.transferredInput(),
+		Input:             input,
+		InputArrivals:     c.transferredArrivals(len(input)),
+		InputOverrun:      c.inputOverrun,
 		Output:            c.Output(),
 		LastRequestRead:   !c.isReading(),
 		InputConsumed:     c.inputEnded,
@@ -61,7 +64,9 @@
 		ProxyHeaderDone:   c.proxyHeaderDone,
 		LastActivity:      c.lastActivity,
 		ClientAddress:     c.clientAddress.String(),
-		InputOverrun:      c.inputOverrun,
+	}
+	if c.inputOverrun {
+		record.Input = withOverrunMark(input)
 	}
 	if c.proxyAddress.IsValid() {
 		record.ProxyAddress = c.proxyAddress.String()
@@ -72,16 +77,20 @@
 	return record
 }
 
-// transferredInput returns the input in the form in which it is transferred. After an overrun it lacks a last request that is not
-// complete, which will be rejected.
+// transferredInput returns the input that is transferred. After an overrun it lacks a last request that is not complete, which will
+// be rejected.
 func (c *connection) transferredInput() []byte {
-	if !c.inputOverrun {
-		return c.Input()
+	if c.inputOverrun {
+		return completeRequests(c.Input())
 	}
-	complete := completeRequests(c.Input())
-	input := make([]byte, 0, len(complete)+len(hotrestart.InputOverrunMark))
-	input = append(input, complete...)
-	return append(input, hotrestart.InputOverrunMark...)
+	return c.Input()
+}
+
+// withOverrunMark returns a copy of input that ends with the mark of an overrun.
+func withOverrunMark(input []byte) []byte {
+	marked := make([]byte, 0, len(input)+len(hotrestart.InputOverrunMark))
+	marked = append(marked, input...)
+	return append(marked, hotrestart.InputOverrunMark...)
 }
 
 // completeRequests returns input without a last request that is not complete.
@@ -212,6 +221,7 @@
 		return conn, nil
 	}
 	conn.SetBuffers(restoredInput(received.ClientConnection), received.Output)
+	conn.restoreInputArrivals(received.InputArrivals)
 	conn.UpdateEvents()
 	l.connections[conn] = struct{}{}
 	waiting := conn.restoreSlots(received.ResponseSlots)
--- a/internal/client/transfer_test.go
+++ b/internal/client/transfer_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"testing"
+	"time"
 
 	"golang.org/x/sys/unix"
 
@@ -163,3 +164,32 @@
 		t.Errorf("%d requests admitted, expected 1", rejected)
 	}
 }
+
+// The time of a request that a predecessor has read and not handled counts from its arrival there, also after a hot restart. Its
+// client got the answer up to that much after its timeout.
+func TestTimeoutCountsFromArrivalAfterHotRestart(t *testing.T) {
+	f := newFixture(&modeltest.Steps{T: t})
+	f.listen()
+	client := f.connect()
+	f.RunIterations()
+	for n := range maxResponseSlots + 1 {
+		client.Write([]byte(requestOfSize(n, 0)))
+	}
+	f.runUntilIdle()
+	f.Time += time.Second
+	client.Write([]byte(requestOfSize(maxResponseSlots+1, 0)))
+	f.runUntilIdle()
+	f.Time += time.Second
+	successor := f.handOver(true, func(*hotrestart.ClientConnection) {})
+	admittedAt := successor.Time + time.Second
+	successor.Time = admittedAt
+	successor.act(dispatch.Fail{Job: 1}, dispatch.Fail{Job: 2})
+	successor.runUntilIdle()
+	const timeout = 5 * time.Second // ClientTimeout of the class
+	for id, waited := range map[uint64]time.Duration{maxResponseSlots + 1: 3 * time.Second, maxResponseSlots + 2: 2 * time.Second} {
+		request := successor.table.Request(id)
+		if request == nil || request.Deadline-admittedAt != timeout-waited || request.Job.Remaining != timeout-waited {
+			t.Errorf("request %d after %v: %+v, expected %v left", id, waited, request, timeout-waited)
+		}
+	}
+}
--- a/internal/hotrestart/clocks.go
+++ b/internal/hotrestart/clocks.go
@@ -48,7 +48,11 @@
 		r.OpenRequests[i] = r.OpenRequests[i].OnClock(ahead)
 	}
 	for i := range r.ClientConnections {
-		r.ClientConnections[i].LastActivity = requests.ShiftInstant(r.ClientConnections[i].LastActivity, ahead)
+		connection := &r.ClientConnections[i]
+		connection.LastActivity = requests.ShiftInstant(connection.LastActivity, ahead)
+		for j := range connection.InputArrivals {
+			connection.InputArrivals[j].At = requests.ShiftInstant(connection.InputArrivals[j].At, ahead)
+		}
 	}
 	for i := range r.WorkerConnections {
 		r.WorkerConnections[i].IdleSince = requests.ShiftInstant(r.WorkerConnections[i].IdleSince, ahead)
--- a/internal/hotrestart/clocks_test.go
+++ b/internal/hotrestart/clocks_test.go
@@ -46,7 +46,7 @@
 		var received ReceivedState
 		readings := ClockReadings{Clock: goldenTime, Monotonic: time.Hour}
 		received.SetClocks(TransferBegin(readings), ClockReadings{Clock: goldenTime + step, Monotonic: time.Hour})
-		for _, message := range []Message{goldenRequestTable(), goldenOpenRequest(), goldenClientConnection(), goldenWorkerConnection()} {
+		for _, message := range []Message{goldenRequestTable(), goldenOpenRequest(), goldenArrivalsConnection(), goldenWorkerConnection()} {
 			received.Add(message, 3)
 		}
 		received.Add(RequestTable{LastID: 11, PolicyTimer: goldenTime + time.Second}, NoDescriptor)
@@ -64,6 +64,7 @@
 			"first attempt": request.FirstSentAt - sent.FirstSentAt,
 			"attempt":       request.Attempts[0].ExpiresAt - sent.Attempts[0].ExpiresAt,
 			"last activity": finished.ClientConnections[0].LastActivity - goldenClientConnection().LastActivity,
+			"input arrival": finished.ClientConnections[0].InputArrivals[0].At - goldenArrivalsConnection().InputArrivals[0].At,
 			"idle since":    finished.WorkerConnections[0].IdleSince - goldenWorkerConnection().IdleSince,
 		} {
 			if moved != step {
--- a/internal/hotrestart/golden_test.go
+++ b/internal/hotrestart/golden_test.go
@@ -33,6 +33,7 @@
 		"taken.frame":   TakenOver{},
 
 		"client-overrun.frame":   goldenOverrunConnection(),
+		"client-arrivals.frame":  goldenArrivalsConnection(),
 		"welcome-overruns.frame": Accept{Version: 1, CordonedWorkers: []string{"s-3", "s-4"}, MarksOverrun: true},
 		"part.frame":             BodyPart{0, 1, 2, 0x80, 0xff},
 		"hello-parts.frame":      Handshake{Version: 1, AcceptsParts: true},
@@ -42,7 +43,10 @@
 }
 
 // earlierForms contains the golden files of earlier builds, which lack fields that another file of the same kind has.
-var earlierForms = map[string]bool{"hello.frame": true, "begin.frame": true, "estate.frame": true, "client.frame": true, "welcome.frame": true}
+var earlierForms = map[string]bool{
+	"hello.frame": true, "welcome.frame": true, "begin.frame": true, "estate.frame": true, "client.frame": true,
+	"client-overrun.frame": true,
+}
 
 func goldenRequestTable() RequestTable {
 	endpoint := requests.Endpoint{
@@ -123,6 +127,13 @@
 	return connection
 }
 
+// goldenArrivalsConnection returns a connection of builds that transfer when input arrived.
+func goldenArrivalsConnection() ClientConnection {
+	connection := goldenOverrunConnection()
+	connection.InputArrivals = []InputArrival{{Bytes: 6, At: goldenTime - time.Second}}
+	return connection
+}
+
 func goldenWorkerConnection() WorkerConnection {
 	return WorkerConnection{
 		WorkerID:   "s-0",
--- a/internal/hotrestart/message.go
+++ b/internal/hotrestart/message.go
@@ -88,11 +88,20 @@
 	ClientAddress     string         `json:"Client"`     // address and port; empty: none
 	ProxyAddress      string         `json:"Via"`        // address and port of the load balancer; empty: none
 
-	// Earlier builds neither write nor read the following field.
+	// Earlier builds neither write nor read the following fields.
 
 	// InputOverrun reports that input after the last complete request in Input was discarded, and that further input must be. Input
 	// ends with InputOverrunMark then.
 	InputOverrun bool `json:"Overrun,omitempty"`
+
+	// InputArrivals are when the bytes of Input arrived, in their order.
+	InputArrivals []InputArrival `json:"Arrivals,omitempty"`
+}
+
+// InputArrival is when a number of bytes of a connection's input arrived.
+type InputArrival struct {
+	Bytes int           `json:"Bytes"`
+	At    time.Duration `json:"At"` // since the Unix epoch
 }
 
 // InputOverrunMark is the end of the input of a connection with InputOverrun. It is not a request: earlier builds, which do not know
