Record resumed jobs in the capture

Requests were not harmed.

Cause: with an aperture a successor gives its dispatcher the open requests as JobResumed events, for which the capture had no line; nor had it any for ResponseStarted, ReplicasChanged and ModelUpdate.

All types of events are recorded now, in a golden file of their own, and the estimate for the key of a resumed job too, as for a new one. A test takes the types from the source of dispatch.

With it the capture of a taken over table replays without a difference.

--- a/internal/capture/golden_test.go
+++ b/internal/capture/golden_test.go
@@ -23,9 +23,11 @@
 	goldenPeers   = "capture-peers-1.jsonl" // the lines of goldenPeerLines, which are not a complete capture
 
 	goldenDecisions = "capture-2.jsonl" // by the present decisions of the dispatcher
+	// goldenRareEvents has the lines of TestGoldenRareEvents, which are not a complete capture.
+	goldenRareEvents = "capture-events-1.jsonl"
 )
 
-var goldenFiles = []string{goldenCapture, goldenPanic, goldenPeers, goldenDecisions}
+var goldenFiles = []string{goldenCapture, goldenPanic, goldenPeers, goldenDecisions, goldenRareEvents}
 
 func goldenLines(t *testing.T) (lines []Line) {
 	t.Helper()
--- a/internal/capture/line.go
+++ b/internal/capture/line.go
@@ -46,6 +46,9 @@
 	Workers          []listedWorker    `json:"workers,omitempty"`
 	Peer             int               `json:"peer,omitempty"`    // the scheduler that a message is from or to
 	Message          *peerMessage      `json:"message,omitempty"` // between schedulers
+	ResumedJob       *resumedJob       `json:"resumed,omitempty"`
+	Replicas         *replicas         `json:"replicas,omitempty"`
+	ModelUpdate      *modelUpdate      `json:"model,omitempty"`
 
 	// The first line of a segment.
 	Reason           string              `json:"why,omitempty"`
@@ -82,26 +85,30 @@
 
 // Kinds of lines of a step: events and actions.
 const (
-	inputJob           = "job"
-	inputOutcome       = "outcome"
-	inputStarted       = "started"
-	inputProgress      = "progress"
-	inputDisconnected  = "gone"
-	inputWorkerList    = "hosts"
-	inputHealthChecked = "probed"
-	inputTimer         = "timer"
-	inputCordoned      = "taken out"
-	inputUncordoned    = "brought back"
-	inputPeerMessage   = "message received"
-	outputSend         = "send"
-	outputReject       = "refuse"
-	outputFail         = "fail"
-	outputCancel       = "cancel"
-	outputHealthCheck  = "probe"
-	outputCloseIdle    = "free"
-	outputSubscribe    = "watch"
-	outputPeerMessage  = "message sent"
-	outputPanic        = "panic"
+	inputJob             = "job"
+	inputOutcome         = "outcome"
+	inputStarted         = "started"
+	inputProgress        = "progress"
+	inputDisconnected    = "gone"
+	inputWorkerList      = "hosts"
+	inputHealthChecked   = "probed"
+	inputTimer           = "timer"
+	inputCordoned        = "taken out"
+	inputUncordoned      = "brought back"
+	inputPeerMessage     = "message received"
+	inputJobResumed      = "job resumed"
+	inputResponseStarted = "response started"
+	inputReplicasChanged = "replicas changed"
+	inputModelUpdate     = "model update"
+	outputSend           = "send"
+	outputReject         = "refuse"
+	outputFail           = "fail"
+	outputCancel         = "cancel"
+	outputHealthCheck    = "probe"
+	outputCloseIdle      = "free"
+	outputSubscribe      = "watch"
+	outputPeerMessage    = "message sent"
+	outputPanic          = "panic"
 )
 
 // Reasons for starting a segment.
@@ -117,8 +124,8 @@
 var stepKinds = map[string]bool{
 	inputJob: true, inputOutcome: true, inputStarted: true, inputProgress: true, inputDisconnected: true,
 	inputWorkerList: true, inputHealthChecked: true, inputTimer: true, inputCordoned: true, inputUncordoned: true,
-	inputPeerMessage: true,
-	outputSend:       true, outputReject: true, outputFail: true, outputCancel: true, outputHealthCheck: true,
+	inputPeerMessage: true, inputJobResumed: true, inputResponseStarted: true, inputReplicasChanged: true, inputModelUpdate: true,
+	outputSend: true, outputReject: true, outputFail: true, outputCancel: true, outputHealthCheck: true,
 	outputCloseIdle: true, outputSubscribe: true, outputPeerMessage: true, outputPanic: true,
 }
 
--- a/internal/capture/reader.go
+++ b/internal/capture/reader.go
@@ -160,8 +160,28 @@
 var (
 	errNoJob     = errors.New(`"arrived" is missing in the line of a job`)
 	errNoMessage = errors.New(`"message" is missing in the line of a message between schedulers`)
+	errNoResumed = errors.New(`"arrived" or "resumed" is missing in the line of a resumed job`)
+	errNoChange  = errors.New(`"replicas" is missing in the line of a change of the replicas`)
+	errNoModel   = errors.New(`"model" is missing in the line of a model update`)
 )
 
+// checkFields returns an error if a line of a step lacks the field that its kind requires.
+func checkFields(line Line) error {
+	switch {
+	case line.Input == inputJob && line.ArrivedJob == nil:
+		return errNoJob
+	case (line.Input == inputPeerMessage || line.Output == outputPeerMessage) && line.Message.message() == nil:
+		return errNoMessage
+	case line.Input == inputJobResumed && (line.ArrivedJob == nil || line.ResumedJob == nil):
+		return errNoResumed
+	case line.Input == inputReplicasChanged && line.Replicas == nil:
+		return errNoChange
+	case line.Input == inputModelUpdate && line.ModelUpdate == nil:
+		return errNoModel
+	}
+	return nil
+}
+
 // addStepLine adds a line to the current step, and replays the step if it is complete.
 func (r *reader) addStepLine(line Line) error {
 	if r.hasSegment {
@@ -169,11 +189,8 @@
 			return err
 		}
 	}
-	if line.Input == inputJob && line.ArrivedJob == nil {
-		return errNoJob
-	}
-	if (line.Input == inputPeerMessage || line.Output == outputPeerMessage) && line.Message.message() == nil {
-		return errNoMessage
+	if err := checkFields(line); err != nil {
+		return err
 	}
 	if r.hasSegment {
 		r.player.names.addListed(line.Workers)
--- a/internal/capture/step.go
+++ b/internal/capture/step.go
@@ -1,7 +1,6 @@
 package capture
 
 import (
-	"fmt"
 	"time"
 
 	"valvecove/dispatch"
@@ -36,7 +35,7 @@
 	r.openSegmentIfDue(now)
 	r.keyWork = r.keyWork[:0]
 	for _, event := range events {
-		job, ok := event.(dispatch.Job)
+		job, ok := arrivedJob(event)
 		if !ok {
 			continue
 		}
@@ -79,7 +78,7 @@
 	keyWork := r.keyWork
 	for _, event := range events {
 		line := r.eventLine(event)
-		if line.Input == inputJob {
+		if _, ok := arrivedJob(event); ok {
 			line.KeyWork = keyWork[0]
 			keyWork = keyWork[1:]
 		}
@@ -121,7 +120,7 @@
 	case dispatch.WorkerList:
 		return r.workerListLine(event)
 	}
-	panic(fmt.Sprintf("unknown type of event: %T", event))
+	return r.rareEventLine(event)
 }
 
 // workerListLine returns the line of an endpoint list.
@@ -190,6 +189,8 @@
 			list.Workers = append(list.Workers, worker.Worker)
 		}
 		return list
+	case inputTimer:
+		return dispatch.TimerFired{}
 	}
-	return dispatch.TimerFired{}
+	return l.rareEvent()
 }
