End health checks in progress before a hot restart

After a hot restart a worker that was being checked at that moment was never checked again by that scheduler. Nobody had reported it: found by comparing state with what is transferred.

Before the fix TestHealthCheckEndsBeforeTransfer finds no result for the policy and the connection still open.

--- a/internal/scheduler/hotrestart.go
+++ b/internal/scheduler/hotrestart.go
@@ -58,6 +58,7 @@
 func (t transferState) Settle() bool {
 	t.scheduler.Requests.AwaitEndpoints(0) // requests that wait for endpoints are transferred too
 	t.scheduler.workers.EndWaitingDials()
+	t.scheduler.workers.EndHealthChecks()
 	return t.scheduler.Requests.FlushEvents(t.scheduler.Now()) && !t.scheduler.workers.HasWaitingDials()
 }
 
--- a/internal/scheduler/hotrestart_test.go
+++ b/internal/scheduler/hotrestart_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"net/netip"
+	"reflect"
 	"slices"
 	"strings"
 	"testing"
@@ -319,6 +320,30 @@
 	}
 }
 
+// A health check in progress at a hot restart ends without evidence about its worker. The successor's policy took it for being in
+// progress until the process ended, and the worker was not checked again.
+func TestHealthCheckEndsBeforeTransfer(t *testing.T) {
+	dir := t.TempDir()
+	predecessor, address := newPredecessorHarness(&modeltest.Steps{T: t}, dir)
+	worker := predecessor.workerNumber()
+	predecessor.policy.Next = []dispatch.Action{dispatch.HealthCheck{Worker: worker}}
+	predecessor.scheduler.Requests.Wake()
+	predecessor.runIterations()
+	successor := predecessor.startSuccessor(dir, address)
+	if err := predecessor.handOverTo(successor); err != nil {
+		t.Fatal(err)
+	}
+	want := dispatch.HealthChecked{Worker: worker, Result: dispatch.NotSent}
+	isEnded := slices.ContainsFunc(predecessor.policy.Received, func(event dispatch.Event) bool { return reflect.DeepEqual(event, want) })
+	if !isEnded {
+		t.Errorf("the policy received %+v before the transfer, expected %+v", predecessor.policy.Received, want)
+	}
+	check := predecessor.dialed[len(predecessor.dialed)-1]
+	if check.Read(1 << 16); !check.Ended {
+		t.Error("the connection of the health check is still open")
+	}
+}
+
 // clockSteps are changes of the wall clock between the starts of two processes.
 var clockSteps = []time.Duration{-time.Hour, -3 * time.Second, 0, 3 * time.Second, time.Hour}
 
--- a/internal/worker/exchange.go
+++ b/internal/worker/exchange.go
@@ -48,8 +48,12 @@
 	c.exchange.startedAt = c.pool.loop.Now()
 	c.lastKind = next.kind
 	c.stage = requests.StageNotConnected
-	if next.kind == exchangeAttempt {
+	switch next.kind {
+	case exchangeAttempt:
 		c.pool.byAttempt[next.attempt] = c
+	case exchangeHealthCheck:
+		c.pool.healthChecks[c] = struct{}{}
+	case exchangeCancel, exchangeNone:
 	}
 }
 
@@ -173,9 +177,16 @@
 		delete(c.pool.byAttempt, finished.attempt)
 		c.pool.table.EndAttempt(finished.attempt, nil, failure)
 	case exchangeHealthCheck:
+		delete(c.pool.healthChecks, c)
 		c.pool.table.HealthChecked(c.endpoint.worker, failure)
 	case exchangeCancel:
 		c.pool.handleCancelResult(finished.attempt, failure)
 	case exchangeNone:
 	}
 }
+
+// endHealthCheck ends a health check in progress as one that was not sent, and closes the connection.
+func (c *connection) endHealthCheck() {
+	c.finishExchange(&requests.AttemptError{Stage: c.stage, Reason: requests.ReasonNotSent})
+	c.terminate(nil)
+}
--- a/internal/worker/pool.go
+++ b/internal/worker/pool.go
@@ -44,6 +44,7 @@
 
 	endpoints      map[uint64]*endpointConnections   // by worker number
 	byAttempt      map[*requests.Attempt]*connection // of the attempts that no worker has accepted yet
+	healthChecks   map[*connection]struct{}          // connections that carry a health check
 	cancelAttempts map[*requests.Attempt]int         // connections used so far to cancel an attempt, while it is being cancelled
 
 	idle                      list.List     // idle connections to all workers, the longest idle first
@@ -66,6 +67,7 @@
 		idleTimeout:     config.WorkerIdleTimeout * 3 / 4, // shorter: a request that is sent while the worker closes is lost
 		endpoints:       map[uint64]*endpointConnections{},
 		byAttempt:       map[*requests.Attempt]*connection{},
+		healthChecks:    map[*connection]struct{}{},
 		cancelAttempts:  map[*requests.Attempt]int{},
 	}
 	pool.closeExpired()
@@ -106,6 +108,14 @@
 	p.startExchange(worker, exchange{kind: exchangeHealthCheck})
 }
 
+// EndHealthChecks ends the health checks in progress, without evidence about their workers. Their connections are not transferred to a
+// successor, whose policy would wait for results that never come.
+func (p *Pool) EndHealthChecks() {
+	for conn := range p.healthChecks {
+		conn.endHealthCheck()
+	}
+}
+
 // CloseIdleConnections closes the idle connections to a worker.
 func (p *Pool) CloseIdleConnections(worker uint64) {
 	if endpoint := p.endpoints[worker]; endpoint != nil {
