Transfer until when a request may be written to a worker

A worker that takes no bytes during a hot restart could be given more time than its client had left: found by comparing state with what is transferred, not reported.

Cause: the time budget of an attempt allows for its write until writeDeadline, which the transfer left out.

Now the deadline is transferred and moved to the successor's clock. Builds without the field behave as before.

Before the fix TestWriteDeadlineIsKeptAfterHotRestart fails: the request is completed after the predecessor's deadline.

--- a/internal/hotrestart/clocks.go
+++ b/internal/hotrestart/clocks.go
@@ -55,6 +55,8 @@
 		}
 	}
 	for i := range r.WorkerConnections {
-		r.WorkerConnections[i].IdleSince = requests.ShiftInstant(r.WorkerConnections[i].IdleSince, ahead)
+		connection := &r.WorkerConnections[i]
+		connection.IdleSince = requests.ShiftInstant(connection.IdleSince, ahead)
+		connection.WriteDeadline = requests.ShiftInstant(connection.WriteDeadline, ahead)
 	}
 }
--- a/internal/hotrestart/clocks_test.go
+++ b/internal/hotrestart/clocks_test.go
@@ -46,7 +46,7 @@
 		var received ReceivedState
 		readings := ClockReadings{Clock: goldenTime, Monotonic: time.Hour}
 		received.SetClocks(TransferBegin(readings), ClockReadings{Clock: goldenTime + step, Monotonic: time.Hour})
-		for _, message := range []Message{goldenRequestTable(), goldenOpenRequest(), goldenArrivalsConnection(), goldenWorkerConnection()} {
+		for _, message := range []Message{goldenRequestTable(), goldenOpenRequest(), goldenArrivalsConnection(), goldenPartlyWritten()} {
 			received.Add(message, 3)
 		}
 		received.Add(RequestTable{LastID: 11, PolicyTimer: goldenTime + time.Second}, NoDescriptor)
@@ -58,14 +58,15 @@
 		sent := goldenOpenRequest()
 		request, notSent := finished.OpenRequests[0], finished.OpenRequests[1]
 		for what, moved := range map[string]time.Duration{
-			"policy timer":  finished.RequestTable.PolicyTimer - (goldenTime + time.Second),
-			"deadline":      request.Deadline - sent.Deadline,
-			"arrival":       request.ArrivedAt - sent.ArrivedAt,
-			"first attempt": request.FirstSentAt - sent.FirstSentAt,
-			"attempt":       request.Attempts[0].ExpiresAt - sent.Attempts[0].ExpiresAt,
-			"last activity": finished.ClientConnections[0].LastActivity - goldenClientConnection().LastActivity,
-			"input arrival": finished.ClientConnections[0].InputArrivals[0].At - goldenArrivalsConnection().InputArrivals[0].At,
-			"idle since":    finished.WorkerConnections[0].IdleSince - goldenWorkerConnection().IdleSince,
+			"policy timer":   finished.RequestTable.PolicyTimer - (goldenTime + time.Second),
+			"deadline":       request.Deadline - sent.Deadline,
+			"arrival":        request.ArrivedAt - sent.ArrivedAt,
+			"first attempt":  request.FirstSentAt - sent.FirstSentAt,
+			"attempt":        request.Attempts[0].ExpiresAt - sent.Attempts[0].ExpiresAt,
+			"last activity":  finished.ClientConnections[0].LastActivity - goldenClientConnection().LastActivity,
+			"input arrival":  finished.ClientConnections[0].InputArrivals[0].At - goldenArrivalsConnection().InputArrivals[0].At,
+			"write deadline": finished.WorkerConnections[0].WriteDeadline - goldenPartlyWritten().WriteDeadline,
+			"idle since":     finished.WorkerConnections[0].IdleSince - goldenWorkerConnection().IdleSince,
 		} {
 			if moved != step {
 				t.Errorf("stepped by %v: %s moved by %v", step, what, moved)
--- a/internal/hotrestart/golden_test.go
+++ b/internal/hotrestart/golden_test.go
@@ -34,6 +34,7 @@
 
 		"client-overrun.frame":   goldenOverrunConnection(),
 		"client-arrivals.frame":  goldenArrivalsConnection(),
+		"server-write.frame":     goldenPartlyWritten(),
 		"welcome-overruns.frame": Accept{Version: 1, CordonedWorkers: []string{"s-3", "s-4"}, MarksOverrun: true},
 		"part.frame":             BodyPart{0, 1, 2, 0x80, 0xff},
 		"hello-parts.frame":      Handshake{Version: 1, AcceptsParts: true},
@@ -45,7 +46,7 @@
 // earlierForms contains the golden files of earlier builds, which lack fields that another file of the same kind has.
 var earlierForms = map[string]bool{
 	"hello.frame": true, "welcome.frame": true, "begin.frame": true, "estate.frame": true, "client.frame": true,
-	"client-overrun.frame": true,
+	"client-overrun.frame": true, "server.frame": true,
 }
 
 func goldenRequestTable() RequestTable {
@@ -148,6 +149,13 @@
 	}
 }
 
+// goldenPartlyWritten returns a connection of builds that transfer until when a request may be written.
+func goldenPartlyWritten() WorkerConnection {
+	connection := goldenWorkerConnection()
+	connection.WriteDeadline = goldenTime + 50*time.Millisecond
+	return connection
+}
+
 // hasFields reports whether the body of a message is encoded by reflection.
 func hasFields(message Message) bool {
 	return reflect.TypeOf(message).Kind() == reflect.Struct && reflect.TypeOf(message).NumField() > 0
--- a/internal/hotrestart/message.go
+++ b/internal/hotrestart/message.go
@@ -139,6 +139,9 @@
 	Output     []byte                `json:"Out"`    // not written yet
 	IdleBefore time.Duration         `json:"Rested"` // idle time of the connection before the attempt; 0: it is new
 	IdleSince  time.Duration         `json:"IdleAt"` // since the Unix epoch
+
+	// WriteDeadline is until when the rest of a request may be written; 0: not known. Earlier builds neither write nor read it.
+	WriteDeadline time.Duration `json:"WriteBy,omitempty"` // since the Unix epoch
 }
 
 // TransferEnd ends the transfer.
--- a/internal/worker/transfer.go
+++ b/internal/worker/transfer.go
@@ -65,6 +65,9 @@
 		IdleBefore: c.idleBefore,
 		IdleSince:  c.idleSince,
 	}
+	if c.state == stateAwaitingResponse && c.stage < requests.StageWritten {
+		snapshot.WriteDeadline = c.writeDeadline
+	}
 	if attempt := c.exchange.attempt; c.exchange.kind == exchangeAttempt && attempt != nil {
 		snapshot.RequestID = attempt.Request.ID
 		snapshot.Attempt = attempt.Number
@@ -118,6 +121,8 @@
 		stage:       received.Stage,
 		idleBefore:  received.IdleBefore,
 		idleSince:   received.IdleSince,
+
+		writeDeadline: received.WriteDeadline,
 	}
 	if err := conn.openTransferred(received.Descriptor); err != nil {
 		_ = p.loop.Syscalls().Close(received.Descriptor)
@@ -159,9 +164,12 @@
 	case c.state == stateConnecting:
 		c.setTimeout(c.pool.connectTimeout)
 		return
-	case c.stage < requests.StageWritten: // the deadline for the rest of the request is not transferred
-		c.writeDeadline = loop.Clock() + smallWriteTimeout
-		c.setTimeout(smallWriteTimeout)
+	case c.stage < requests.StageWritten:
+		now := loop.Clock()
+		if c.writeDeadline == 0 { // the predecessor's build does not transfer it
+			c.writeDeadline = now + smallWriteTimeout
+		}
+		c.setTimeout(max(0, c.writeDeadline-now))
 	default:
 		c.setTimeout(attempt.At - loop.Now() + responseGrace)
 	}
--- a/internal/worker/transfer_test.go
+++ b/internal/worker/transfer_test.go
@@ -9,6 +9,8 @@
 
 	"valvecove/dispatch"
 	"valvecove/internal/hotrestart"
+	"valvecove/internal/http1"
+	"valvecove/internal/requests"
 )
 
 // newPredecessorWithIdle returns a predecessor with an idle connection, and the remote end of the connection.
@@ -54,6 +56,41 @@
 	}
 }
 
+// The rest of a request is written after a hot restart only until the predecessor's deadline, by which its time budget was computed.
+// A worker was given more time than its client had left.
+func TestWriteDeadlineIsKeptAfterHotRestart(t *testing.T) {
+	const sincePredecessorWrote = 249 * time.Millisecond // the predecessor's deadline is 1 ms later
+	for _, isLate := range []bool{false, true} {
+		predecessor := newFixture(t)
+		request := predecessor.sendAttempt(http1.MaxBodySize)
+		remote := predecessor.dialed[0]
+		state, open := predecessor.table.Snapshot()
+		snapshot := predecessor.pool.Snapshot()[0]
+		descriptor, err := unix.Dup(snapshot.Descriptor)
+		if err != nil {
+			t.Fatal(err)
+		}
+		predecessor.pool.Relinquish()
+		successor := newFixture(t)
+		successor.now += sincePredecessorWrote
+		if isLate {
+			successor.now += 2 * time.Millisecond
+		}
+		successor.runIterations()
+		successor.table.TakeOver(successor.now, state, open, nil, func() requests.Policy { return successor.policy })
+		successor.pool.Restore(hotrestart.ReceivedWorkerConnection{WorkerConnection: snapshot.WorkerConnection, Descriptor: descriptor})
+		for range 64 {
+			successor.runIterations()
+			remote.Read(1 << 20)
+		}
+		var received http1.Request
+		_, err = received.Parse(remote.Received)
+		if isWhole := err == nil; isWhole == isLate || remote.Ended != isLate {
+			t.Errorf("late %v: request %d is whole %v, connection ended %v", isLate, request.ID, isWhole, remote.Ended)
+		}
+	}
+}
+
 // An idle connection survives a hot restart, and the successor reuses it.
 func TestRestoredIdleConnectionIsReused(t *testing.T) {
 	remote, received := transferIdle(t)
