Transfer that an attempt is being cancelled because it expired

After a hot restart an expired attempt whose worker had not confirmed its cancellation ended as cancelled, not as timed out.

Cause: the reason of a cancellation was not transferred.

Now OpenAttempt.Expired is. Before the fix TestTakeOverKeepsReasonOfCancellation gets "cancelled" (6).

--- a/internal/hotrestart/golden_test.go
+++ b/internal/hotrestart/golden_test.go
@@ -35,6 +35,7 @@
 		"client-overrun.frame":   goldenOverrunConnection(),
 		"client-arrivals.frame":  goldenArrivalsConnection(),
 		"server-write.frame":     goldenPartlyWritten(),
+		"query-expired.frame":    goldenExpiredAttempt(),
 		"welcome-overruns.frame": Accept{Version: 1, CordonedWorkers: []string{"s-3", "s-4"}, MarksOverrun: true},
 		"part.frame":             BodyPart{0, 1, 2, 0x80, 0xff},
 		"hello-parts.frame":      Handshake{Version: 1, AcceptsParts: true},
@@ -46,7 +47,7 @@
 // earlierForms contains the golden files of earlier builds, which lack fields that another file of the same kind has.
 var earlierForms = map[string]bool{
 	"hello.frame": true, "welcome.frame": true, "begin.frame": true, "estate.frame": true, "client.frame": true,
-	"client-overrun.frame": true, "server.frame": true,
+	"client-overrun.frame": true, "server.frame": true, "query.frame": true,
 }
 
 func goldenRequestTable() RequestTable {
@@ -100,6 +101,13 @@
 	}
 }
 
+// goldenExpiredAttempt returns a request of builds that transfer why an attempt is being cancelled.
+func goldenExpiredAttempt() OpenRequest {
+	request := goldenOpenRequest()
+	request.Attempts[0].Expired = true
+	return request
+}
+
 func goldenClientConnection() ClientConnection {
 	slot := ResponseSlot{
 		RequestID: 7, KeepAlive: true, Complete: true, Status: 503, Body: []byte("busy\n"), RetryAfter: 2 * time.Second,
--- a/internal/requests/cancel_test.go
+++ b/internal/requests/cancel_test.go
@@ -118,3 +118,15 @@
 		t.Errorf("results %v, expected one cancelled attempt", got)
 	}
 }
+
+// An attempt that is being cancelled because it has expired ends as timed out after a hot restart too, and not as cancelled.
+func TestTakeOverKeepsReasonOfCancellation(t *testing.T) {
+	f := newAttemptFixture(t, time.Millisecond)
+	f.step(2 * time.Millisecond)
+	f.takeOver(t)
+	f.transport.completeCancel(f.table, true)
+	f.step(3 * time.Millisecond)
+	if got := f.results(); !slices.Equal(got, []dispatch.Result{dispatch.TimedOut}) {
+		t.Errorf("results %v, expected one attempt that has timed out", got)
+	}
+}
--- a/internal/requests/snapshot.go
+++ b/internal/requests/snapshot.go
@@ -60,6 +60,9 @@
 	Ended      bool            `json:"Ended"`
 	Cancelling bool            `json:"Withdrawing"` // its worker has not confirmed yet
 	Result     dispatch.Result `json:"Outcome"`     // if it has ended
+
+	// Expired is set if it is being cancelled because it expired. Earlier builds neither write nor read it.
+	Expired bool `json:"Expired,omitempty"`
 }
 
 // Snapshot returns the state that another process restores by TakeOver, and the requests in order of admission. FlushEvents must
@@ -112,6 +115,7 @@
 		Ended:      a.HasEnded(),
 		Cancelling: a.state == attemptCancelling,
 		Result:     a.result,
+		Expired:    a.state == attemptCancelling && a.cancelReason == ReasonTimeout,
 	}
 }
 
@@ -128,6 +132,14 @@
 	return requestResponded
 }
 
+// cancelReason returns why the attempt is being cancelled, if it is.
+func (o *OpenAttempt) cancelReason() Reason {
+	if o.Expired {
+		return ReasonTimeout
+	}
+	return ReasonCancelled
+}
+
 // state returns the state of the attempt that is encoded by the booleans.
 func (o *OpenAttempt) state() attemptState {
 	switch {
--- a/internal/requests/takeover.go
+++ b/internal/requests/takeover.go
@@ -82,7 +82,7 @@
 		Stage:        open.Stage,
 		state:        open.state(),
 		result:       open.Result,
-		cancelReason: ReasonCancelled,
+		cancelReason: open.cancelReason(),
 	}
 	attempt.At = open.ExpiresAt
 	attempt.ambiguousCallbacks = request.hasAmbiguousCallbacks(attempt)
