--- a/internal/client/fixture_test.go
+++ b/internal/client/fixture_test.go
@@ -188,8 +188,8 @@
 }
 
 // statuses returns the status codes of the responses that a peer has received, without interim ones.
-func statuses(t *testing.T, peer *eventlooptest.Peer) (statuses []int) {
-	t.Helper()
+func statuses(tb testing.TB, peer *eventlooptest.Peer) (statuses []int) {
+	tb.Helper()
 	peer.Read(1 << 20)
 	unread := peer.Received
 	for len(unread) > 0 {
@@ -200,7 +200,7 @@
 		var response http1.Response
 		size, err := response.Parse(unread, peer.Ended)
 		if err != nil {
-			t.Fatalf("%q: %v", unread, err)
+			tb.Fatalf("%q: %v", unread, err)
 		}
 		statuses = append(statuses, response.StatusCode)
 		unread = unread[size:]
--- a/internal/modeltest/modeltest.go
+++ b/internal/modeltest/modeltest.go
@@ -20,7 +20,7 @@
 
 // Steps makes the random choices of one run, until the bytes of the run are used up.
 type Steps struct {
-	T         *testing.T
+	T         testing.TB
 	remaining []byte
 	history   []string
 }
--- a/internal/scheduler/generated_settings_test.go
+++ b/internal/scheduler/generated_settings_test.go
@@ -108,7 +108,7 @@
 }
 
 // errorLogHandler fails a test on a log line of the level ERROR.
-type errorLogHandler struct{ *testing.T }
+type errorLogHandler struct{ testing.TB }
 
 func (l errorLogHandler) Enabled(_ context.Context, level slog.Level) bool {
 	return level >= slog.LevelError
--- a/internal/testbed/simulation/worker_conns_test.go
+++ b/internal/testbed/simulation/worker_conns_test.go
@@ -53,8 +53,8 @@
 
 const harnessWorkers = 3
 
-func newHarness(t *testing.T, change func(*scenario.Scenario)) *harness {
-	t.Helper()
+func newHarness(tb testing.TB, change func(*scenario.Scenario)) *harness {
+	tb.Helper()
 	spec := scenario.Default()
 	spec.Fleet.Workers = harnessWorkers
 	if change != nil {
@@ -66,7 +66,7 @@
 		return b.script
 	}}, nil)
 	if err != nil {
-		t.Fatal(err)
+		tb.Fatal(err)
 	}
 	return b
 }
