Write the rest of a request for 50 ms at most after a hot restart, as before

The successor writes until the earlier of the two: the predecessor's deadline, and 50 ms after the take-over.

--- a/internal/worker/request.go
+++ b/internal/worker/request.go
@@ -16,7 +16,7 @@
 	maxSingleWrite = 4 << 10
 	// smallWriteTimeout limits the write of a payload of up to maxSingleWrite, which may wait for space in its socket's buffer.
 	// It also limits the write of a large payload whose connection has used up the connect timeout, and of the rest of a request that
-	// a predecessor of an earlier build had begun to write. The deduplication window, within which a retry must reach its worker, allows
+	// a predecessor had begun to write. The deduplication window, within which a retry must reach its worker, allows
 	// for this time.
 	smallWriteTimeout = 50 * time.Millisecond
 	// budgetMargin is subtracted from the time budget of an attempt, for the network latency from the client and to the worker.
--- a/internal/worker/transfer.go
+++ b/internal/worker/transfer.go
@@ -166,9 +166,11 @@
 		return
 	case c.stage < requests.StageWritten:
 		now := loop.Clock()
+		latest := now + smallWriteTimeout
 		if c.writeDeadline == 0 { // the predecessor's build does not transfer it
-			c.writeDeadline = now + smallWriteTimeout
+			c.writeDeadline = latest
 		}
+		c.writeDeadline = min(c.writeDeadline, latest)
 		c.setTimeout(max(0, c.writeDeadline-now))
 	default:
 		c.setTimeout(attempt.At - loop.Now() + responseGrace)
