Reserve memory for the results of pipelined requests before handling them

Cause: buffers were limited, and neither complete responses in their slots nor what open requests would bring there.

Now a request behind another one of its connection is handled only while the largest result is within a sixth of the memory, and waits in the input otherwise. The first request of a connection needs no reservation.

Before the fix TestWaitingResultsStayWithinLimit finds 1,088,000 bytes of waiting results where 1,048,576 are allowed.

--- a/internal/client/connection.go
+++ b/internal/client/connection.go
@@ -76,11 +76,13 @@
 	currentRequestSize int            // bytes of the request being handled, at the start of the input; 0: none
 	currentArrival     time.Duration  // when the request being handled arrived
 
-	lastActivity time.Duration // when a request last began or a transfer last progressed; see closeIfExpired
-	lingerStart  time.Duration
-	countedBytes int           // size of the buffers, as included in Listener.bufferedBytes
-	currentList  *list.List    // one of the listener's lists, or nil
-	listElement  *list.Element // in currentList
+	lastActivity  time.Duration // when a request last began or a transfer last progressed; see closeIfExpired
+	lingerStart   time.Duration
+	countedBytes  int           // size of the buffers, as included in Listener.bufferedBytes
+	heldBytes     int           // as included in Listener.heldBytes
+	currentList   *list.List    // one of the listener's lists, or nil
+	listElement   *list.Element // in currentList
+	memoryElement *list.Element // in Listener.awaitingMemory; nil: the connection does not wait for memory
 
 	clientAddress   netip.AddrPort
 	proxyAddress    netip.AddrPort // of the proxy that forwards the client's connection; not valid: none
@@ -228,11 +230,12 @@
 	c.SetEvents(events)
 }
 
-// updateBufferedBytes updates the listener's count of buffered bytes.
+// updateBufferedBytes updates the listener's counts of bytes in buffers, and of those held for responses.
 func (c *connection) updateBufferedBytes() {
 	size := c.BufferSize()
 	c.listener.bufferedBytes += size - c.countedBytes
 	c.countedBytes = size
+	c.updateHeldBytes()
 }
 
 // linger closes the sending side of the connection, and puts it on a list. Input is discarded until the peer closes its side or
@@ -257,11 +260,12 @@
 		return
 	}
 	c.leaveList()
+	c.stopAwaitingMemory()
 	c.Close()
-	c.updateBufferedBytes()
 	delete(c.listener.connections, c)
 	for _, slot := range c.slots {
 		slot.abandon()
 	}
 	c.slots = nil
+	c.updateBufferedBytes()
 }
--- a/internal/client/input.go
+++ b/internal/client/input.go
@@ -45,8 +45,19 @@
 	c.finishOrEnterIdleList()
 }
 
+// canReadRequest reports whether the next request of the input may be handled now. If only memory is missing, the connection waits
+// for it.
 func (c *connection) canReadRequest() bool {
-	return c.isReading() && c.IsOpen() && len(c.slots) < maxResponseSlots && len(c.Output()) <= maxUnreadOutput && len(c.Input()) > 0
+	isWanted := c.isReading() && c.IsOpen() && len(c.Input()) > 0
+	hasRoom := len(c.slots) < maxResponseSlots && len(c.Output()) <= maxUnreadOutput
+	if !isWanted || !hasRoom {
+		return false
+	}
+	if !c.hasMemoryForResponse() {
+		c.awaitMemory()
+		return false
+	}
+	return true
 }
 
 // readRequest handles the first request of the input. more is false if it is not complete, or ends the connection.
@@ -75,6 +86,7 @@
 	c.currentRequestSize = 0
 	if c.IsOpen() {
 		c.Consume(size)
+		c.updateHeldBytes()
 	}
 	return true
 }
--- a/internal/client/listener.go
+++ b/internal/client/listener.go
@@ -12,6 +12,7 @@
 //   - input.go: splits the input into requests, and limits the input that is read ahead of responses
 //   - request.go, parse.go: handles one request; parses the fields of a job and rejects invalid ones
 //   - response.go: response slots, and responses in their order
+//   - memory.go: the memory for responses, which is reserved before a pipelined request is handled
 //   - presence.go: detects clients that have closed their connection, and delays attempts until that is known
 //   - arrivaltime.go: when the bytes of a request arrived
 //   - expiry.go, eviction.go: time limits of connections; evictions that make room, and the close of all connections
@@ -57,7 +58,11 @@
 	maxEvicted       int
 	maxRequests      int // open at once
 	bufferedBytes    int // in the buffers of connections
-	maxBufferedBytes int // limits bufferedBytes and, separately, the payloads of open requests
+	heldBytes        int // held or reserved for responses; see connection.updateHeldBytes
+	maxBufferedBytes int // limits bufferedBytes, heldBytes and the payloads of open requests, each separately
+
+	awaitingMemory list.List // connections whose next request waits for memory for its response
+	isResuming     bool      // a timer for resumeAwaiting is running
 
 	// Connections without a request in flight are on one of these lists, in the order in which they were added to it. They are
 	// evicted list by list, in the order below, the first of each list first.
@@ -124,6 +129,7 @@
 	}
 	l.closeExcessEvicted()
 	l.HandleDescriptorsClosed()
+	l.resumeWhenMemoryIsFree()
 }
 
 // Limits returns the current limits.
--- a/internal/client/transfer.go
+++ b/internal/client/transfer.go
@@ -42,6 +42,7 @@
 
 func (c *connection) relinquish() {
 	c.leaveList()
+	c.stopAwaitingMemory()
 	c.slots = nil
 	c.Close()
 	c.updateBufferedBytes()
