End health checks that the last step before a hot restart starts

Found on rereading: a worker whose health check began in the step by which the policy receives its last events was still not checked again after the hot restart.

Cause: checks ended before that step, and the policy may start others for jobs that came in the same iteration.

Now checks end between two such steps; the second brings only their results, and the dispatcher starts checks for new jobs alone (admission.go). Before the fix TestHealthCheckOfLastStepEndsBeforeTransfer finds no result.

--- a/internal/scheduler/hotrestart.go
+++ b/internal/scheduler/hotrestart.go
@@ -56,10 +56,12 @@
 // Settle prepares the state for Snapshot. It returns false while the policy has not received all events, or an attempt has no
 // connection yet.
 func (t transferState) Settle() bool {
-	t.scheduler.Requests.AwaitEndpoints(0) // requests that wait for endpoints are transferred too
-	t.scheduler.workers.EndWaitingDials()
-	t.scheduler.workers.EndHealthChecks()
-	return t.scheduler.Requests.FlushEvents(t.scheduler.Now()) && !t.scheduler.workers.HasWaitingDials()
+	table, workers := t.scheduler.Requests, t.scheduler.workers
+	table.AwaitEndpoints(0) // requests that wait for endpoints are transferred too
+	workers.EndWaitingDials()
+	table.FlushEvents(t.scheduler.Now())
+	workers.EndHealthChecks() // after the last new jobs, for which the policy may start checks
+	return table.FlushEvents(t.scheduler.Now()) && !workers.HasWaitingDials()
 }
 
 // Snapshot returns the current state in the form in which it is transferred.
--- a/internal/scheduler/hotrestart_test.go
+++ b/internal/scheduler/hotrestart_test.go
@@ -344,6 +344,24 @@
 	}
 }
 
+// A health check that the policy starts while it receives the last events before the snapshot ends before the snapshot too.
+func TestHealthCheckOfLastStepEndsBeforeTransfer(t *testing.T) {
+	dir := t.TempDir()
+	predecessor, address := newPredecessorHarness(&modeltest.Steps{T: t}, dir)
+	worker := predecessor.workerNumber()
+	successor := predecessor.startSuccessor(dir, address)
+	predecessor.policy.Next = []dispatch.Action{dispatch.HealthCheck{Worker: worker}}
+	predecessor.scheduler.Requests.DiscoveryFailed() // an event, which the policy receives before the transfer
+	if err := predecessor.handOverTo(successor); err != nil {
+		t.Fatal(err)
+	}
+	want := dispatch.HealthChecked{Worker: worker, Result: dispatch.NotSent}
+	isEnded := slices.ContainsFunc(predecessor.policy.Received, func(event dispatch.Event) bool { return reflect.DeepEqual(event, want) })
+	if !isEnded {
+		t.Errorf("the policy received %+v before the transfer, expected %+v", predecessor.policy.Received, want)
+	}
+}
+
 // clockSteps are changes of the wall clock between the starts of two processes.
 var clockSteps = []time.Duration{-time.Hour, -3 * time.Second, 0, 3 * time.Second, time.Hour}
 
