--- a/review/standin-2/rig.go
+++ b/review/standin-2/rig.go
@@ -29,6 +29,7 @@
 	known    *listing
 	memoryMB int
 	sockets  int
+	sizeForm string // of the chunks of calls of worker nodes; empty: the calls have a Content-Length
 	trouble  bool
 
 	disc       *discovery
--- a/review/standin-2/worker.go
+++ b/review/standin-2/worker.go
@@ -269,20 +269,34 @@
 		w.mutex.Lock()
 		client := w.http
 		w.mutex.Unlock()
-		response, err := client.Post("http://"+w.rig.nodes[a.node].listen+"/v1/job-events", "application/json", bytes.NewReader(body))
+		status, err := w.post(client, a.node, body)
 		if err == nil {
-			_, _ = io.Copy(io.Discard, response.Body)
-			_ = response.Body.Close()
-			if response.StatusCode == 200 || response.StatusCode == 204 {
+			if status == 200 || status == 204 {
 				return
 			}
-			w.rig.rec.line("worker %s: %v of %s answered %d", w.id, fields["state"], a.id, response.StatusCode)
+			w.rig.rec.line("worker %s: %v of %s answered %d", w.id, fields["state"], a.id, status)
 		}
 		time.Sleep(100 * time.Millisecond)
 	}
 	w.rig.rec.line("worker %s: %v of %s not delivered", w.id, fields["state"], a.id)
 }
 
+// post sends one call to a scheduler, and returns the status of its answer.
+func (w *worker) post(client *http.Client, node int, body []byte) (status int, err error) {
+	const path = "/v1/job-events"
+	addr := w.rig.nodes[node].listen
+	if w.rig.sizeForm != "" {
+		return postChunked(addr, path, body, w.rig.sizeForm)
+	}
+	response, err := client.Post("http://"+addr+path, "application/json", bytes.NewReader(body))
+	if err != nil {
+		return 0, err
+	}
+	_, _ = io.Copy(io.Discard, response.Body)
+	_ = response.Body.Close()
+	return response.StatusCode, nil
+}
+
 func (w *worker) entry(lifecycle string, startedAtMs int64) entry {
 	return entry{InstanceID: w.id, addrs: w.addrs, Zone: "pwr-dc1", MachineType: "std-4c", Cell: w.cell, Lifecycle: lifecycle, Weight: 1, StartedAtMs: startedAtMs}
 }
