--- a/review/standin-2/rig.go
+++ b/review/standin-2/rig.go
@@ -136,6 +136,12 @@
 	return count
 }
 
+func (r *rig) tell(a *attempt, state any) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	a.told = a.told || state == "done"
+}
+
 func (r *rig) markOver(a *attempt) {
 	if a == nil {
 		return
--- a/review/standin-2/worker.go
+++ b/review/standin-2/worker.go
@@ -29,6 +29,7 @@
 	slots  int
 	run    time.Duration
 	ended  bool
+	told   bool      // its done was answered with 200 or 204
 	over   time.Time // it has ended or was given up, as its worker node knows; zero: not yet
 	gone   bool      // the process that had it has died
 }
@@ -272,6 +273,7 @@
 		status, err := w.post(client, a.node, body)
 		if err == nil {
 			if status == 200 || status == 204 {
+				w.rig.tell(a, fields["state"])
 				return
 			}
 			w.rig.rec.line("worker %s: %v of %s answered %d", w.id, fields["state"], a.id, status)
