--- a/review/standin-2/rig.go
+++ b/review/standin-2/rig.go
@@ -20,17 +20,18 @@
 
 // rig is a small platform round the scheduler's processes.
 type rig struct {
-	rec      *record
-	root     string
-	temp     string
-	run      string
-	nodes    []*node
-	settings map[string]any
-	known    *listing
-	memoryMB int
-	sockets  int
-	sizeForm string // of the chunks of calls of worker nodes; empty: the calls have a Content-Length
-	trouble  bool
+	rec        *record
+	root       string
+	temp       string
+	run        string
+	nodes      []*node
+	settings   map[string]any
+	known      *listing
+	memoryMB   int
+	sockets    int
+	resultSize int    // bytes that are added to each result
+	sizeForm   string // of the chunks of calls of worker nodes; empty: the calls have a Content-Length
+	trouble    bool
 
 	disc       *discovery
 	workers    []*worker
--- a/review/standin-2/worker.go
+++ b/review/standin-2/worker.go
@@ -254,7 +254,7 @@
 	w.rig.end(a)
 	w.rig.markOver(a)
 	w.startQueued(process)
-	w.callBack(a, map[string]any{"state": "done", "result": result(a.id, w.id)}, process)
+	w.callBack(a, map[string]any{"state": "done", "result": result(a.id, w.id) + strings.Repeat("y", w.rig.resultSize)}, process)
 }
 
 func result(id, worker string) string { return "result of " + id + " by " + worker }
