--- a/review/standin-2/client.go
+++ b/review/standin-2/client.go
@@ -25,11 +25,9 @@
 	closed                 time.Time // the client closed its connection before the answer
 	connEnded              bool      // the scheduler's side ended the connection without a whole answer
 	err                    error
-	leaveAfter             time.Duration // the client goes away after so long; 0: it waits
 	reused                 bool
 	resent                 bool
 	patience               time.Duration // how long after its time the client still waits; 0: 1.5 s
-	unsent                 bool          // no connection could be opened for it
 	over                   time.Time     // when the client knew the end
 	node                   int           // the scheduler that got it
 }
@@ -49,8 +47,6 @@
 	return text + fmt.Sprintf("Content-Length: %d\r\n\r\n", len(j.body))
 }
 
-var errNoScheduler = errors.New("the front has no scheduler")
-
 type clientConn struct {
 	net.Conn
 	reader *bufio.Reader
@@ -60,14 +56,12 @@
 
 // clients keeps connections to the scheduler and opens more when all are busy.
 type clients struct {
-	rig    *rig
-	mutex  sync.Mutex
-	idle   []*clientConn
-	jobs   []*job
-	next   int // the scheduler that the front gives the next connection to
-	down   map[int]bool
-	closed bool // no new connection reaches a scheduler
-	wait   sync.WaitGroup
+	rig   *rig
+	mutex sync.Mutex
+	idle  []*clientConn
+	jobs  []*job
+	next  int // the scheduler that the front gives the next connection to
+	wait  sync.WaitGroup
 }
 
 func (c *clients) get() (*clientConn, error) {
@@ -84,15 +78,8 @@
 
 func (c *clients) dial() (*clientConn, error) {
 	c.mutex.Lock()
-	if c.closed {
-		c.mutex.Unlock()
-		return nil, errNoScheduler
-	}
 	node := c.next % len(c.rig.nodes)
 	c.next++
-	if c.down[node] {
-		node = c.next % len(c.rig.nodes)
-	}
 	c.mutex.Unlock()
 	conn, err := net.DialTimeout("tcp", c.rig.nodes[node].listen, 2*time.Second)
 	if err != nil {
@@ -126,7 +113,7 @@
 	conn, err := c.get()
 	for try := 0; ; try++ {
 		if err != nil {
-			j.err, j.unsent = err, true
+			j.err = err
 			j.sent = time.Now()
 			return
 		}
@@ -159,9 +146,6 @@
 	if j.patience > 0 {
 		wait = j.budget + j.patience
 	}
-	if j.leaveAfter > 0 {
-		wait = min(wait, j.leaveAfter)
-	}
 	_ = conn.SetReadDeadline(time.Now().Add(wait))
 	response, err := readFinal(conn.reader)
 	if err == nil {
--- a/review/standin-2/discovery.go
+++ b/review/standin-2/discovery.go
@@ -40,9 +40,6 @@
 	entries map[string]entry
 	log     []listing // the change of each generation
 	changed chan struct{}
-	silent  bool // open watches say nothing more
-	epoch   int
-	down    bool
 }
 
 func newDiscovery(rec *record, nodes int) (*discovery, error) {
@@ -131,18 +128,14 @@
 	return all
 }
 
-func (d *discovery) state() (changed chan struct{}, silent bool, epoch int, down bool) {
+// changes returns a channel that is closed at the next change.
+func (d *discovery) changes() chan struct{} {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	return d.changed, d.silent, d.epoch, d.down
+	return d.changed
 }
 
 func (d *discovery) serve(node int, w http.ResponseWriter, r *http.Request) {
-	_, _, epoch, down := d.state()
-	if down {
-		w.WriteHeader(503)
-		return
-	}
 	index, _ := strconv.Atoi(r.URL.Query().Get("index"))
 	if r.URL.Query().Get("stream") != "1" {
 		d.mutex.Lock()
@@ -154,21 +147,16 @@
 	d.rec.line("watch opened by %s after %d", r.RemoteAddr, index)
 	control := http.NewResponseController(w)
 	for first := true; ; first = false {
-		changed, silent, nowEpoch, nowDown := d.state()
-		if nowDown || nowEpoch != epoch {
-			panic(http.ErrAbortHandler)
-		}
+		changed := d.changes()
 		list := d.after(index)
-		if !silent {
-			if first || list.Generation != index {
-				_, _ = w.Write(list.text(node))
-				index = list.Generation
-			} else {
-				fmt.Fprint(w, "\n")
-			}
-			if control.Flush() != nil {
-				return
-			}
+		if first || list.Generation != index {
+			_, _ = w.Write(list.text(node))
+			index = list.Generation
+		} else {
+			fmt.Fprint(w, "\n")
+		}
+		if control.Flush() != nil {
+			return
 		}
 		select {
 		case <-changed:
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -11,9 +11,6 @@
 // cases are the cases by name. Each returns how the rule was broken.
 var cases = map[string]func(r *rig) (broken []string, err error){}
 
-// nodesOf are the schedulers of a case; one if it is not named.
-var nodesOf = map[string]int{}
-
 const (
 	exitHeld = iota
 	exitBroken
@@ -33,7 +30,7 @@
 		fmt.Fprintln(os.Stderr, "no such case:", name)
 		return exitNotRun
 	}
-	r, err := newRig(root, filepath.Join(folder, "record.txt"), max(1, nodesOf[name]))
+	r, err := newRig(root, filepath.Join(folder, "record.txt"), 1)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitNotRun
--- a/review/standin-2/rig.go
+++ b/review/standin-2/rig.go
@@ -40,7 +40,6 @@
 
 	mutex    sync.Mutex
 	attempts map[string][]*attempt // by request
-	keyRuns  map[string][]*attempt // of keyed jobs, by key
 }
 
 func newRig(root, recordPath string, nodes int) (*rig, error) {
@@ -53,7 +52,7 @@
 		return nil, err
 	}
 	r := &rig{rec: rec, root: root, temp: temp, memoryMB: 192, sockets: 1024,
-		attempts: map[string][]*attempt{}, keyRuns: map[string][]*attempt{}, settings: smallSettings()}
+		attempts: map[string][]*attempt{}, settings: smallSettings()}
 	if r.run, err = deployCommand(root, "run"); err != nil {
 		return nil, err
 	}
@@ -99,9 +98,6 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	a.began = time.Now()
-	if a.key != "" {
-		r.keyRuns[a.key] = append(r.keyRuns[a.key], a)
-	}
 	r.rec.line("worker %s: runs %s %s", a.worker.id, a.class, a.id)
 }
 
@@ -143,41 +139,6 @@
 	a.told = a.told || state == "done"
 }
 
-func (r *rig) markOver(a *attempt) {
-	if a == nil {
-		return
-	}
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	if a.over.IsZero() {
-		a.over = time.Now()
-	}
-}
-
-// givenUp marks the attempts of a request at a worker node as given up.
-func (r *rig) givenUp(w *worker, id string) {
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	for _, a := range r.attempts[id] {
-		if a.worker == w && a.over.IsZero() {
-			a.over = time.Now()
-		}
-	}
-}
-
-// lost marks all attempts at a worker node as ended with its process.
-func (r *rig) lost(w *worker) {
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	for _, attempts := range r.attempts {
-		for _, a := range attempts {
-			if a.worker == w && a.over.IsZero() {
-				a.over, a.gone = time.Now(), true
-			}
-		}
-	}
-}
-
 // close ends all processes and stand-ins.
 func (r *rig) close() {
 	for _, s := range r.schedulers {
--- a/review/standin-2/worker.go
+++ b/review/standin-2/worker.go
@@ -29,9 +29,7 @@
 	slots  int
 	run    time.Duration
 	ended  bool
-	told   bool      // its done was answered with 200 or 204
-	over   time.Time // it has ended or was given up, as its worker node knows; zero: not yet
-	gone   bool      // the process that had it has died
+	told   bool // its done was answered with 200 or 204
 }
 
 // worker is a stand-in of a worker node: some slots, a bounded queue served in order, and calls back to the scheduler.
@@ -51,10 +49,6 @@
 	hanging bool
 	process int
 	http    *http.Client
-	// hook, if set, may answer an attempt in place of the worker node. It returns true if it did.
-	hook func(w *worker, c net.Conn, a *attempt) bool
-	// accept writes the answer 202; nil: at once.
-	accept func(c net.Conn, a *attempt)
 }
 
 func (r *rig) newWorker(id string, cell, slots, queueCap int) (*worker, error) {
@@ -92,22 +86,6 @@
 	return nil
 }
 
-// crash ends the worker node's process: its connections are reset and its jobs are lost.
-func (w *worker) crash() {
-	w.mutex.Lock()
-	defer w.mutex.Unlock()
-	w.rig.rec.line("worker %s dies", w.id)
-	w.process++
-	for _, listener := range w.listen {
-		_ = listener.Close()
-	}
-	w.rig.lost(w)
-	for c := range w.conns {
-		_ = c.(*net.TCPConn).SetLinger(0)
-		_ = c.Close()
-	}
-}
-
 func (w *worker) acceptAll(listener net.Listener, node, process int) {
 	for {
 		c, err := listener.Accept()
@@ -129,13 +107,10 @@
 		_ = c.Close()
 	}()
 	reader := bufio.NewReader(c)
-	var last *attempt // the one on this connection that has no answer yet
 	for {
 		if _, err := reader.Peek(1); err != nil {
-			w.rig.markOver(last) // before its 202, the close gives it up; after it, nothing changes
 			return
 		}
-		last = nil
 		first := time.Now()
 		request, err := http.ReadRequest(reader)
 		if err != nil {
@@ -154,7 +129,6 @@
 		switch {
 		case request.Method == "DELETE":
 			w.rig.rec.line("worker %s: %s %s", w.id, request.Method, request.URL.Path)
-			w.rig.givenUp(w, strings.TrimPrefix(request.URL.Path, "/jobs/"))
 			if hanging {
 				continue
 			}
@@ -165,12 +139,12 @@
 			}
 			fmt.Fprint(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
 		default:
-			last = w.take(c, request, string(body), first, node, process, hanging)
+			w.take(c, request, string(body), first, node, process, hanging)
 		}
 	}
 }
 
-func (w *worker) take(c net.Conn, request *http.Request, body string, first time.Time, node, process int, hanging bool) (unanswered *attempt) {
+func (w *worker) take(c net.Conn, request *http.Request, body string, first time.Time, node, process int, hanging bool) {
 	a := &attempt{worker: w, node: node, id: request.Header.Get("X-Call-Id"), key: request.Header.Get("Idempotency-Key"), body: body, first: first, last: time.Now(), slots: 1}
 	a.class, _, _ = strings.Cut(strings.TrimPrefix(request.URL.Path, "/"), "/")
 	a.budget, _ = strconv.Atoi(request.Header.Get("X-Budget-Ms"))
@@ -187,10 +161,7 @@
 	w.rig.addAttempt(a)
 	if hanging {
 		w.rig.rec.line("worker %s: hangs with %s %s", w.id, a.class, a.id)
-		return a
-	}
-	if w.hook != nil && w.hook(w, c, a) {
-		return nil
+		return
 	}
 	w.mutex.Lock()
 	full := len(w.queue) >= w.queueCap
@@ -200,17 +171,11 @@
 	w.mutex.Unlock()
 	if full {
 		w.rig.rec.line("worker %s: full, turns away %s", w.id, a.id)
-		w.rig.markOver(a)
 		fmt.Fprint(c, "HTTP/1.1 503 Service Unavailable\r\nX-Rejected: 1\r\nContent-Length: 0\r\n\r\n")
-		return nil
-	}
-	if w.accept != nil {
-		w.accept(c, a)
-	} else {
-		fmt.Fprint(c, "HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n")
+		return
 	}
+	fmt.Fprint(c, "HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n")
 	w.startQueued(process)
-	return nil
 }
 
 func (w *worker) startQueued(process int) {
@@ -252,7 +217,6 @@
 		return
 	}
 	w.rig.end(a)
-	w.rig.markOver(a)
 	w.startQueued(process)
 	w.callBack(a, map[string]any{"state": "done", "result": result(a.id, w.id) + strings.Repeat("y", w.rig.resultSize)}, process)
 }
