--- a/review/standin-2/rig.go
+++ b/review/standin-2/rig.go
@@ -136,7 +136,9 @@
 func (r *rig) tell(a *attempt, state any) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	a.told = a.told || state == "done"
+	if state == "done" {
+		a.told = time.Now()
+	}
 }
 
 // close ends all processes and stand-ins.
--- a/review/standin-2/worker.go
+++ b/review/standin-2/worker.go
@@ -29,7 +29,7 @@
 	slots  int
 	run    time.Duration
 	ended  bool
-	told   bool // its done was answered with 200 or 204
+	told   time.Time // when its done was answered with 200 or 204; zero: it was not
 }
 
 // worker is a stand-in of a worker node: some slots, a bounded queue served in order, and calls back to the scheduler.
