Accept leading zeros in chunk sizes, Content-Length and other numbers

Cause: parseChunkSize bounded the digits before it looked at them, to bound the value; leading zeros counted. HTTP/1.1 has chunk-size = 1*HEXDIG. ParseDecimal (Content-Length, X-Budget-Ms) had the same fault.

Change: leading zeros are dropped before the digits are counted. The value's bound is as before.

--- a/internal/http1/chunked.go
+++ b/internal/http1/chunked.go
@@ -4,7 +4,7 @@
 
 const (
 	maxChunkLineSize   = 256 // bytes of an incomplete line between chunks
-	maxChunkSizeDigits = 7   // hexadecimal
+	maxChunkSizeDigits = 7   // hexadecimal, without leading zeros
 )
 
 // ChunkDecoder decodes a chunked body incrementally. Its zero value expects the first byte of the body. It buffers nothing.
@@ -99,11 +99,15 @@
 	return nil
 }
 
-// parseChunkSize parses a chunk size. Chunk extensions are ignored.
+// parseChunkSize parses a chunk size, which may have any number of leading zeros (RFC 9112, 7.1). Chunk extensions are ignored.
 func parseChunkSize(line []byte) (int, error) {
 	digits, _, _ := bytes.Cut(line, []byte(";"))
 	digits = trimWhitespace(digits)
-	if len(digits) == 0 || len(digits) > maxChunkSizeDigits {
+	if len(digits) == 0 {
+		return 0, badRequest("bad chunk size")
+	}
+	digits = trimLeadingZeros(digits)
+	if len(digits) > maxChunkSizeDigits {
 		return 0, badRequest("bad chunk size")
 	}
 	size := 0
--- a/internal/http1/parse_test.go
+++ b/internal/http1/parse_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"errors"
+	"fmt"
 	"reflect"
 	"strings"
 	"testing"
@@ -248,3 +249,25 @@
 		t.Errorf("the missing field: %q, expected nil", value)
 	}
 }
+
+// Guards against the loss of messages whose sender pads numbers with zeros: a worker's callbacks in such chunks were answered 400.
+func TestLengthsMayHaveLeadingZeros(t *testing.T) {
+	const data = "0123456789"
+	for _, zeros := range []int{0, 1, 6, 7, 14, 300} {
+		padding := strings.Repeat("0", zeros)
+		chunks := fmt.Sprintf("%sa\r\n%s\r\n%s0\r\n\r\n", padding, data, padding)
+		for _, framed := range []string{
+			"Transfer-Encoding: chunked\r\n\r\n" + chunks,
+			"Content-Length: " + padding + "10\r\n\r\n" + data,
+		} {
+			var request Request
+			if size, err := request.Parse([]byte("POST / HTTP/1.1\r\n" + framed)); err != nil || size != 17+len(framed) || string(request.Body) != data {
+				t.Errorf("request, %d zeros: %d bytes, %q, %v", zeros, size, request.Body, err)
+			}
+			var response Response
+			if _, err := response.Parse([]byte("HTTP/1.1 200 OK\r\n"+framed), false); err != nil || string(response.Body) != data {
+				t.Errorf("response, %d zeros: %q, %v", zeros, response.Body, err)
+			}
+		}
+	}
+}
--- a/internal/http1/syntax.go
+++ b/internal/http1/syntax.go
@@ -1,6 +1,8 @@
 package http1
 
-// maxDecimalDigits ensures that every number fits into an int of 32 bits.
+import "bytes"
+
+// maxDecimalDigits ensures that every number fits into an int of 32 bits. Leading zeros do not count.
 const maxDecimalDigits = 9
 
 // isTokenChar is the set of the characters of a token: visible ASCII without the delimiters.
@@ -66,9 +68,14 @@
 	return true
 }
 
-// ParseDecimal parses an unsigned integer of one to nine decimal digits, without sign or whitespace.
+// ParseDecimal parses an unsigned integer of one to nine decimal digits after any number of leading zeros, without sign or
+// whitespace.
 func ParseDecimal(text []byte) (value int, ok bool) {
-	if len(text) == 0 || len(text) > maxDecimalDigits {
+	if len(text) == 0 {
+		return 0, false
+	}
+	text = trimLeadingZeros(text)
+	if len(text) > maxDecimalDigits {
 		return 0, false
 	}
 	for _, char := range text {
@@ -80,6 +87,9 @@
 	return value, true
 }
 
+// trimLeadingZeros returns the digits of a number without the zeros before them, none for zero.
+func trimLeadingZeros(digits []byte) []byte { return bytes.TrimLeft(digits, "0") }
+
 // trimWhitespace removes leading and trailing spaces and tabs. Unlike bytes.Trim it does not return nil for an empty result:
 // Get returns nil only for a missing field, which may be valid where an empty one is malformed.
 func trimWhitespace(text []byte) []byte {
