Bound a line between chunks alike, whether it comes whole or in pieces

Callers saw: a chunk extension or a trailer of over 256 bytes was accepted if its line came in one read, and answered 400 if it came in pieces.

Cause: only a line without its end was compared with the limit.

Change: each line is, and the limit is that of a header section, as lines of that size were accepted before when they came whole.

Evidence: TestLongChunkLineInPieces and the entry "long line" of TestChunkDecoderRejectsInvalidChunks fail before.

--- a/internal/http1/chunked.go
+++ b/internal/http1/chunked.go
@@ -3,8 +3,8 @@
 import "bytes"
 
 const (
-	maxChunkLineSize   = 256 // bytes of an incomplete line between chunks
-	maxChunkSizeDigits = 7   // hexadecimal, without leading zeros
+	maxChunkLineSize   = MaxHeaderSize // bytes of a line between chunks, without its end
+	maxChunkSizeDigits = 7             // hexadecimal, without leading zeros
 )
 
 // ChunkDecoder decodes a chunked body incrementally. Its zero value expects the first byte of the body. It buffers nothing.
@@ -60,10 +60,10 @@
 		return data, len(data), nil
 	}
 	length := bytes.IndexByte(input, '\n')
+	if length > maxChunkLineSize || length < 0 && len(input) > maxChunkLineSize { // whether it came in one piece or in several
+		return nil, 0, badRequest("chunk line too long")
+	}
 	if length < 0 {
-		if len(input) > maxChunkLineSize {
-			return nil, 0, badRequest("chunk line too long")
-		}
 		return nil, 0, nil
 	}
 	if err := d.consumeLine(bytes.TrimSuffix(input[:length], []byte("\r"))); err != nil {
--- a/internal/http1/chunked_test.go
+++ b/internal/http1/chunked_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"strings"
 	"testing"
 )
 
@@ -47,6 +48,7 @@
 		"zeros and a letter": "00000000g\r\n",
 		"data after chunk":   "1\r\nab\r\n",
 		"line without end":   string(make([]byte, maxChunkLineSize+1)),
+		"long line":          "1;" + strings.Repeat("x", maxChunkLineSize-1) + "\r\n",
 		"blanks in the size": "1 1\r\n",
 		"no-break space":     "\u00a01\r\na\r\n0\r\n\r\n",
 		"form feed":          "1\f\r\na\r\n0\r\n\r\n",
--- a/internal/http1/parse_test.go
+++ b/internal/http1/parse_test.go
@@ -271,3 +271,16 @@
 		}
 	}
 }
+
+// Guards against a verdict that depends on how a message was cut: a long line between chunks was rejected only if it came in pieces.
+func TestLongChunkLineInPieces(t *testing.T) {
+	const header = "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+	message := header + "1;" + strings.Repeat("x", 1000) + "\r\nx\r\n0\r\n\r\n"
+	for size := len(header); size <= len(message); size++ {
+		var request Request
+		_, err := request.Parse([]byte(message[:size]))
+		if size < len(message) && !errors.Is(err, ErrIncomplete) || size == len(message) && err != nil {
+			t.Fatalf("%d of %d bytes: %v", size, len(message), err)
+		}
+	}
+}
