Hold for clients only what fits into the memory limit twice

Cause: buffers, waiting responses and payloads could each take a sixth of the memory, and the successor has all of it once more during the transfer. Limits halved on standby bound what is accepted from then on, not what is held. The collectors' limit was below what was live, and a replaced process kept everything for 0.5 s.

Change: limits.Budget derives what is held from what two processes need. Payloads may use what waiting responses leave. A replaced process drops payloads and frees memory at once.

TestHeldMemoryFitsTwice, TestPayloadsAndResponsesStayWithinLimit (payloads did not use what responses leave) and TestPredecessorDropsPayloads fail before. The figures of TestShares and of the text of `check` are the new limits.

--- a/cmd/valvecove/main_test.go
+++ b/cmd/valvecove/main_test.go
@@ -75,7 +75,7 @@
 		{"check", "sound", 0, "platform     sound\n|ours         none|name         n0\n|listen       127.0.0.1:9000\n|" +
 			"discovery    127.0.0.1:8500, subscribed to\n|known        1 workers, revision 7\n|1 cores, 64 MB, 256 descriptors\n|" +
 			"24 its own, 0 for features, 38 worker connections, 194 client connections (175 requests at once)\n|" +
-			"heap held to 38 MB; buffers of client connections 10 MB, bodies of requests 10 MB\n|6 a request at most, connecting within 250ms|" +
+			"heap held to 38 MB; buffers of client connections 5 MB, bodies of requests and waiting responses 11 MB\n|6 a request at most, connecting within 250ms|" +
 			"number 1 of 3|3.7s after SIGTERM\n|text, info and above\n|status-check  pure|80ms|5s|any|" +
 			"transfer      token (zone, 20s)|500ms|12s| l |cash-payout   never twice|9s|0.3|" +
 			"swat-society    12\n|mardan-society  no limit\n|status     off\n|capture    off\n|figures    off\n|addresses  off\n", ""},
--- a/cmd/valvecove/preview.go
+++ b/cmd/valvecove/preview.go
@@ -77,8 +77,8 @@
 	p.writeLine("limits", fmt.Sprintf("%v cores, %d MB, %d descriptors", configured.Cores, configured.MemoryMB, configured.Sockets))
 	p.writeLine("descriptors", fmt.Sprintf("%d its own, %d for features, %d worker connections, %d client connections (%d requests at once)",
 		shares.OwnDescriptors, shares.FeatureDescriptors, shares.WorkerConnections, shares.ClientConnections, shares.OpenRequests))
-	p.writeLine("memory", fmt.Sprintf("heap held to %d MB; buffers of client connections %d MB, bodies of requests %d MB",
-		server.HeapLimit(configured)>>bytesPerMBShift, shares.BufferBytes>>bytesPerMBShift, shares.BufferBytes>>bytesPerMBShift))
+	p.writeLine("memory", fmt.Sprintf("heap held to %d MB; buffers of client connections %d MB, bodies of requests and waiting responses %d MB",
+		server.HeapLimit(configured, false)>>bytesPerMBShift, shares.BufferBytes>>bytesPerMBShift, 2*shares.BufferBytes>>bytesPerMBShift))
 }
 
 // dispatching writes the limits of attempts, the scheduler's index among its replicas, the duration of its drain, and its log
--- a/internal/client/config.go
+++ b/internal/client/config.go
@@ -60,5 +60,5 @@
 type Limits struct {
 	Connections int // open at once
 	Requests    int // open at once
-	BufferBytes int // of the buffers of connections; the same limit applies separately to the payloads of open requests
+	BufferBytes int // of the buffers of connections; responses that wait, and payloads of open requests, may use as much each
 }
--- a/internal/client/listener.go
+++ b/internal/client/listener.go
@@ -59,7 +59,7 @@
 	maxRequests      int // open at once
 	bufferedBytes    int // in the buffers of connections
 	heldBytes        int // held or reserved for responses; see connection.updateHeldBytes
-	maxBufferedBytes int // limits bufferedBytes, heldBytes and the payloads of open requests, each separately
+	maxBufferedBytes int // limits bufferedBytes and heldBytes, each separately; see memory.go for the payloads of open requests
 
 	awaitingMemory list.List // connections whose next request waits for memory for its response
 	isResuming     bool      // a timer for resumeAwaiting is running
--- a/internal/client/memory.go
+++ b/internal/client/memory.go
@@ -5,6 +5,9 @@
 // Results of pipelined requests wait in their slots for the responses before them, and responses in the output for the client to
 // read them. Their memory is reserved before a request is handled: the first request of a connection is always handled, and one behind
 // it only while the largest result that it may get is within the limit of the listener. Otherwise it waits in the input.
+//
+// Payloads of open requests may also use what responses leave of their limit. Buffers have a limit of their own, as callbacks, which
+// end requests, must be received also while payloads have used up theirs.
 
 // updateHeldBytes updates the listener's count of the memory that is held or reserved for responses. Connections that wait for memory
 // are resumed if there is some.
@@ -41,7 +44,14 @@
 
 // hasMemoryForResponse reports whether the memory for a response may be reserved.
 func (l *Listener) hasMemoryForResponse() bool {
-	return l.heldBytes+http1.MaxBodySize <= l.maxBufferedBytes
+	size := l.heldBytes + http1.MaxBodySize
+	return size <= l.maxBufferedBytes && size+l.table.PayloadBytes() <= 2*l.maxBufferedBytes
+}
+
+// hasMemoryForPayload reports whether a payload of a size fits beside those of the open requests and the responses that wait.
+func (l *Listener) hasMemoryForPayload(size int) bool {
+	payloads := l.table.PayloadBytes() + size
+	return payloads <= l.maxBufferedBytes || payloads+l.heldBytes <= 2*l.maxBufferedBytes
 }
 
 // awaitMemory puts the connection at the end of those that wait for memory, unless it waits already.
--- a/internal/client/memory_test.go
+++ b/internal/client/memory_test.go
@@ -126,3 +126,24 @@
 	}
 	return count
 }
+
+// Guards against a process that holds more than fits twice while it is replaced: payloads and waiting responses share their limits.
+func TestPayloadsAndResponsesStayWithinLimit(t *testing.T) {
+	const clients, pipelined, payloadSize = 40, 3, 60_000
+	f := newFixture(&modeltest.Steps{T: t})
+	f.listener.SetLimits(testLimits(1000))
+	for n := range clients {
+		peer := f.openConnection()
+		for i := range pipelined {
+			peer.Write([]byte(requestOfSize(n*pipelined+i, payloadSize)))
+			f.runUntilIdle()
+		}
+		held := f.table.PayloadBytes() + f.listener.heldBytes
+		if limit := 2 * f.listener.maxBufferedBytes; held > limit {
+			t.Fatalf("%d clients: %d bytes of payloads and responses, at most %d allowed", n+1, held, limit)
+		}
+	}
+	if f.table.PayloadBytes() <= f.listener.maxBufferedBytes {
+		t.Errorf("%d bytes of payloads: they do not use what responses leave", f.table.PayloadBytes())
+	}
+}
--- a/internal/client/request.go
+++ b/internal/client/request.go
@@ -109,8 +109,7 @@
 		listener.reportRejection(arrival, 503)
 		slot.RespondRejected(0)
 		return true
-	case table.OpenCount() >= listener.maxRequests,
-		table.PayloadBytes()+len(arrival.Payload.Body) > listener.maxBufferedBytes:
+	case table.OpenCount() >= listener.maxRequests, !listener.hasMemoryForPayload(len(arrival.Payload.Body)):
 		listener.reportRejection(arrival, 503)
 		slot.RespondRejected(min(overloadRetryAfter, listener.parser.settings.MaxRetryAfter))
 		return true
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -27,8 +27,23 @@
 	callbackConnectionDivisor = 10 // 1/10 of the clients' connections is reserved for callbacks, which end requests
 	minCallbackConnections    = 8
 
-	bufferMemoryDivisor = 6 // 1/6 of the memory limit is for buffers, and another 1/6 for payloads
-	bytesPerMBShift     = 20
+	bytesPerMBShift = 20
+)
+
+// Memory. During a hot restart two processes hold what clients have sent, and stay within the limit together.
+const (
+	processBytes = 7 << bytesPerMBShift // of a process that holds nothing for clients
+
+	// heldNumerator/heldDenominator of the memory limit is for one process during a hot restart, apart from garbage: the other one
+	// has the same share, and the rest is for the garbage of both and for files.
+	heldNumerator   = 3
+	heldDenominator = 8
+
+	minHeldDivisor = 8 // at least 1/8 of the memory limit is for what clients have sent, however low it is
+
+	// heldKinds is the number of kinds of what is held for clients: buffers of connections, responses that wait for their turn, and
+	// payloads of open requests.
+	heldKinds = 3
 )
 
 // Shares contains the shares of the limits of a process.
@@ -38,7 +53,7 @@
 	WorkerConnections  int
 	ClientConnections  int
 	OpenRequests       int // maximum number at the same time; see MaxRequests
-	BufferBytes        int // of client connections; the payloads of open requests may use the same amount again
+	BufferBytes        int // of client connections; responses that wait, and payloads of open requests, may use as much each
 }
 
 // SharesOf returns the shares of a process that does not share the limits of the configuration with another process.
@@ -105,10 +120,16 @@
 // IsHalved reports whether the process has half of the limits.
 func (b *Budget) IsHalved() bool { return b.isHalved }
 
+// heldBytes returns how much a process may hold for its clients: as much as fits into the memory limit twice, beside two processes.
+func heldBytes(limits config.Limits) int {
+	memory := limits.MemoryMB << bytesPerMBShift
+	return max(memory*heldNumerator/heldDenominator-processBytes, memory/minHeldDivisor)
+}
+
 // Shares returns the current shares.
 func (b *Budget) Shares() Shares {
 	connections := b.limits.Sockets - ownDescriptors - b.featureDescriptors
-	bufferBytes := b.limits.MemoryMB << bytesPerMBShift / bufferMemoryDivisor
+	bufferBytes := heldBytes(b.limits) / heldKinds
 	if b.isHalved {
 		// The other process also needs descriptors for itself and for its features.
 		connections = max(minHalvedConnections, (connections-ownDescriptors-b.featureDescriptors)/2)
--- a/internal/limits/limits_test.go
+++ b/internal/limits/limits_test.go
@@ -16,13 +16,13 @@
 		halved   bool
 		want     Shares
 	}{
-		"full limits":        {config.Limits{Sockets: 1024, MemoryMB: 64}, 0, false, Shares{24, 0, 166, 834, 751, 11184810}},
-		"half of the limits": {config.Limits{Sockets: 1024, MemoryMB: 64}, 0, true, Shares{24, 0, 81, 407, 367, 5592405}},
-		"low limits":         {config.Limits{Sockets: 64, MemoryMB: 16}, 30, false, Shares{24, 30, 8, 2, -6, 2796202}},
+		"full limits":        {config.Limits{Sockets: 1024, MemoryMB: 64}, 0, false, Shares{24, 0, 166, 834, 751, 5941930}},
+		"half of the limits": {config.Limits{Sockets: 1024, MemoryMB: 64}, 0, true, Shares{24, 0, 81, 407, 367, 2970965}},
+		"low limits":         {config.Limits{Sockets: 64, MemoryMB: 16}, 30, false, Shares{24, 30, 8, 2, -6, 699050}},
 		"half of low limits": {
 			config.Limits{Sockets: 64, MemoryMB: 16},
 			30, true,
-			Shares{24, 30, 8, 8, 0, 1398101},
+			Shares{24, 30, 8, 8, 0, 349525},
 		},
 	}
 	for name, test := range tests {
@@ -36,6 +36,17 @@
 	}
 }
 
+// Guards against a process being killed for memory while it is replaced: what it held for its clients did not fit twice.
+func TestHeldMemoryFitsTwice(t *testing.T) {
+	for memoryMB := 32; memoryMB <= 4096; memoryMB += 8 {
+		shares := NewBudget(config.Limits{Sockets: 1024, MemoryMB: memoryMB}, 0).Shares()
+		process := processBytes + heldKinds*shares.BufferBytes
+		if limit := memoryMB << bytesPerMBShift; 2*process > limit {
+			t.Errorf("%d MB: two processes may have %d bytes without garbage, %d allowed", memoryMB, 2*process, limit)
+		}
+	}
+}
+
 // OnChange's function is called after each change of the limits, even if the shares stay the same. A process with half of its
 // limits gets half of the new ones.
 func TestOnChangeIsCalledForEachChange(t *testing.T) {
--- a/internal/requests/requestindex.go
+++ b/internal/requests/requestindex.go
@@ -64,6 +64,14 @@
 	r.payloadBytes -= len(request.Payload.Body)
 }
 
+// dropPayloads drops the bodies of all requests.
+func (r *requestIndex) dropPayloads() {
+	for _, request := range r.byID {
+		request.Payload.Body = nil
+	}
+	r.payloadBytes = 0
+}
+
 // inAdmissionOrder returns all requests in order of admission, so that nothing depends on the iteration order of a map.
 func (r *requestIndex) inAdmissionOrder() []*Request {
 	return slices.SortedFunc(maps.Values(r.byID), func(a, b *Request) int { return cmp.Compare(a.ID, b.ID) })
--- a/internal/requests/table.go
+++ b/internal/requests/table.go
@@ -64,6 +64,9 @@
 	return request.inFlightAttempt(number)
 }
 
+// DropPayloads drops the bodies of all requests, which another process owns.
+func (t *Table) DropPayloads() { t.requests.dropPayloads() }
+
 // PayloadBytes returns the total length of the bodies of all requests, including closed ones that have attempts in flight.
 func (t *Table) PayloadBytes() int { return t.requests.payloadBytes }
 
--- a/internal/scheduler/hotrestart.go
+++ b/internal/scheduler/hotrestart.go
@@ -83,10 +83,12 @@
 	return snapshot
 }
 
-// Release closes this process's copies of what the successor owns: the connections, the watch and the client listener's socket.
+// Release closes this process's copies of what the successor owns: the connections, the watch and the client listener's socket. It
+// drops the payloads, so that their memory can be freed.
 func (t transferState) Release() {
 	t.scheduler.clients.Relinquish()
 	t.scheduler.workers.Relinquish()
+	t.scheduler.Requests.DropPayloads()
 	t.scheduler.watch.Stop()
 	t.scheduler.clients.CloseSocket()
 }
--- a/internal/scheduler/hotrestart_size_test.go
+++ b/internal/scheduler/hotrestart_size_test.go
@@ -111,3 +111,23 @@
 		}
 	}
 }
+
+// Guards against two processes that both keep the bodies of requests after a hot restart, and exceed the memory limit together.
+func TestPredecessorDropsPayloads(t *testing.T) {
+	dir := t.TempDir()
+	predecessor, address := newPredecessorHarness(&modeltest.Steps{T: t}, dir)
+	client, socket := predecessor.socketPair()
+	predecessor.scheduler.clients.AddConnection(socket, address)
+	client.Write([]byte(requestOfSize(0, largeResult)))
+	predecessor.runIterations()
+	successor := predecessor.startSuccessor(dir, address)
+	if err := predecessor.handOverTo(successor); err != nil {
+		t.Fatal(err)
+	}
+	if size := predecessor.scheduler.Requests.PayloadBytes(); size != 0 {
+		t.Errorf("the predecessor keeps %d bytes of requests", size)
+	}
+	if size := successor.scheduler.Requests.PayloadBytes(); size != largeResult {
+		t.Errorf("the successor has %d bytes of requests, expected %d", size, largeResult)
+	}
+}
--- a/internal/server/drain.go
+++ b/internal/server/drain.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"runtime/debug"
 	"time"
 
 	"valvecove/internal/config"
@@ -118,6 +119,7 @@
 	err := s.scheduler.Relinquish()
 	switch {
 	case err == nil:
+		debug.FreeOSMemory() // the successor needs the memory of what it was given
 		s.scheduler.After(handOverLinger, s.finish)
 	case errors.Is(err, scheduler.ErrNotSettled):
 		s.scheduler.After(handOverRetryDelay, s.handOver)
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -160,11 +160,5 @@
 	return s.state == finished && s.scheduler.IsIdle() || s.failure != nil
 }
 
-// shareMemory sets the memory limit, which is half of the configured one while another process shares the memory.
-func (s *server) shareMemory(half bool) {
-	limit := HeapLimit(s.conf.Limits)
-	if half {
-		limit /= 2
-	}
-	debug.SetMemoryLimit(limit)
-}
+// shareMemory sets the memory limit, which is lower while another process shares the memory.
+func (s *server) shareMemory(isShared bool) { debug.SetMemoryLimit(HeapLimit(s.conf.Limits, isShared)) }
