Keep little of what many clients send ahead once buffers are full

Cause: a connection was compared with the limit of all buffers after its read, and keeps up to one read (64 KiB) until its turn comes. With 900 connections that is 56 MB.

Change: while the buffers exceed their limit, a connection that awaits a response reads no more than 4 KiB ahead, as much as an idle one keeps, and discards the rest as any other overrun.

Not measured with real processes as a fault of its own.

--- a/internal/client/connection.go
+++ b/internal/client/connection.go
@@ -149,13 +149,7 @@
 }
 
 func (c *connection) readInput() error {
-	read := c.Fill
-	if !c.isReading() || c.inputOverrun {
-		read = c.discardInput
-	} else if c.history != historyNoRequest && len(c.Input()) == 0 { // a request begins after an idle time
-		c.lastActivity = c.loop().Now()
-	}
-	ended, err := read()
+	ended, err := c.fillOrDiscard()
 	if err != nil {
 		return err
 	}
@@ -163,6 +157,20 @@
 	return nil
 }
 
+// fillOrDiscard reads input once, or discards it if it will not be handled.
+func (c *connection) fillOrDiscard() (ended bool, err error) {
+	if c.isReading() && c.readAheadRoom() <= 0 {
+		c.inputOverrun = true
+	}
+	if !c.isReading() || c.inputOverrun {
+		return c.discardInput()
+	}
+	if c.history != historyNoRequest && len(c.Input()) == 0 { // a request begins after an idle time
+		c.lastActivity = c.loop().Now()
+	}
+	return c.FillUpTo(c.readAheadRoom())
+}
+
 // discardInput reads input that is not handled. Closing a connection with unread input would reset it, and its last response
 // might be lost.
 func (c *connection) discardInput() (ended bool, err error) {
--- a/internal/client/connection_test.go
+++ b/internal/client/connection_test.go
@@ -282,6 +282,27 @@
 	}
 }
 
+// Guards against a process being killed for memory by many clients that each send ahead a little: each added a read to full buffers.
+func TestReadAheadOfManyClientsStaysWithinLimit(t *testing.T) {
+	const clients = 200
+	f := newFixture(&modeltest.Steps{T: t})
+	f.listener.SetLimits(testLimits(2 * clients))
+	for n := range clients {
+		peer := f.openConnection()
+		peer.Write([]byte(requestOfSize(n, 0)))
+		f.RunIterations()
+		peer.Write([]byte(requestOfSize(clients+n, http1.MaxBodySize)))
+		f.RunIterations()
+	}
+	limit := f.listener.maxBufferedBytes + http1.MaxBodySize + 2*eventloop.MaxIdleBuffer*clients
+	if f.listener.bufferedBytes > limit {
+		t.Errorf("%d bytes buffered, %d allowed", f.listener.bufferedBytes, limit)
+	}
+	if f.table.OpenCount() < clients {
+		t.Errorf("%d requests are open, expected that of each of %d clients", f.table.OpenCount(), clients)
+	}
+}
+
 // A panic in the handling of a connection ends that connection and no other.
 func TestPanicEndsOneConnection(t *testing.T) {
 	f := newFixture(&modeltest.Steps{T: t})
--- a/internal/client/input.go
+++ b/internal/client/input.go
@@ -135,6 +135,15 @@
 
 func (c *connection) rejectOverrun() { c.rejectInput(503, "too much sent ahead of answers\n") }
 
+// readAheadRoom returns how many bytes may be read, apart from the limits of exceedsReadAhead. While the buffers of all connections
+// exceed their limit, a connection that awaits a response keeps little more than one that is idle: it would add a read otherwise.
+func (c *connection) readAheadRoom() int {
+	if len(c.slots) == 0 || c.listener.bufferedBytes <= c.listener.maxBufferedBytes {
+		return maxReadAhead
+	}
+	return eventloop.MaxIdleBuffer - len(c.Input())
+}
+
 // exceedsReadAhead reports whether more input was read ahead of responses than may be buffered.
 func (c *connection) exceedsReadAhead() bool {
 	size := len(c.Input())
--- a/internal/eventloop/stream.go
+++ b/internal/eventloop/stream.go
@@ -92,8 +92,12 @@
 
 // Fill reads available input, at most the size of the read buffer. ended reports that the end of the input was read. If the
 // kernel lacks memory for the read, the input is read later.
-func (s *Stream) Fill() (ended bool, err error) {
-	n, err := s.transfer(CallRead, func() (int, error) { return s.loop.syscalls.Read(s.fd, s.loop.readBuffer) })
+func (s *Stream) Fill() (ended bool, err error) { return s.FillUpTo(readBufferSize) }
+
+// FillUpTo is Fill for at most size bytes of input, 1 at least.
+func (s *Stream) FillUpTo(size int) (ended bool, err error) {
+	buffer := s.loop.readBuffer[:min(size, readBufferSize)]
+	n, err := s.transfer(CallRead, func() (int, error) { return s.loop.syscalls.Read(s.fd, buffer) })
 	switch {
 	case err != nil:
 		return true, err
