Parse the input of an incomplete request once, into however many pieces it is cut

Heads in pieces of 40 bytes: 91 ms; bodies in chunks of one byte: 83 ms.

Cause: each read had all input of the request parsed again.

Change: http1.Progress keeps how far a request was parsed. A request that comes whole is parsed as before; the input is transferred as before and parsed again by a successor.

TestResumeDoesNotReadAgain fails without the kept progress. TestResumeIsParseOfAllInput compares each cut with Parse of all input.

--- a/internal/client/arrivaltime.go
+++ b/internal/client/arrivaltime.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"valvecove/internal/hotrestart"
+	"valvecove/internal/http1"
 )
 
 // inputArrivalResolution is the minimum time between two recorded arrivals. It limits their number for a client that sends its
@@ -53,9 +54,10 @@
 	return c.loop().Now() // the input was read by a predecessor of a build that does not transfer when
 }
 
-// Consume drops the first n bytes of the input, and their arrivals.
+// Consume drops the first n bytes of the input, a whole request, and their arrivals.
 func (c *connection) Consume(n int) {
 	c.Stream.Consume(n)
+	c.parsed = http1.Progress{}
 	for len(c.inputArrivals) > 0 && c.inputArrivals[0].bytes <= n {
 		n -= c.inputArrivals[0].bytes
 		c.inputArrivals = c.inputArrivals[1:]
--- a/internal/client/connection.go
+++ b/internal/client/connection.go
@@ -72,6 +72,7 @@
 	panicked        bool          // a handler panicked
 	inputOverrun    bool          // more was sent ahead of responses than may be buffered: further input is discarded
 
+	parsed             http1.Progress // of the request at the start of the input
 	inputArrivals      []inputArrival // of the unconsumed input
 	currentRequestSize int            // bytes of the request being handled, at the start of the input; 0: none
 	currentArrival     time.Duration  // when the request being handled arrived
--- a/internal/client/fate_test.go
+++ b/internal/client/fate_test.go
@@ -48,6 +48,7 @@
 		"inputEnded":         storedform.Transferred("ClientConnection.InputConsumed"),
 		"panicked":           storedform.Dropped("the successor answers a first panic of its own in the same way"),
 		"inputOverrun":       storedform.Transferred("ClientConnection.InputOverrun"),
+		"parsed":             storedform.Derived("from the input, which is parsed again"),
 		"inputArrivals":      storedform.Transferred("ClientConnection.InputArrivals"),
 		"currentRequestSize": storedform.Dropped(whileHandling),
 		"currentArrival":     storedform.Dropped(whileHandling),
--- a/internal/client/input.go
+++ b/internal/client/input.go
@@ -63,7 +63,7 @@
 // readRequest handles the first request of the input. more is false if it is not complete, or ends the connection.
 func (c *connection) readRequest() (more bool) {
 	request := &c.listener.request
-	size, err := request.Parse(c.Input())
+	size, err := request.Resume(c.Input(), &c.parsed)
 	var parseError *http1.ParseError
 	if errors.As(err, &parseError) {
 		c.rejectInput(parseError.StatusCode, parseError.Reason+"\n")
