Refuse a payout whose call ID may have run before, in a successor too

Cause: the table knew the IDs of open requests only; a request is closed when its client leaves, and forgotten with its last attempt.

Change: the table remembers the IDs of closed requests that are possibly executed, in classes that must never be executed twice, for give_up or window, whichever is longer. A repeat is answered 409 before any limit is looked at; a duplicate of an open request could be rejected with 503 at a limit. 1/64 of the memory is for the IDs; at their limit payouts are rejected. State.ExecutedIDs takes them over a hot restart; earlier builds neither write nor read it.

A new golden frame, none regenerated; the form before is listed as an earlier one.

--- a/internal/client/config.go
+++ b/internal/client/config.go
@@ -25,6 +25,10 @@
 	Admit(now time.Duration, arrival requests.Arrival) (*requests.Request, error)
 	// ReportRejection does not retain the arrival, which is nil if the request could not be parsed.
 	ReportRejection(arrival *requests.Arrival, statusCode int)
+	// CheckCallID returns why a request of a class may not be admitted with a call ID, or nil.
+	CheckCallID(now time.Duration, callID string, class int) error
+	// CanRemember reports whether the call ID of another request of a class can be remembered, if it has to be.
+	CanRemember(now time.Duration, class int) bool
 	// OpenCount returns the number of admitted requests without a response.
 	OpenCount() int
 	// PayloadBytes returns the size of the payloads of open requests.
--- a/internal/client/request.go
+++ b/internal/client/request.go
@@ -83,6 +83,10 @@
 		c.reject(slot, nil, rejected)
 		return
 	}
+	if err := c.listener.table.CheckCallID(c.loop().Now(), arrival.CallID, class); err != nil { // before a rejection: it may have run
+		c.reject(slot, &arrival, &rejection{409, "X-Call-Id: " + err.Error()})
+		return
+	}
 	if c.rejectOverload(slot, &arrival) {
 		return
 	}
@@ -109,7 +113,9 @@
 		listener.reportRejection(arrival, 503)
 		slot.RespondRejected(0)
 		return true
-	case table.OpenCount() >= listener.maxRequests, !listener.hasMemoryForPayload(len(arrival.Payload.Body)):
+	case table.OpenCount() >= listener.maxRequests,
+		!listener.hasMemoryForPayload(len(arrival.Payload.Body)),
+		!table.CanRemember(c.loop().Now(), arrival.Job.Class):
 		listener.reportRejection(arrival, 503)
 		slot.RespondRejected(min(overloadRetryAfter, listener.parser.settings.MaxRetryAfter))
 		return true
--- a/internal/client/transfer_test.go
+++ b/internal/client/transfer_test.go
@@ -17,7 +17,15 @@
 // handOver transfers the connections and requests to another listener, as a hot restart does, and returns it. change changes the
 // connections on the way. marksOverrun is that of Restore.
 func (f *fixture) handOver(marksOverrun bool, change func(record *hotrestart.ClientConnection)) *fixture {
+	return f.handOverWith(func(*fixture) {}, marksOverrun, change)
+}
+
+// handOverWith is handOver to a listener that a function prepares.
+func (f *fixture) handOverWith(
+	prepare func(successor *fixture), marksOverrun bool, change func(record *hotrestart.ClientConnection),
+) *fixture {
 	successor := newFixture(f.Steps)
+	prepare(successor)
 	successor.Time = f.Time
 	successor.RunIterations()
 	state, open := f.table.Snapshot()
--- a/internal/hotrestart/golden_test.go
+++ b/internal/hotrestart/golden_test.go
@@ -40,6 +40,7 @@
 		"part.frame":             BodyPart{0, 1, 2, 0x80, 0xff},
 		"hello-parts.frame":      Handshake{Version: 1, AcceptsParts: true},
 		"estate-starts.frame":    goldenRequestTableWithStarts(),
+		"estate-executed.frame":  goldenRequestTableWithExecuted(),
 		"begin-clocks.frame":     TransferBegin{Clock: goldenTime, Monotonic: 86_400*time.Second + 987_654_321},
 	}
 }
@@ -47,7 +48,7 @@
 // earlierForms contains the golden files of earlier builds, which lack fields that another file of the same kind has.
 var earlierForms = map[string]bool{
 	"hello.frame": true, "welcome.frame": true, "begin.frame": true, "estate.frame": true, "client.frame": true,
-	"client-overrun.frame": true, "server.frame": true, "query.frame": true,
+	"client-overrun.frame": true, "server.frame": true, "query.frame": true, "estate-starts.frame": true,
 }
 
 func goldenRequestTable() RequestTable {
@@ -73,6 +74,13 @@
 	return table
 }
 
+// goldenRequestTableWithExecuted returns the request table of builds that remember the call IDs of requests that are possibly executed.
+func goldenRequestTableWithExecuted() RequestTable {
+	table := goldenRequestTableWithStarts()
+	table.ExecutedIDs = []requests.ExecutedID{{Hash: 0xfedcba9876543210, Until: goldenTime + 7500*time.Millisecond}}
+	return table
+}
+
 func goldenOpenRequest() OpenRequest {
 	payload := requests.Payload{Method: "POST", Path: "/v1/jobs?a=1&b=2", IdempotencyKey: "key-7", Body: []byte("{\"x\": 1}\n\xff")}
 	job := dispatch.Job{
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -39,6 +39,9 @@
 	heldNumerator   = 3
 	heldDenominator = 8
 
+	executedDivisor = 64 // 1/64 of the memory limit is for call IDs of requests that must not be executed again
+	executedIDBytes = 64 // of one of them, in a map and a list
+
 	minHeldDivisor = 8 // at least 1/8 of the memory limit is for what clients have sent, however low it is
 
 	// heldKinds is the number of kinds of what is held for clients: buffers of connections, responses that wait for their turn, and
@@ -53,6 +56,7 @@
 	WorkerConnections  int
 	ClientConnections  int
 	OpenRequests       int // maximum number at the same time; see MaxRequests
+	ExecutedIDs        int // call IDs of requests that must not be executed again
 	BufferBytes        int // of client connections; responses that wait, and payloads of open requests, may use as much each
 }
 
@@ -143,6 +147,7 @@
 		WorkerConnections:  workers,
 		ClientConnections:  clients,
 		OpenRequests:       MaxRequests(clients),
+		ExecutedIDs:        b.limits.MemoryMB << bytesPerMBShift / executedDivisor / executedIDBytes,
 		BufferBytes:        bufferBytes,
 	}
 }
--- a/internal/limits/limits_test.go
+++ b/internal/limits/limits_test.go
@@ -16,13 +16,13 @@
 		halved   bool
 		want     Shares
 	}{
-		"full limits":        {config.Limits{Sockets: 1024, MemoryMB: 64}, 0, false, Shares{24, 0, 166, 834, 751, 5941930}},
-		"half of the limits": {config.Limits{Sockets: 1024, MemoryMB: 64}, 0, true, Shares{24, 0, 81, 407, 367, 2970965}},
-		"low limits":         {config.Limits{Sockets: 64, MemoryMB: 16}, 30, false, Shares{24, 30, 8, 2, -6, 699050}},
+		"full limits":        {config.Limits{Sockets: 1024, MemoryMB: 64}, 0, false, Shares{24, 0, 166, 834, 751, 16384, 5941930}},
+		"half of the limits": {config.Limits{Sockets: 1024, MemoryMB: 64}, 0, true, Shares{24, 0, 81, 407, 367, 16384, 2970965}},
+		"low limits":         {config.Limits{Sockets: 64, MemoryMB: 16}, 30, false, Shares{24, 30, 8, 2, -6, 4096, 699050}},
 		"half of low limits": {
 			config.Limits{Sockets: 64, MemoryMB: 16},
 			30, true,
-			Shares{24, 30, 8, 8, 0, 349525},
+			Shares{24, 30, 8, 8, 0, 4096, 349525},
 		},
 	}
 	for name, test := range tests {
--- a/internal/requests/admission.go
+++ b/internal/requests/admission.go
@@ -23,10 +23,10 @@
 }
 
 // Admit adds a request to the table. Its deadline is Job.Remaining from now. The policy receives it with the next Step. The error
-// is ErrDuplicateCallID or nil; with an error the responder is not used.
+// is that of CheckCallID; with an error the responder is not used.
 func (t *Table) Admit(now time.Duration, arrival Arrival) (*Request, error) {
-	if t.requests.findOpen(arrival.CallID) != nil {
-		return nil, ErrDuplicateCallID
+	if err := t.CheckCallID(now, arrival.CallID, arrival.Job.Class); err != nil {
+		return nil, err
 	}
 	request := &Request{
 		ID:        t.requests.nextID(),
--- a/internal/requests/clockdifference.go
+++ b/internal/requests/clockdifference.go
@@ -18,6 +18,10 @@
 func (s State) OnClock(ahead time.Duration) State {
 	s.PolicyTimer = ShiftInstant(s.PolicyTimer, ahead)
 	s.LeastAge = ShiftInstant(s.LeastAge, ahead)
+	s.ExecutedIDs = slices.Clone(s.ExecutedIDs)
+	for i := range s.ExecutedIDs {
+		s.ExecutedIDs[i].Until = ShiftInstant(s.ExecutedIDs[i].Until, ahead)
+	}
 	if ahead != 0 {
 		s.Starts = s.allStarts()
 		for i := range s.Starts {
--- a/internal/requests/completion.go
+++ b/internal/requests/completion.go
@@ -83,6 +83,7 @@
 	request.transitionTo(next)
 	t.requests.removeOpen(request)
 	t.abandonUnwritten(request)
+	t.rememberExecuted(request)
 	if request.state == requestResponded {
 		t.reportEnded(request)
 	}
@@ -95,6 +96,7 @@
 		return
 	}
 	t.requests.remove(request)
+	t.rememberExecuted(request) // for as long from the end of its last attempt
 	t.reportEnded(request)
 	t.observers.notify(Notification{Kind: RequestForgotten, Request: request})
 }
--- a/internal/requests/fate_test.go
+++ b/internal/requests/fate_test.go
@@ -8,9 +8,9 @@
 
 // Every field of a request table has a stated fate at a hot restart.
 func TestFieldsHaveFateAtHotRestart(t *testing.T) {
-	records := []any{State{}, WorkerStart{}, OpenRequest{}, OpenAttempt{}}
+	records := []any{State{}, WorkerStart{}, OpenRequest{}, OpenAttempt{}, ExecutedID{}}
 	storedform.CheckFates(
-		t, records, tableFates(), requestFates(), attemptFates(), requestIndexFates(), attemptIndexFates(), policyFates(),
+		t, records, tableFates(), executedFates(), requestFates(), attemptFates(), requestIndexFates(), attemptIndexFates(), policyFates(),
 		endpointSetFates(), endpointTableFates(), startTimeFates(), startTimesFates(),
 	)
 }
@@ -23,6 +23,7 @@
 		"transport":       storedform.Derived(own),
 		"observers":       storedform.Derived("the successor's observers are notified of the restored requests and attempts"),
 		"requests":        storedform.Transferred("State.LastID", "OpenRequest.ID"),
+		"executed":        storedform.Transferred("State.ExecutedIDs"),
 		"attempts":        storedform.Transferred("OpenRequest.Attempts"),
 		"policy":          storedform.Transferred("State.PolicyTimer"),
 		"policyLog":       storedform.Derived(own),
@@ -32,6 +33,16 @@
 	})
 }
 
+func executedFates() storedform.FieldFates {
+	return storedform.FatesOf[executedIDs](map[string]storedform.Fate{
+		"windows":  storedform.Derived("from the successor's settings"),
+		"limit":    storedform.Derived("from the successor's limits"),
+		"until":    storedform.Transferred("ExecutedID.Hash", "ExecutedID.Until"),
+		"entries":  storedform.Transferred("State.ExecutedIDs"),
+		"awaiting": storedform.Dropped("a step before the transfer moves them to the others"),
+	})
+}
+
 func requestFates() storedform.FieldFates {
 	return storedform.FatesOf[Request](map[string]storedform.Fate{
 		"ID":              storedform.Transferred("OpenRequest.ID"),
--- a/internal/requests/requestindex.go
+++ b/internal/requests/requestindex.go
@@ -36,6 +36,9 @@
 // findOpen returns the open request with a call ID, or nil.
 func (r *requestIndex) findOpen(callID string) *Request { return r.openByCallID[callID] }
 
+// count returns the number of requests, open or closed.
+func (r *requestIndex) count() int { return len(r.byID) }
+
 // openCount returns the number of open requests.
 func (r *requestIndex) openCount() int { return len(r.openByCallID) }
 
--- a/internal/requests/snapshot.go
+++ b/internal/requests/snapshot.go
@@ -22,6 +22,9 @@
 
 	Starts   []WorkerStart `json:"Starts,omitempty"`   // start times that differ from the listed ones
 	LeastAge time.Duration `json:"LeastAge,omitempty"` // see startTimes.leastAge; 0: not known
+
+	// ExecutedIDs are the remembered call IDs of requests that are possibly executed. Earlier builds neither write nor read them.
+	ExecutedIDs []ExecutedID `json:"Executed,omitempty"`
 }
 
 // WorkerStart is when a worker started.
@@ -72,6 +75,7 @@
 		LastID:      t.requests.lastID,
 		PolicyTimer: t.policy.timer,
 		CordonedIDs: t.Cordoned(),
+		ExecutedIDs: t.executed.entries,
 	}
 	t.endpoints.addToState(&state)
 	var open []OpenRequest
--- a/internal/requests/step.go
+++ b/internal/requests/step.go
@@ -36,6 +36,7 @@
 		return
 	}
 	t.awaitUntil = 0
+	t.executed.step(now)
 	t.policy.deductWaitTime(now, &t.requests)
 	t.endpoints.logChanges(now)
 	t.expireAttempts(now)
@@ -48,6 +49,7 @@
 // FlushEvents runs Step until no event is pending, maxFlushSteps times at most, and reports whether none is. Pending events are
 // not part of a snapshot, and would be lost in a hot restart.
 func (t *Table) FlushEvents(now time.Duration) bool {
+	defer t.executed.step(now)
 	for range maxFlushSteps {
 		if !t.policy.hasEvents() {
 			return true
--- a/internal/requests/table.go
+++ b/internal/requests/table.go
@@ -20,6 +20,7 @@
 	observers   observerList
 
 	requests   requestIndex
+	executed   executedIDs
 	attempts   attemptIndex
 	policy     policyRunner
 	policyLog  policyLog
--- a/internal/requests/takeover.go
+++ b/internal/requests/takeover.go
@@ -19,6 +19,7 @@
 	t.restoreEndpoints(state)
 	t.SetCordoned(state.CordonedIDs)
 	t.requests.reserveIDs(state.LastID)
+	t.executed.restore(state.ExecutedIDs)
 	for i := range open {
 		t.restoreRequest(&open[i], responders[open[i].ID])
 	}
--- a/internal/scheduler/connections.go
+++ b/internal/scheduler/connections.go
@@ -23,6 +23,7 @@
 	s.budget.OnChange(func(shares limits.Shares) {
 		s.workers.SetMaxConnections(shares.WorkerConnections)
 		s.clients.SetLimits(clientLimitsOf(shares))
+		s.Requests.SetExecutedLimit(shares.ExecutedIDs)
 		if s.onShareLimits != nil {
 			s.onShareLimits(s.budget.IsHalved())
 		}
--- a/internal/scheduler/policy.go
+++ b/internal/scheduler/policy.go
@@ -28,6 +28,8 @@
 	known.Receipt.At = s.Now()
 	newPolicy := s.policyFactory(conf, ops, hasAperture)
 	s.Requests = requests.New(conf.Settings.AttemptLimit, conf.Settings.Names, newPolicy, known, workerTransport{s.workers, s}, decisionLog)
+	s.Requests.RememberExecuted(requests.ExecutedWindows(conf.Settings.Classes))
+	s.Requests.SetExecutedLimit(s.budget.Shares().ExecutedIDs)
 	s.workers.SetTable(s.Requests)
 	if s.Capture != nil {
 		s.Capture.LookupEndpoint = s.Requests.Endpoint
