Prove by a lock that no other process owns the state before serving

Callers saw: with two upgrades in direct succession the third process served beside the second for 3.7 s.

Cause: that nobody listens at the Unix socket was taken as proof that the predecessor has ended. While the state is restored nobody does, and whoever waits to be accepted there is reset.

Change: a process that serves holds a file lock, which the kernel releases with the process; one in standby holds a second lock, which is needed to get the first, until it has that. The protocol is unchanged.

Where no successor socket can be made, a new process no longer serves beside the old one: it waits, and ends with an error.

--- a/internal/hotrestart/transport/fixture_test.go
+++ b/internal/hotrestart/transport/fixture_test.go
@@ -29,6 +29,7 @@
 	snapshot   Snapshot                   // state to transfer
 	restored   []hotrestart.ReceivedState // arguments of Restore
 	isReleased bool
+	onRestore  func() // called by Restore; nil: nothing
 
 	address  netip.AddrPort // that clients connect to
 	socket   int            // client listener; eventloop.NoDescriptor: none
@@ -154,6 +155,9 @@
 // Restore implements State.
 func (p *process) Restore(received hotrestart.ReceivedState) {
 	p.restored = append(p.restored, received)
+	if p.onRestore != nil {
+		p.onRestore()
+	}
 }
 
 // WatchEndpoints implements EndpointWatch.
--- a/internal/hotrestart/transport/predecessor.go
+++ b/internal/hotrestart/transport/predecessor.go
@@ -241,6 +241,7 @@
 		return fmt.Errorf("transfer to the successor: %w", err)
 	}
 	r.config.State.Release()
+	r.ownership.release()
 	role.acceptor.Close()
 	r.config.Peers.Close()
 	took := (r.loop.Clock() - startedAt).Round(durationRounding)
--- a/internal/hotrestart/transport/roles.go
+++ b/internal/hotrestart/transport/roles.go
@@ -144,13 +144,16 @@
 	loop        *eventloop.Loop
 	config      Config
 	cordons     Cordons
+	ownership   ownership
 	predecessor *predecessor // nil: no successor can connect
 	successor   *successor   // nil: there is nothing to take over
 }
 
 // New returns the roles of a process that is neither a successor nor a predecessor yet. SetCordons must be called before Join or
 // AwaitSuccessor.
-func New(loop *eventloop.Loop, config Config) *Roles { return &Roles{loop: loop, config: config} }
+func New(loop *eventloop.Loop, config Config) *Roles {
+	return &Roles{loop: loop, config: config, ownership: newOwnership(config.Log)}
+}
 
 // SetCordons sets what applies and stores cordons.
 func (r *Roles) SetCordons(cordons Cordons) { r.cordons = cordons }
@@ -210,6 +213,7 @@
 
 // Close closes the sockets of both roles without sending anything or changing any state, like the end of the process would.
 func (r *Roles) Close() {
+	r.ownership.release()
 	if r.predecessor != nil {
 		r.predecessor.acceptor.Close()
 		if r.predecessor.connection != nil {
--- a/internal/hotrestart/transport/successor.go
+++ b/internal/hotrestart/transport/successor.go
@@ -63,6 +63,7 @@
 		return false
 	}
 	r.successor = role
+	r.ownership.stateDir = stateDir
 	r.config.SetHalved(true)
 	// The watch is opened immediately: with many schedulers its usual first connection may be delayed, and the list is needed
 	// soon.
@@ -80,6 +81,7 @@
 	role.close()
 	role.discardReceived()
 	role.closeListener()
+	r.ownership.release()
 	r.successor = nil
 	return true
 }
@@ -142,6 +144,9 @@
 		if !s.roles.config.Watch.HasReceivedEndpoints() && s.roles.loop.Now()-s.startedAt < endpointListTimeout {
 			return "no word from discovery yet"
 		}
+		if !s.roles.ownership.isReserved() {
+			return "another process is starting"
+		}
 	}
 	return ""
 }
@@ -226,6 +231,7 @@
 	s.listener = listener
 	s.roles.config.Cordoned.SetCordoned(accept.CordonedWorkers)
 	s.cordonsNotified = false
+	s.reserveOwnership()
 	for _, message := range s.pendingCalls.Messages() {
 		if err := s.sendMessage(message); err != nil {
 			return err
@@ -260,6 +266,7 @@
 // calls.
 func (s *successor) startServing() {
 	roles := s.roles
+	roles.ownAfterTransfer()
 	s.listen(roles.loop.Now()+listenTimeout, minClientListenBackoff)
 	roles.AwaitSuccessor(hotrestart.SocketAddresses(s.stateDir, s.listenAddress))
 	roles.config.Peers.Open()
@@ -330,14 +337,14 @@
 	s.reconnectTimer = s.roles.loop.After(backoff, func() { s.reconnect(reason) })
 }
 
-// reconnect connects to the predecessor again. Only if no process listens there has it ended: one that can be connected to, or may
-// be once a resource is available again, still owns the state.
+// reconnect connects to the predecessor again. Only if no process listens there, and none has the lock of the owner, has it ended: one
+// that can be connected to, or may be once a resource is available again, still owns the state, as does one that is taking it over.
 func (s *successor) reconnect(reason error) {
 	err := s.connect()
 	switch {
 	case err == nil:
 		s.roles.config.Log.Warn("predecessor session lost, reconnecting", "error", reason)
-	case !errors.Is(err, errNoPredecessor):
+	case !errors.Is(err, errNoPredecessor) || s.roles.ownership.claim() != nil:
 		s.reconnectAfterBackoff(reason)
 	case s.protocol.HandlePredecessorEnded() == hotrestart.ActionServeAlone:
 		s.roles.successor = nil
--- a/internal/scheduler/open.go
+++ b/internal/scheduler/open.go
@@ -82,7 +82,7 @@
 }
 
 // listenOrJoin listens for clients. With a management address it first looks for a process that serves at the same address, and
-// enters standby if there is one. If there is none, it listens with SO_REUSEPORT, so that a later process can listen at the same
+// enters standby if there is one. If there is none, and none is being replaced, it listens with SO_REUSEPORT, so that a later process can listen at the same
 // address even if it can't reach this one for a hot restart.
 func (s *Scheduler) listenOrJoin(conf config.Config) error {
 	if !conf.Management.IsValid() {
@@ -92,10 +92,17 @@
 	s.onFail = func(err error) { s.log.Error("scheduler failed", "error", err) }
 	s.prepareCordons(conf.StateDir, s.newCordonStore(conf.StateDir))
 	s.cordons.Restore()
-	if s.restart.Join(conf.StateDir, conf.Listen) {
-		return nil
+	hasJoined := false
+	err := s.startup.retry(func() error {
+		if hasJoined = s.restart.Join(conf.StateDir, conf.Listen); hasJoined {
+			return nil
+		}
+		return s.restart.Own(conf.StateDir)
+	})
+	if err != nil || hasJoined {
+		return err
 	}
-	err := s.startup.retry(func() error { return s.listenForClients(conf.Listen, unix.SO_REUSEPORT) })
+	err = s.startup.retry(func() error { return s.listenForClients(conf.Listen, unix.SO_REUSEPORT) })
 	if err != nil {
 		return err
 	}
--- a/internal/scheduler/startup.go
+++ b/internal/scheduler/startup.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"valvecove/internal/eventloop"
+	"valvecove/internal/hotrestart/transport"
 )
 
 const (
@@ -48,6 +49,8 @@
 func retryTimeout(err error) time.Duration {
 	class := eventloop.ClassOf(err)
 	switch {
+	case errors.Is(err, transport.ErrOwned): // it can be replaced soon, if it has just taken over itself
+		return startTimeout
 	case class.IsMomentary():
 		return startTimeout
 	case class == eventloop.ErrorAddressInUse:
