Evict the longest silent connection at once where others wait to be accepted

Cause: a connection that had sent nothing was kept for 250 ms, so the queue of those that wait to be accepted moved by 170 connections in that time.

Change: no grace for silent connections. What one has sent is read before it goes, so a request that waited in the queue with its connection is handled.

TestSilentCrowdDelaysNoRequest fails before. TestFloodOfIdleConnections saw the limit reached by the connections left at an iteration's end, one of which now goes for the next; it counts the descriptors used within an iteration, of which all must be in use.

--- a/internal/client/closing_test.go
+++ b/internal/client/closing_test.go
@@ -269,10 +269,11 @@
 	iterations := func(n int) {
 		t.Helper()
 		for range n {
-			if used := f.descriptorsUsedInIteration(); used > connections {
+			used := f.descriptorsUsedInIteration()
+			if used > connections {
 				t.Fatalf("%d descriptors used, %d allowed", used, connections)
 			}
-			full = full || listener.activeCount() >= listener.maxConnections
+			full = full || used == connections
 		}
 	}
 	var idle []*eventlooptest.Peer
@@ -311,6 +312,27 @@
 	}
 }
 
+// Guards against requests that wait behind a crowd of silent connections until their time is over: the crowd kept its places for some
+// time, while nobody else was accepted.
+func TestSilentCrowdDelaysNoRequest(t *testing.T) {
+	const places, crowd = 40, 400
+	f := newFixture(&modeltest.Steps{T: t})
+	f.listen()
+	f.listener.SetLimits(testLimits(places))
+	var silent []*eventlooptest.Peer
+	for range crowd {
+		silent = append(silent, f.connect())
+	}
+	client := f.connect()
+	client.Write([]byte(requestOfSize(1, 0)))
+	for range 2 * crowd { // time stands still
+		f.runOnce()
+	}
+	if f.table.OpenCount() != 1 {
+		t.Errorf("the request behind %d silent connections is not admitted", len(silent))
+	}
+}
+
 // descriptorsUsedInIteration runs an iteration and returns how many connections were open at any time during it. Connections that
 // end in it count, as their descriptors are closed after those that it opens.
 func (f *fixture) descriptorsUsedInIteration() int {
--- a/internal/client/eviction.go
+++ b/internal/client/eviction.go
@@ -7,16 +7,16 @@
 	"golang.org/x/sys/unix"
 )
 
-// evictionGrace is how long a connection without a request, or after its last response, is not evicted.
+// evictionGrace is how long a connection after its last response is not evicted.
 const evictionGrace = 250 * time.Millisecond
 
 // evict shuts down an idle connection to make room for another one, and reports whether it found one. Input that has arrived is
-// handled first; requests that arrive later are not, and the client retries them on another connection. New connections, and
-// those that received their last response, are not evicted within evictionGrace: a request may be on its way. A partial request
-// is rejected.
+// handled first; requests that arrive later are not, and the client retries them on another connection. A connection that has sent
+// nothing goes at once, however new it is: the requests of those that wait to be accepted have most likely arrived. One that received
+// its last response is not evicted within evictionGrace: its client may still read. A partial request is rejected.
 func (l *Listener) evict() bool {
 	for _, candidates := range []*list.List{&l.useless, &l.finished, &l.silent, &l.idle} {
-		hasGrace := candidates == &l.finished || candidates == &l.silent
+		hasGrace := candidates == &l.finished
 		for first := candidates.Front(); first != nil; first = candidates.Front() {
 			c := first.Value.(*connection)
 			if hasGrace && l.loop.Now()-c.lastActivity < evictionGrace {
