Hold the heap to the memory limit of the reloaded configuration

Operators saw nothing yet: after SIGHUP with another memory_mb the garbage collector kept the former limit, so a heap could grow past a lower one.

Cause: reload set the new limit, and the scheduler's change of limits then set it again from the configuration that the server still had.

Change: the server has the new configuration first.

--- a/internal/server/server_test.go
+++ b/internal/server/server_test.go
@@ -2,17 +2,21 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"os"
 	"os/signal"
 	"path/filepath"
 	"runtime"
+	"runtime/debug"
 	"strconv"
 	"strings"
 	"syscall"
 	"testing"
 	"time"
+
+	"valvecove/internal/config"
 )
 
 const testConfig = `{"name":"n0","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","limits":{"sockets":64},
@@ -181,6 +185,24 @@
 	}
 }
 
+// Guards against a scheduler that keeps the heap of its former memory limit after a reload, and is killed for memory.
+func TestReloadAppliesMemoryLimit(t *testing.T) {
+	withMemory := func(memoryMB int) string {
+		return strings.Replace(testConfig, `"sockets":64`, fmt.Sprintf(`"sockets":64,"memory_mb":%d`, memoryMB), 1)
+	}
+	s := start(t, withMemory(192))
+	s.configure(withMemory(64))
+	s.signal(syscall.SIGHUP)
+	s.awaitLogLine(`msg="configuration reloaded"`)
+	if got, want := debug.SetMemoryLimit(-1), HeapLimit(config.Limits{MemoryMB: 64}, false); got != want {
+		t.Errorf("the heap may have %d bytes, expected %d", got, want)
+	}
+	s.signal(syscall.SIGTERM)
+	if err := <-s.result; err != nil {
+		t.Error(err)
+	}
+}
+
 // While the event loop is blocked by reading a configuration from a slow file, many more SIGHUP and a SIGTERM are received. The
 // process applies the last configuration, and drains.
 func TestManySignalsWhileLoopIsBlocked(t *testing.T) {
--- a/internal/server/signals.go
+++ b/internal/server/signals.go
@@ -108,8 +108,8 @@
 		return
 	}
 	applyLimits(next.Limits)
+	s.conf = next // before the scheduler's limits: a change of these sets the memory limit again
 	s.scheduler.Reload(next)
-	s.conf = next
 	s.logger.Info("configuration reloaded", "discovery", next.Discovery.String())
 	if len(kept) > 0 {
 		s.logger.Warn("configuration keys require a restart", "keys", strings.Join(kept, " "))
