Log which process a start waits for while it can't become the owner

Operators saw nothing while a start waited up to 9 s for a process that serves and could not be joined.

TestStartBesideOwnerEndsWithError holds the retries, the error, and that the start goes on once the owner has ended.

--- a/internal/scheduler/open.go
+++ b/internal/scheduler/open.go
@@ -92,17 +92,10 @@
 	s.onFail = func(err error) { s.log.Error("scheduler failed", "error", err) }
 	s.prepareCordons(conf.StateDir, s.newCordonStore(conf.StateDir))
 	s.cordons.Restore()
-	hasJoined := false
-	err := s.startup.retry(func() error {
-		if hasJoined = s.restart.Join(conf.StateDir, conf.Listen); hasJoined {
-			return nil
-		}
-		return s.restart.Own(conf.StateDir)
-	})
-	if err != nil || hasJoined {
+	if hasJoined, err := s.joinOrOwn(conf); err != nil || hasJoined {
 		return err
 	}
-	err = s.startup.retry(func() error { return s.listenForClients(conf.Listen, unix.SO_REUSEPORT) })
+	err := s.startup.retry(func() error { return s.listenForClients(conf.Listen, unix.SO_REUSEPORT) })
 	if err != nil {
 		return err
 	}
@@ -111,6 +104,24 @@
 	return nil
 }
 
+// joinOrOwn enters standby, or becomes the owner of the state. hasJoined is false for an owner. While another process owns the state and
+// can't be joined, such as one that is taking over itself, it retries.
+func (s *Scheduler) joinOrOwn(conf config.Config) (hasJoined bool, err error) {
+	isLogged := false
+	err = s.startup.retry(func() error {
+		if hasJoined = s.restart.Join(conf.StateDir, conf.Listen); hasJoined {
+			return nil
+		}
+		owned := s.restart.Own(conf.StateDir)
+		if owned != nil && !isLogged {
+			isLogged = true
+			s.log.Info("start waits for the owner", "error", owned)
+		}
+		return owned
+	})
+	return hasJoined, err
+}
+
 func (s *Scheduler) listenForClients(address netip.AddrPort, options ...int) error {
 	return s.clients.Listen(address, options...)
 }
--- a/internal/scheduler/startup_test.go
+++ b/internal/scheduler/startup_test.go
@@ -14,6 +14,7 @@
 	"valvecove/internal/config"
 	"valvecove/internal/eventloop"
 	"valvecove/internal/eventloop/faultinjection"
+	"valvecove/internal/hotrestart/transport"
 	"valvecove/internal/logging"
 	"valvecove/internal/modeltest"
 )
@@ -151,3 +152,25 @@
 	}
 	return eventloop.AddrPort(sockaddr)
 }
+
+// Guards against a start beside a process that serves and can't be joined: it retries, and ends with an error that names the owner.
+func TestStartBesideOwnerEndsWithError(t *testing.T) {
+	dir := t.TempDir()
+	owner, starting := newHarness(&modeltest.Steps{T: t}), newHarness(&modeltest.Steps{T: t})
+	owner.enableHotRestart()
+	starting.enableHotRestart()
+	if err := owner.scheduler.restart.Own(dir); err != nil {
+		t.Fatal(err)
+	}
+	calls := 0
+	starting.scheduler.startup = newStartup(func() time.Duration { calls++; return time.Duration(calls) * startTimeout / 4 }, nil)
+	conf := config.Config{StateDir: dir, Listen: netip.MustParseAddrPort("127.0.0.1:1")}
+	hasJoined, err := starting.scheduler.joinOrOwn(conf)
+	if hasJoined || !errors.Is(err, transport.ErrOwned) || calls < 3 {
+		t.Errorf("joined %v, %v after %d readings of the clock, expected ErrOwned after retries", hasJoined, err, calls)
+	}
+	owner.scheduler.restart.Close()
+	if _, err := starting.scheduler.joinOrOwn(conf); err != nil {
+		t.Errorf("after the owner's end: %v", err)
+	}
+}
