Remember the payouts in flight that an earlier build hands over without their client

Callers could see: a payout that ran when its client left, and whose process of an earlier build was then replaced by this one, ran again when its ID came again.

Cause: a successor took call IDs only from State.ExecutedIDs, which earlier builds do not write, although the closed requests themselves are transferred.

Change: a closed request that is restored and possibly executed is remembered.

TestPossiblyExecutedOfEarlierBuildIsNotAdmittedAgain fails before. TestSnapshotSharesInputAfterOverrun fails now if there is no connection to look at.

--- a/internal/client/transfer_test.go
+++ b/internal/client/transfer_test.go
@@ -208,7 +208,11 @@
 	f.listen()
 	run := overrunRun{fixture: f}
 	run.sendAhead(f.connect(), 0, 2*maxResponseSlots)
-	for _, snapshot := range f.listener.Snapshot() {
+	snapshots := f.listener.Snapshot()
+	if len(snapshots) != 1 {
+		t.Fatalf("%d connections, expected 1", len(snapshots))
+	}
+	for _, snapshot := range snapshots {
 		input := f.connection(snapshot.Descriptor).Input()
 		if !snapshot.InputOverrun || len(snapshot.Input) == 0 || &snapshot.Input[0] != &input[0] {
 			t.Errorf("overrun %v, %d bytes of input in the snapshot are copied", snapshot.InputOverrun, len(snapshot.Input))
--- a/internal/requests/executed_test.go
+++ b/internal/requests/executed_test.go
@@ -128,6 +128,21 @@
 	}
 }
 
+// Guards against a payout that runs twice after a hot restart from an earlier build, which transfers the request whose client left, but
+// no call IDs.
+func TestPossiblyExecutedOfEarlierBuildIsNotAdmittedAgain(t *testing.T) {
+	run := newExecutedRun(t)
+	run.leave(run.send("q", classNonIdempotent, requests.StageAccepted))
+	run.Step(run.now)
+	state, open := run.Snapshot()
+	state.ExecutedIDs = nil
+	successor := newExecutedRun(t)
+	successor.TakeOver(run.now, state, open, nil, func() requests.Policy { return nil })
+	if _, err := successor.admit("q", classNonIdempotent); !errors.Is(err, requests.ErrPossiblyExecuted) {
+		t.Errorf("%v, expected %v", err, requests.ErrPossiblyExecuted)
+	}
+}
+
 // At the limit of remembered IDs no further request that would have to be remembered is admitted, until one is forgotten.
 func TestExecutedLimit(t *testing.T) {
 	const limit = 8
--- a/internal/requests/takeover.go
+++ b/internal/requests/takeover.go
@@ -71,6 +71,9 @@
 	for i := range open.Attempts {
 		t.restoreAttempt(request, &open.Attempts[i])
 	}
+	if request.IsClosed() { // an earlier build transfers no call IDs
+		t.rememberExecuted(request)
+	}
 }
 
 // restoreAttempt adds the next attempt of a request.
