Try again to prove ownership after a moment without a descriptor or memory

Callers could see two processes that serve: a process that lacked a descriptor or memory when it wanted the lock gave up proving its ownership for good, with a warning.

Cause: every error but a held lock counted as a directory that can't be used.

Change: the files are opened through the event loop's system calls, and a momentary error is one: a start retries it as other steps, a successor with its next try. A process that has left standby reserves nothing any more.

TestOwnershipAwaitsDescriptor fails before.

--- a/internal/eventloop/syscalls.go
+++ b/internal/eventloop/syscalls.go
@@ -290,10 +290,10 @@
 	return n, err
 }
 
-// Open is open(2).
-func (s *Syscalls) Open(path string, flags int) (fd int, err error) {
+// Open is open(2). mode is that of a file which the call creates.
+func (s *Syscalls) Open(path string, flags int, mode uint32) (fd int, err error) {
 	if err := s.fail(CallOpen, NoDescriptor); err != nil {
 		return NoDescriptor, err
 	}
-	return unix.Open(path, flags, 0)
+	return unix.Open(path, flags, mode)
 }
--- a/internal/hotrestart/transport/lock_test.go
+++ b/internal/hotrestart/transport/lock_test.go
@@ -6,6 +6,11 @@
 	"path/filepath"
 	"strings"
 	"testing"
+
+	"golang.org/x/sys/unix"
+
+	"valvecove/internal/eventloop"
+	"valvecove/internal/eventloop/faultinjection"
 )
 
 // expectOwned expects that no process can become the owner in a state directory.
@@ -80,7 +85,7 @@
 	predecessor := newPredecessor(t)
 	successor := predecessor.startSuccessor()
 	owner := newProcess(t, predecessor.dir)
-	lock, err := lockFile(filepath.Join(predecessor.dir, ownerFileName))
+	lock, err := owner.roles.ownership.lockFile(filepath.Join(predecessor.dir, ownerFileName))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -119,3 +124,17 @@
 		t.Errorf("%v, log %q", err, other.log.String())
 	}
 }
+
+// Guards against a process that serves without a proof as it lacks a descriptor for a moment: it tries again.
+func TestOwnershipAwaitsDescriptor(t *testing.T) {
+	p := newProcess(t, t.TempDir())
+	p.injectFaults(faultinjection.Rule{Calls: []eventloop.Call{eventloop.CallOpen}, Errnos: []unix.Errno{unix.EMFILE}})
+	if err := p.roles.Own(p.dir); !isMomentary(err) {
+		t.Errorf("%v, expected a momentary error", err)
+	}
+	p.injectFaults()
+	if err := p.roles.Own(p.dir); err != nil {
+		t.Fatal(err)
+	}
+	expectOwned(t, p.dir, "after the descriptor is there")
+}
--- a/internal/hotrestart/transport/ownership.go
+++ b/internal/hotrestart/transport/ownership.go
@@ -12,6 +12,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"valvecove/internal/eventloop"
 	"valvecove/internal/hotrestart"
 )
 
@@ -35,20 +36,21 @@
 // holds that until its predecessor has released the lock of the owner, so that no third process gets either in between. A predecessor
 // of an earlier build holds no lock; its successor does all the same.
 type ownership struct {
+	syscalls  *eventloop.Syscalls
 	log       *slog.Logger
 	stateDir  string // empty: nothing is locked, and ownership is assumed
 	owner     int    // locked files, or hotrestart.NoDescriptor
 	successor int
 }
 
-func newOwnership(log *slog.Logger) ownership {
-	return ownership{log: log, owner: hotrestart.NoDescriptor, successor: hotrestart.NoDescriptor}
+func newOwnership(syscalls *eventloop.Syscalls, log *slog.Logger) ownership {
+	return ownership{syscalls: syscalls, log: log, owner: hotrestart.NoDescriptor, successor: hotrestart.NoDescriptor}
 }
 
-// reserve gets the lock of the successor. The error is ErrOwned or nil.
+// reserve gets the lock of the successor. The error is that of lock.
 func (o *ownership) reserve() error { return o.lock(successorFileName, &o.successor) }
 
-// claim gets the lock of the owner, and releases that of the successor. The error is ErrOwned or nil.
+// claim gets the lock of the owner, and releases that of the successor. The error is that of lock.
 func (o *ownership) claim() error {
 	if o.owner != hotrestart.NoDescriptor {
 		return nil
@@ -59,7 +61,7 @@
 	}
 	err := o.lock(ownerFileName, &o.owner)
 	if err == nil || !wasReserved {
-		unlock(&o.successor)
+		o.unlock(&o.successor)
 	}
 	if err == nil {
 		o.recordProcess()
@@ -69,22 +71,24 @@
 
 // release releases both locks.
 func (o *ownership) release() {
-	unlock(&o.owner)
-	unlock(&o.successor)
+	o.unlock(&o.owner)
+	o.unlock(&o.successor)
 }
 
-// lock locks a file of the state directory, unless it is locked already. A directory that can't be used is logged, and nothing is locked
-// from then on: the process could never serve otherwise.
+// lock locks a file of the state directory, unless it is locked already. The error is ErrOwned, or a momentary one after which ownership
+// is not known. A directory that can't be used is logged, and nothing is locked from then on: the process could never serve otherwise.
 func (o *ownership) lock(name string, descriptor *int) error {
 	if o.stateDir == "" || *descriptor != hotrestart.NoDescriptor {
 		return nil
 	}
-	locked, err := lockFile(filepath.Join(o.stateDir, name))
+	locked, err := o.lockFile(filepath.Join(o.stateDir, name))
 	switch {
 	case err == nil:
 		*descriptor = locked
 	case errors.Is(err, unix.EWOULDBLOCK):
 		return ErrOwned
+	case isMomentary(err):
+		return err
 	default:
 		o.log.Warn("ownership not proved", "file", name, "error", err)
 		o.stateDir = ""
@@ -93,16 +97,16 @@
 }
 
 // lockFile returns a descriptor of a file that it has locked. The error is unix.EWOULDBLOCK if another process has.
-func lockFile(path string) (descriptor int, err error) {
+func (o *ownership) lockFile(path string) (descriptor int, err error) {
 	descriptor, err = retryInterrupted(func() (int, error) {
-		return unix.Open(path, unix.O_RDWR|unix.O_CREAT|unix.O_CLOEXEC, lockFileMode)
+		return o.syscalls.Open(path, unix.O_RDWR|unix.O_CREAT|unix.O_CLOEXEC, lockFileMode)
 	})
 	if err != nil {
-		return hotrestart.NoDescriptor, err
+		return hotrestart.NoDescriptor, eventloop.NewCallError(eventloop.CallOpen, err)
 	}
 	_, err = retryInterrupted(func() (int, error) { return 0, unix.Flock(descriptor, unix.LOCK_EX|unix.LOCK_NB) })
 	if err != nil {
-		_ = unix.Close(descriptor)
+		_ = o.syscalls.Close(descriptor)
 		return hotrestart.NoDescriptor, err
 	}
 	return descriptor, nil
@@ -118,9 +122,9 @@
 }
 
 // unlock closes a locked file, which releases the lock.
-func unlock(descriptor *int) {
+func (o *ownership) unlock(descriptor *int) {
 	if *descriptor != hotrestart.NoDescriptor {
-		_ = unix.Close(*descriptor)
+		_ = o.syscalls.Close(*descriptor)
 		*descriptor = hotrestart.NoDescriptor
 	}
 }
@@ -147,13 +151,14 @@
 		info.ModTime().UTC().Format(time.RFC3339))
 }
 
-// Own makes this process the owner of the state, if there is none. The error is ErrOwned, with the owner, or nil.
+// Own makes this process the owner of the state, if there is none. The error is ErrOwned, with the owner, or a momentary one.
 func (r *Roles) Own(stateDir string) error {
 	r.ownership.stateDir = stateDir
-	if err := r.ownership.claim(); err != nil {
+	err := r.ownership.claim()
+	if errors.Is(err, ErrOwned) {
 		return r.ownership.ownerError()
 	}
-	return nil
+	return err
 }
 
 // ownAfterTransfer gets the lock of the owner as soon as the predecessor has released it.
@@ -165,7 +170,7 @@
 
 // reserveOwnership gets the lock of the successor for a process in standby. Another process may have it while it starts.
 func (s *successor) reserveOwnership() {
-	isStandby := s.protocol.State() == hotrestart.SuccessorStandby
+	isStandby := s.IsOpen() && s.protocol.State() == hotrestart.SuccessorStandby
 	if isStandby && s.roles.ownership.reserve() != nil {
 		s.roles.loop.After(lockRetryDelay, s.reserveOwnership)
 	}
--- a/internal/hotrestart/transport/roles.go
+++ b/internal/hotrestart/transport/roles.go
@@ -152,7 +152,7 @@
 // New returns the roles of a process that is neither a successor nor a predecessor yet. SetCordons must be called before Join or
 // AwaitSuccessor.
 func New(loop *eventloop.Loop, config Config) *Roles {
-	return &Roles{loop: loop, config: config, ownership: newOwnership(config.Log)}
+	return &Roles{loop: loop, config: config, ownership: newOwnership(loop.Syscalls(), config.Log)}
 }
 
 // SetCordons sets what applies and stores cordons.
--- a/internal/hotrestart/transport/unixsocket.go
+++ b/internal/hotrestart/transport/unixsocket.go
@@ -96,7 +96,7 @@
 	if len(path) <= maxSocketPath {
 		return &unix.SockaddrUnix{Name: path}, func() {}, nil
 	}
-	directory, err := u.syscalls.Open(filepath.Dir(path), unix.O_PATH|unix.O_DIRECTORY|unix.O_CLOEXEC)
+	directory, err := u.syscalls.Open(filepath.Dir(path), unix.O_PATH|unix.O_DIRECTORY|unix.O_CLOEXEC, 0)
 	if err != nil {
 		return nil, nil, eventloop.NewCallError(eventloop.CallOpen, err)
 	}
--- a/internal/scheduler/open.go
+++ b/internal/scheduler/open.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
@@ -12,6 +13,7 @@
 	"valvecove/internal/config"
 	"valvecove/internal/eventloop"
 	"valvecove/internal/hotrestart"
+	"valvecove/internal/hotrestart/transport"
 	"valvecove/internal/limits"
 	"valvecove/internal/logging"
 	"valvecove/internal/metrics"
@@ -113,7 +115,7 @@
 			return nil
 		}
 		owned := s.restart.Own(conf.StateDir)
-		if owned != nil && !isLogged {
+		if errors.Is(owned, transport.ErrOwned) && !isLogged {
 			isLogged = true
 			s.log.Info("start waits for the owner", "error", owned)
 		}
