Play misbehaving clients beside usual ones against real processes, drawn from a seed

`valvecove-testbed badclients` draws many slow clients, floods, and clients that leave and whose payouts come again, half of them over a replacement, and judges memory, answers, runs and what comes to workers after a close; a failure prints the command that replays it.

--- a/cmd/valvecove-testbed/main.go
+++ b/cmd/valvecove-testbed/main.go
@@ -29,21 +29,22 @@
 
 // commands are the subcommands.
 type commands struct {
-	Demo      demoCommand      `cmd:"" name:"demo" help:"Start discovery, workers, a scheduler and clients, kill a worker during the run, and check the run."`
-	Play      playCommand      `cmd:"" name:"play" help:"Run a scenario once, check its invariants, and show its figures."`
-	Compare   compareCommand   `cmd:"" name:"compare" help:"Run two builds, configurations or policies on the same scenarios, paired by seed."`
-	Variation variationCommand `cmd:"" name:"sweep" help:"Run a scenario with several values of one key, or of two."`
-	Search    searchCommand    `cmd:"" name:"hunt" help:"Draw scenarios and faults at random, and keep the worst runs, minimised."`
-	Agreement agreementCommand `cmd:"" name:"agree" help:"Run scenarios with both drivers, and set their figures side by side."`
-	Baselines baselinesCommand `cmd:"" name:"baselines" help:"Compare the dispatch policy with the baseline policies, scenario by scenario."`
-	Speed     speedCommand     `cmd:"" name:"speed" help:"Measure how fast the simulation runs on one core, by fleet size."`
-	Load      loadCommand      `cmd:"" name:"load" help:"Apply an open-loop load to an address, or to the testbed's own responder."`
-	Fleet     fleetCommand     `cmd:"" name:"fleet" help:"Measure a scheduler in front of large fleets on sockets, beside the standard library's reverse proxy."`
-	Growth    growthCommand    `cmd:"" name:"growth" help:"Measure the resources that a scheduler needs as its fleet grows, beside the limits of the standing growth test."`
-	Mutants   mutantsCommand   `cmd:"" name:"mutants" help:"Run each mutant, and report whether the invariant checker finds it."`
-	List      listCommand      `cmd:"" name:"list" help:"List the scenarios of the library."`
-	Check     checkCommand     `cmd:"" name:"check" help:"Check scenario files."`
-	Version   versionCommand   `cmd:"" name:"version" help:"Print which build this is."`
+	Demo       demoCommand       `cmd:"" name:"demo" help:"Start discovery, workers, a scheduler and clients, kill a worker during the run, and check the run."`
+	Play       playCommand       `cmd:"" name:"play" help:"Run a scenario once, check its invariants, and show its figures."`
+	Compare    compareCommand    `cmd:"" name:"compare" help:"Run two builds, configurations or policies on the same scenarios, paired by seed."`
+	Variation  variationCommand  `cmd:"" name:"sweep" help:"Run a scenario with several values of one key, or of two."`
+	Search     searchCommand     `cmd:"" name:"hunt" help:"Draw scenarios and faults at random, and keep the worst runs, minimised."`
+	Agreement  agreementCommand  `cmd:"" name:"agree" help:"Run scenarios with both drivers, and set their figures side by side."`
+	Baselines  baselinesCommand  `cmd:"" name:"baselines" help:"Compare the dispatch policy with the baseline policies, scenario by scenario."`
+	Speed      speedCommand      `cmd:"" name:"speed" help:"Measure how fast the simulation runs on one core, by fleet size."`
+	Load       loadCommand       `cmd:"" name:"load" help:"Apply an open-loop load to an address, or to the testbed's own responder."`
+	BadClients badClientsCommand `cmd:"" name:"badclients" help:"Run misbehaving clients beside usual ones against real processes, drawn from a seed."`
+	Fleet      fleetCommand      `cmd:"" name:"fleet" help:"Measure a scheduler in front of large fleets on sockets, beside the standard library's reverse proxy."`
+	Growth     growthCommand     `cmd:"" name:"growth" help:"Measure the resources that a scheduler needs as its fleet grows, beside the limits of the standing growth test."`
+	Mutants    mutantsCommand    `cmd:"" name:"mutants" help:"Run each mutant, and report whether the invariant checker finds it."`
+	List       listCommand       `cmd:"" name:"list" help:"List the scenarios of the library."`
+	Check      checkCommand      `cmd:"" name:"check" help:"Check scenario files."`
+	Version    versionCommand    `cmd:"" name:"version" help:"Print which build this is."`
 
 	// FormerBaselines is the name of Baselines up to December 2026, accepted for one release.
 	FormerBaselines baselinesCommand `hidden:"" cmd:"" name:"yardsticks"`
--- a/internal/testbed/fakeplatform/platform.go
+++ b/internal/testbed/fakeplatform/platform.go
@@ -1,5 +1,5 @@
 // Package fakeplatform is a small fake of the platform that a scheduler runs on, for tests with real scheduler processes.
-// It owns the discovery service, the workers, the clients and the scheduler processes of one test, all on 127.0.0.1. It
+// It owns the discovery service, the workers, the clients and the scheduler processes of one test, all on the loopback network. It
 // is simpler than the testbed's simulated environment. It makes no assertions about the scheduler: it counts what the
 // scheduler does, and its caller compares the counts with what the test expects.
 package fakeplatform
@@ -7,9 +7,11 @@
 import (
 	"encoding/json"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"net/netip"
 	"strconv"
 	"time"
 )
@@ -23,6 +25,8 @@
 	Listen    string    // address at which clients and workers reach the scheduler
 	Discovery string    // address of the discovery service
 	Workers   []*Worker // their ids are s-0, s-1, ...
+	Sockets   int       // limit of descriptors of the schedulers that are started from then on
+	MemoryMB  int       // limit of memory of these
 	servers   []*httptest.Server
 	closed    chan struct{}
 }
@@ -48,10 +52,10 @@
 	if err != nil {
 		return nil, err
 	}
-	platform := &Platform{Listen: listen, closed: make(chan struct{})}
+	platform := &Platform{Listen: listen, Sockets: defaultSockets, MemoryMB: defaultMemoryMB, closed: make(chan struct{})}
 	list := endpointList{Revision: 1, Snapshot: true}
 	for i := range workers {
-		worker := &Worker{ID: "s-" + strconv.Itoa(i), runsByRequest: map[string]int{}, release: make(chan struct{})}
+		worker := &Worker{ID: "s-" + strconv.Itoa(i), arrivals: map[string][]time.Time{}, release: make(chan struct{})}
 		address := platform.serve(func(w http.ResponseWriter, r *http.Request) { platform.acceptAttempt(worker, w, r) })
 		platform.Workers = append(platform.Workers, worker)
 		list.Endpoints = append(list.Endpoints, endpoint{ID: worker.ID, Address: address, Lifecycle: "up"})
@@ -73,9 +77,12 @@
 	return server.Listener.Addr().String()
 }
 
-// FreeAddress returns an address of 127.0.0.1 whose port was free a moment ago. Another process may have taken it since.
+// loopbackAddress is that of the addresses of FreeAddress, without a port. It is none from which connections are made, as these would take their ports.
+var loopbackAddress = netip.AddrFrom4([4]byte{127, byte(32 + rand.IntN(192)), byte(rand.IntN(256)), byte(2 + rand.IntN(250))})
+
+// FreeAddress returns an address of the loopback network whose port was free a moment ago. Another process may have taken it since.
 func FreeAddress() (string, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := net.Listen("tcp", netip.AddrPortFrom(loopbackAddress, 0).String())
 	if err != nil {
 		return "", err
 	}
--- a/internal/testbed/fakeplatform/process.go
+++ b/internal/testbed/fakeplatform/process.go
@@ -13,8 +13,14 @@
 	"syscall"
 )
 
-// configText is the configuration file of a scheduler: its listen, discovery and management addresses, and its settings.
-const configText = `{"name":"n0","listen":"%s","discovery":"%s","management":"%s","limits":{"sockets":256},"settings":%s}`
+// Limits of a scheduler for which the platform sets none.
+const (
+	defaultSockets  = 256
+	defaultMemoryMB = 192
+)
+
+// configText is the configuration file of a scheduler: its listen, discovery and management addresses, its limits, and its settings.
+const configText = `{"name":"n0","listen":"%s","discovery":"%s","management":"%s","limits":{"sockets":%d,"memory_mb":%d},"settings":%s}`
 
 // metricPrefix precedes the name of every metric of the scheduler.
 const metricPrefix = "edge_proxy."
@@ -38,7 +44,7 @@
 		return nil, err
 	}
 	configPath := filepath.Join(workDir, strings.ReplaceAll(address, ":", "-")+".json")
-	config := fmt.Appendf(nil, configText, p.Listen, p.Discovery, address, settings)
+	config := fmt.Appendf(nil, configText, p.Listen, p.Discovery, address, p.Sockets, p.MemoryMB, settings)
 	if err := os.WriteFile(configPath, config, 0o600); err != nil {
 		return nil, err
 	}
@@ -60,6 +66,19 @@
 	return process, nil
 }
 
+// ID returns the process ID.
+func (p *Process) ID() int { return p.command.Process.Pid }
+
+// HasEnded reports whether the process has ended.
+func (p *Process) HasEnded() bool {
+	select {
+	case <-p.done:
+		return true
+	default:
+		return false
+	}
+}
+
 // Kill ends the process by SIGKILL, if it still runs, and waits until it has ended.
 func (p *Process) Kill() {
 	_ = p.command.Process.Kill()
--- a/internal/testbed/fakeplatform/worker.go
+++ b/internal/testbed/fakeplatform/worker.go
@@ -4,20 +4,23 @@
 	"bytes"
 	"encoding/json"
 	"io"
-	"maps"
 	"net/http"
+	"slices"
 	"sync"
+	"time"
 )
 
 const callbackAttempts = 10 // maximum number of times that a worker sends one callback
 
 // Worker is a fake worker. It accepts every attempt and reports at once that the attempt has started. It reports that the
-// attempt is done after Free. Its methods may be called concurrently.
+// attempt is done after JobTime or Free. Its methods may be called concurrently.
 type Worker struct {
-	ID            string
-	mutex         sync.Mutex
-	runsByRequest map[string]int // by X-Call-Id
-	release       chan struct{}  // closed by Free
+	ID      string
+	JobTime time.Duration // how long its jobs run; 0: until Free. Set before the first job
+
+	mutex    sync.Mutex
+	arrivals map[string][]time.Time // of attempts, by X-Call-Id
+	release  chan struct{}          // closed by Free
 }
 
 // callback is the body of a callback of a worker to the scheduler.
@@ -38,17 +41,26 @@
 func (w *Worker) Runs() (byRequest map[string]int, total int) {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	for _, runs := range w.runsByRequest {
-		total += runs
+	byRequest = map[string]int{}
+	for request, arrivals := range w.arrivals {
+		byRequest[request] = len(arrivals)
+		total += len(arrivals)
 	}
-	return maps.Clone(w.runsByRequest), total
+	return byRequest, total
+}
+
+// Arrivals returns when the attempts of a request have come, by the wall clock.
+func (w *Worker) Arrivals(request string) []time.Time {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	return slices.Clone(w.arrivals[request])
 }
 
 // countRun counts a run of a request.
 func (w *Worker) countRun(request string) {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	w.runsByRequest[request]++
+	w.arrivals[request] = append(w.arrivals[request], time.Now())
 }
 
 // acceptAttempt accepts an attempt and runs it. Other requests, such as cancellations, have no effect: a running job goes on.
@@ -66,7 +78,13 @@
 // runAttempt reports the start of an attempt, and its end once the worker is freed.
 func (p *Platform) runAttempt(worker *Worker, request string) {
 	p.sendCallback(worker, request, "started")
+	var ended <-chan time.Time // never, without a time
+	if worker.JobTime > 0 {
+		ended = time.After(worker.JobTime)
+	}
 	select {
+	case <-ended:
+		p.sendCallback(worker, request, "done")
 	case <-worker.release:
 		p.sendCallback(worker, request, "done")
 	case <-p.closed:
